--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,132 @@
+// Package cli is the command line of rackspur. It wires the defaults of every
+// other package together.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"rackspur/observe"
+	"rackspur/settings"
+)
+
+// Exit codes. The codes of submit tell what became of the submission.
+const (
+	ExitOK      = 0
+	ExitError   = 1
+	ExitUsage   = 2
+	ExitFailed  = 3
+	ExitNotRun  = 4
+	ExitUnknown = 5
+)
+
+// Version is the version of the program.
+const Version = "0.1.0"
+
+// exitError carries an exit code.
+type exitError struct {
+	code int
+	err  error
+}
+
+// Error implements error.Error.
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+// exitWith returns an error that ends the program with a code.
+func exitWith(code int, format string, args ...any) error {
+	return &exitError{code: code, err: fmt.Errorf(format, args...)}
+}
+
+// Main runs the command line and returns the exit code.
+func Main(args []string, in io.Reader, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetIn(in)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return ExitOK
+	}
+	fmt.Fprintln(errOut, "rackspur:", err)
+	var exit *exitError
+	switch {
+	case errors.As(err, &exit):
+		return exit.code
+	case errors.Is(err, settings.ErrWrong):
+		return ExitUsage
+	}
+	return ExitError
+}
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "rackspur",
+		Short:         "Dispatch jobs of short tasks, each task started at most once",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error {
+		return exitWith(ExitUsage, "%v", err)
+	})
+	root.AddCommand(
+		newEntry(), newAgent(), newDev(), newStandin(),
+		newSubmit(), newApply(), newConfig(), newStatus(), newDrain(),
+		newVersion(),
+	)
+	return root
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run: func(cmd *cobra.Command, _ []string) {
+			fmt.Fprintln(cmd.OutOrStdout(), "rackspur", Version)
+		},
+	}
+}
+
+// common are the settings that every serving role has.
+type common struct {
+	logFormat string
+	verbosity int
+	trace     string
+	traceTo   string
+}
+
+func (c *common) define(set *settings.Set) {
+	set.Choice(&c.logFormat, "log-format", "text", "form of log lines", "text", "json")
+	set.Int(&c.verbosity, "verbosity", 0, "how much is logged", 0, 4)
+	set.Choice(&c.trace, "trace", "none", "where trace spans go", "none", "stderr", "otlp")
+	set.Address(&c.traceTo, "trace-endpoint", "127.0.0.1:4317", "address of the OTLP collector")
+}
+
+func (c *common) logger(w io.Writer) logr.Logger {
+	return observe.NewLogger(w, observe.LogFormat(c.logFormat), c.verbosity)
+}
+
+// serve runs a role with tracing until the process is told to stop.
+func (c *common) serve(ctx context.Context, service string, run func(context.Context, logr.Logger) error) error {
+	flush, err := observe.StartTracing(ctx, observe.TraceExporter(c.trace), c.traceTo, service, os.Stderr)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = flush(context.Background()) }()
+	return eris.Wrap(run(ctx, c.logger(os.Stderr)), service)
+}
--- /dev/null
+++ b/cli/dev.go
@@ -0,0 +1,225 @@
+package cli
+
+import (
+	"context"
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+	"github.com/thejerf/suture/v4"
+
+	"rackspur/agent"
+	"rackspur/api"
+	"rackspur/caller"
+	"rackspur/config"
+	"rackspur/entry"
+	"rackspur/internal/standin"
+	"rackspur/observe"
+	"rackspur/platform"
+	"rackspur/settings"
+)
+
+//go:embed dev.yaml
+var devDeclaration []byte
+
+// devToken is the token of the example declaration's first member.
+const devToken = "ghanta:dev-secret"
+
+// devTasks is the number of tasks of the job that dev sends first.
+const devTasks = 380
+
+// devSettings are the settings of "rackspur dev".
+type devSettings struct {
+	listen  string
+	ops     string
+	targets int
+	slots   int
+	once    string
+}
+
+func newDev() *cobra.Command {
+	var s devSettings
+	var c common
+	cmd := &cobra.Command{
+		Use:   "dev",
+		Short: "Run everything in one process, with stand-ins, and send one job",
+		Long: `Run a platform stand-in, targets, agents and an entry box in one process,
+apply the example declaration, and send a job of 380 tasks. With --once=false it
+goes on serving until it is stopped.`,
+		Example: `  rackspur dev
+  rackspur dev --once=false --trace stderr --verbosity 1`,
+		Args: cobra.NoArgs,
+	}
+	set := settings.NewSet(cmd.Flags())
+	set.Address(&s.listen, "listen", "127.0.0.1:8080", "callers' address")
+	set.Address(&s.ops, "ops", "127.0.0.1:8081", "operators' address")
+	set.Int(&s.targets, "targets", 11, "number of targets", 1, 64)
+	set.Int(&s.slots, "slots", 8, "slots of each target", 1, 1000)
+	set.Choice(&s.once, "once", "true", "whether to stop after the first job", "true", "false")
+	c.define(set)
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
+		if err := set.Check(); err != nil {
+			return err
+		}
+		return c.serve(cmd.Context(), "dev", func(ctx context.Context, log logr.Logger) error {
+			if c.verbosity == 0 {
+				log = logr.Discard()
+			}
+			return runDev(ctx, cmd, &s, log)
+		})
+	}
+	return cmd
+}
+
+// serviceFunc lets suture supervise a function.
+type serviceFunc func(context.Context) error
+
+// Serve implements suture.Service.Serve.
+func (f serviceFunc) Serve(ctx context.Context) error { return f(ctx) }
+
+func runDev(ctx context.Context, cmd *cobra.Command, s *devSettings, log logr.Logger) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sup := suture.New("dev", suture.Spec{EventHook: func(e suture.Event) { log.Info("Supervisor event.", "event", e.String()) }})
+	store := standin.NewStore()
+	if err := devConfigure(ctx, store); err != nil {
+		return err
+	}
+	addresses, err := freeAddresses(addressesPerAgent * s.targets)
+	if err != nil {
+		return err
+	}
+	for i := range s.targets {
+		if err := devAgent(sup, store, s, i, addresses[addressesPerAgent*i:], log); err != nil {
+			return err
+		}
+	}
+	if err := devEntry(sup, store, s, log); err != nil {
+		return err
+	}
+	done := sup.ServeBackground(ctx)
+	if err := devJob(ctx, cmd, s); err != nil {
+		return err
+	}
+	if s.once == "false" {
+		fmt.Fprintf(cmd.OutOrStdout(), "serving callers at http://%s with token %s; operators at http://%s\n", s.listen, devToken, s.ops)
+		<-ctx.Done()
+	}
+	cancel()
+	<-done
+	return nil
+}
+
+func devConfigure(ctx context.Context, store *standin.Store) error {
+	d, err := config.Parse(devDeclaration)
+	if err != nil {
+		return err
+	}
+	_, err = config.NewStore(store).Apply(ctx, config.Change{ID: uuid.NewString(), Author: "dev", Document: d})
+	return err
+}
+
+// freeAddresses returns n different loopback addresses that are free now.
+func freeAddresses(n int) ([]string, error) {
+	addresses := make([]string, n)
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close()
+		addresses[i] = l.Addr().String()
+	}
+	return addresses, nil
+}
+
+// devDomains are the failure domains of the example.
+var devDomains = []string{"lahore-a", "lahore-b", "lahore-c"}
+
+// addressesPerAgent are those of the target, of the agent and of its operators' port.
+const addressesPerAgent = 3
+
+func devAgent(sup *suture.Supervisor, store *standin.Store, s *devSettings, i int, addresses []string, log logr.Logger) error {
+	name := fmt.Sprintf("engine-%d", i+1)
+	domain := devDomains[i%len(devDomains)]
+	t := standin.NewTarget(name, s.slots)
+	sup.Add(serviceFunc(func(ctx context.Context) error { return serveHTTP(ctx, addresses[0], t.Handler()) }))
+	holder := config.NewHolder()
+	m := observe.NewMetrics()
+	a, err := agent.New(agent.Parts{
+		Settings: agent.Settings{
+			Listen: addresses[1], Ops: addresses[2], Target: name, TargetURL: "http://" + addresses[0], Slots: s.slots,
+			Domain: domain, Grace: time.Second, StopTimeout: 10 * time.Second, LongestLease: 10 * time.Second,
+			Report: time.Second, KeepMB: 32,
+		},
+		Config:   holder,
+		Policy:   newPolicies(holder, m, log),
+		Platform: store,
+		Metrics:  m,
+		Log:      log,
+	})
+	if err != nil {
+		return err
+	}
+	sup.Add(serviceFunc(a.Run))
+	store.SetBox(platform.Box{Name: name, Role: platform.RoleAgent, Address: addresses[1], Domain: domain, State: platform.BoxLive})
+	return nil
+}
+
+func devEntry(sup *suture.Supervisor, store *standin.Store, s *devSettings, log logr.Logger) error {
+	store.SetBox(platform.Box{Name: "entry-1", Role: platform.RoleEntry, Address: s.listen, Domain: devDomains[0], State: platform.BoxLive})
+	e, err := entry.New(entry.Parts{
+		Settings: entry.Settings{
+			Name: "entry-1", Listen: s.listen, Ops: s.ops, Domain: devDomains[0], Links: 64, Candidates: 32,
+			Grace: time.Second, Poll: time.Second, StopTimeout: 10 * time.Second,
+			HeaderTimeout: 5 * time.Second, BodyTimeout: 30 * time.Second,
+		},
+		Config:   config.NewHolder(),
+		Platform: store,
+		Metrics:  observe.NewMetrics(),
+		Log:      log,
+	})
+	if err != nil {
+		return err
+	}
+	sup.Add(serviceFunc(e.Run))
+	return nil
+}
+
+// devJob sends a job of 380 tasks and checks that every part came back.
+func devJob(ctx context.Context, cmd *cobra.Command, s *devSettings) error {
+	job := &api.Job{Kind: "reshuffle"}
+	for i := range devTasks {
+		payload, _ := json.Marshal(map[string]int{"ms": 50 + i%100, "period": i})
+		job.Tasks = append(job.Tasks, api.Task{Payload: payload})
+	}
+	client := caller.New([]string{"http://" + s.listen}, devToken)
+	ids, refused, err := client.IDs(ctx, 1)
+	if err != nil || refused != nil {
+		return exitWith(ExitError, "no id: %v %v", err, refused)
+	}
+	begun := time.Now()
+	reply, err := client.Submit(ctx, ids[0], job)
+	if err != nil {
+		return err
+	}
+	if reply.Answer == nil {
+		return exitWith(ExitFailed, "job %s: %s %s", reply.Outcome(), reply.Problem.Reason, reply.Problem.Detail)
+	}
+	for i, r := range reply.Answer.Results {
+		var result standin.Result
+		if err := json.Unmarshal(r.Result, &result); err != nil || result.Digest != standin.Digest(job.Tasks[i].Payload) {
+			return exitWith(ExitFailed, "task %d: the result does not belong to its payload", i)
+		}
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "job %s: %d of %d tasks answered in %s by %d targets, every result checked\n",
+		reply.Answer.Outcome, len(reply.Answer.Results), devTasks, time.Since(begun).Round(time.Millisecond), s.targets)
+	fmt.Fprintln(os.Stderr, "see 'rackspur help' for the commands")
+	return nil
+}
--- /dev/null
+++ b/cli/submit.go
@@ -0,0 +1,190 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"rackspur/api"
+	"rackspur/caller"
+	"rackspur/observe"
+	"rackspur/settings"
+)
+
+// callerSettings are what a caller needs to know.
+type callerSettings struct {
+	entries string
+	token   string
+	timeout time.Duration
+	output  string
+}
+
+func (s *callerSettings) define(fs *pflag.FlagSet) *settings.Set {
+	set := settings.NewSet(fs)
+	set.String(&s.entries, "entry", "http://127.0.0.1:8080", "base URLs of entry boxes, separated by commas")
+	set.String(&s.token, "token", "", "credentials: member:secret").Require()
+	set.Duration(&s.timeout, "timeout", 30*time.Second, "longest time to wait for a final answer", time.Millisecond, time.Hour)
+	set.Choice(&s.output, "output", "text", "form of the output", "text", "json")
+	return set
+}
+
+func newSubmit() *cobra.Command {
+	var s callerSettings
+	var c common
+	cmd := &cobra.Command{
+		Use:   "submit [FILE]",
+		Short: "Send a job and print its whole answer",
+		Long: `Send a job from a file, or from standard input if no file or - is given.
+The job is sent again under the same id when an answer is lost.
+
+Exit codes: 0 complete, 3 failed, 4 refused and not run, 5 outcome unknown,
+2 wrong settings or a bad job, 1 any other error.`,
+		Example: `  rackspur submit --token ghanta:SECRET job.json
+  echo '{"kind":"clash-check","tasks":[{"payload":{"ms":80}}]}' | rackspur submit --token ghanta:SECRET`,
+		Args: cobra.MaximumNArgs(1),
+	}
+	set := s.define(cmd.Flags())
+	c.define(set)
+	cmd.RunE = func(cmd *cobra.Command, args []string) error {
+		if err := set.Check(); err != nil {
+			return err
+		}
+		job, err := readJob(cmd.InOrStdin(), args)
+		if err != nil {
+			return err
+		}
+		flush, err := observe.StartTracing(cmd.Context(), observe.TraceExporter(c.trace), c.traceTo, "caller", cmd.ErrOrStderr())
+		if err != nil {
+			return err
+		}
+		defer func() { _ = flush(context.Background()) }()
+		return submit(cmd, &s, job)
+	}
+	return cmd
+}
+
+// readJob reads the job and checks that it is one JSON object.
+func readJob(in io.Reader, args []string) ([]byte, error) {
+	var text []byte
+	var err error
+	if len(args) == 0 || args[0] == "-" {
+		text, err = io.ReadAll(in)
+	} else {
+		text, err = os.ReadFile(args[0])
+	}
+	if err != nil {
+		return nil, exitWith(ExitUsage, "job: %v", err)
+	}
+	var job api.Job
+	if err := json.Unmarshal(text, &job); err != nil {
+		return nil, exitWith(ExitUsage, "job: not a job in JSON: %v", err)
+	}
+	return text, nil
+}
+
+func submit(cmd *cobra.Command, s *callerSettings, job []byte) error {
+	ctx, span := observe.Span(cmd.Context(), "caller.submit")
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	client := caller.New(strings.Split(s.entries, ","), s.token)
+	stop := showProgress(cmd.ErrOrStderr())
+	defer stop()
+	ids, refused, err := client.IDs(ctx, 1)
+	if err != nil {
+		return exitWith(ExitUnknown, "no id could be got, nothing was sent: %v", err)
+	}
+	if refused != nil {
+		return report(cmd, s, refused)
+	}
+	reply, err := client.SubmitRaw(ctx, ids[0], job)
+	stop()
+	if err != nil {
+		return exitWith(ExitUnknown, "outcome of %s unknown: %v", ids[0], err)
+	}
+	return report(cmd, s, reply)
+}
+
+// report prints a reply and returns the error that goes with its outcome.
+func report(cmd *cobra.Command, s *callerSettings, r *caller.Reply) error {
+	out := cmd.OutOrStdout()
+	if r.Answer != nil {
+		printAnswer(out, s.output, r.Answer)
+		return nil
+	}
+	p := r.Problem
+	if s.output == "json" {
+		printJSON(out, p)
+	} else {
+		printResults(out, p.Results)
+	}
+	switch p.Outcome {
+	case api.Failed, api.Forgotten:
+		return exitWith(ExitFailed, "failed: %s %s", p.Reason, p.Detail)
+	case api.NotRun:
+		return exitWith(ExitNotRun, "not run: %s %s (come back in %d ms)", p.Reason, p.Detail, p.RetryAfterMS)
+	case api.Unknown:
+		return exitWith(ExitUnknown, "outcome unknown: %s %s", p.Reason, p.Detail)
+	}
+	return exitWith(ExitUsage, "%s %s: %s", p.Title, p.Reason, p.Detail)
+}
+
+func printAnswer(out io.Writer, form string, a *api.Answer) {
+	if form == "json" {
+		printJSON(out, a)
+		return
+	}
+	fmt.Fprintf(out, "%s %s, %d tasks, configuration %d\n", a.ID, a.Outcome, len(a.Results), a.Version)
+	printResults(out, a.Results)
+}
+
+func printResults(out io.Writer, results []api.TaskResult) {
+	for _, t := range results {
+		fmt.Fprintf(out, "%4d %-11s %-16s %s%s\n", t.Index, t.Status, t.Target, t.Result, t.Error)
+	}
+}
+
+func printJSON(out io.Writer, v any) {
+	enc := json.NewEncoder(out)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(v)
+}
+
+// progressPause is the time between two signs of progress on a terminal.
+const progressPause = time.Second
+
+// showProgress tells on a terminal that the command still waits. The function
+// that it returns ends this and may be called twice.
+func showProgress(w io.Writer) func() {
+	f, ok := w.(*os.File)
+	if !ok || !isTerminal(f) {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	begun := time.Now()
+	go func() {
+		ticker := time.NewTicker(progressPause)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				fmt.Fprintf(f, "\rwaiting for the answer, %s", time.Since(begun).Round(time.Second))
+			}
+		}
+	}()
+	return cancel
+}
+
+func isTerminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
--- /dev/null
+++ b/config/secret.go
@@ -0,0 +1,54 @@
+package config
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+)
+
+// A hashed secret is "sha256$salt$digest". Secrets are drawn by NewSecret with
+// 128 random bits, so a slow password hash would add nothing.
+const (
+	hashScheme = "sha256"
+	hashParts  = 3
+	saltBytes  = 8
+)
+
+// NewSecret returns a fresh random secret for a member.
+func NewSecret() string {
+	return rand.Text()
+}
+
+// HashSecret returns the salted hash of a secret.
+func HashSecret(secret string) string {
+	salt := make([]byte, saltBytes)
+	_, _ = rand.Read(salt)
+	text := hex.EncodeToString(salt)
+	return strings.Join([]string{hashScheme, text, digest(text, secret)}, "$")
+}
+
+// MatchSecret reports in constant time whether the secret has the hash.
+func MatchSecret(hash, secret string) bool {
+	parts := strings.Split(hash, "$")
+	if len(parts) != hashParts {
+		return false
+	}
+	got := digest(parts[1], secret)
+	return subtle.ConstantTimeCompare([]byte(got), []byte(parts[2])) == 1
+}
+
+func digest(salt, secret string) string {
+	sum := sha256.Sum256([]byte(salt + "$" + secret))
+	return hex.EncodeToString(sum[:])
+}
+
+func validHash(hash string) bool {
+	parts := strings.Split(hash, "$")
+	if len(parts) != hashParts || parts[0] != hashScheme || parts[1] == "" {
+		return false
+	}
+	b, err := hex.DecodeString(parts[2])
+	return err == nil && len(b) == sha256.Size
+}
--- /dev/null
+++ b/dispatch/home_test.go
@@ -0,0 +1,175 @@
+package dispatch
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"rackspur/id"
+	"rackspur/wire"
+)
+
+const (
+	testHome = "127.0.0.1:7000"
+	testPeer = "127.0.0.1:7002"
+	testStep = 30 * time.Millisecond
+)
+
+// bench drives a home by hand.
+type bench struct {
+	t    *testing.T
+	home *Home
+	now  Time
+	inc  id.Incarnation
+	// epochs and notes are what the home sent last to each peer.
+	epochs  map[string]uint64
+	notes   map[string][]*wire.HomeNote
+	answers []*wire.SubmitReply
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, inc: id.NewIncarnation(), epochs: map[string]uint64{}, notes: map[string][]*wire.HomeNote{}}
+	b.home = NewHome(HomeOptions{Incarnation: b.inc, Address: testHome, Target: "own", Domain: "a", Grace: time.Second, KeepBytes: 1 << 10})
+	b.home.Configure(1, time.Minute)
+	b.home.ledger.Issue(time.Minute)
+	return b
+}
+
+func (b *bench) did(actions []HomeAction) {
+	for _, a := range actions {
+		switch {
+		case a.Hello != nil:
+			b.epochs[a.Peer] = a.Hello.GetEpoch()
+		case a.Note != nil:
+			b.notes[a.Peer] = append(b.notes[a.Peer], a.Note)
+		case a.Answer != nil:
+			b.answers = append(b.answers, a.Answer.Reply)
+		}
+	}
+}
+
+// newID mints an id of the home's first block.
+func (b *bench) newID(member string) id.ID {
+	key := b.home.ledger.secret.BlockKey(1)
+	return id.Mint(netip.MustParseAddrPort(testHome), b.inc, 1, key[:], member)
+}
+
+func candidate(address string, slots, running uint32) *wire.Candidate {
+	return &wire.Candidate{Address: address, Incarnation: make([]byte, id.IncarnationSize), Target: "t-" + address, Domain: "a",
+		Load: &wire.Load{Slots: slots, Running: running, Pace: paceUnit}}
+}
+
+func (b *bench) submission(tasks int, candidates ...*wire.Candidate) *Submission {
+	s := &Submission{ID: b.newID("m"), Member: "m", Kind: "k", ExpectMS: 100, Lease: time.Second,
+		Deadline: 10 * time.Second, Candidates: candidates, Version: 1, Policy: Native{}}
+	for i := range tasks {
+		s.Tasks = append(s.Tasks, &wire.Task{Payload: []byte{'0' + byte(i)}})
+	}
+	return s
+}
+
+func (b *bench) submit(s *Submission) *wire.SubmitReply {
+	r, actions := b.home.Submit(b.now, s)
+	b.did(actions)
+	return r
+}
+
+// open welcomes the home's newest session with a peer.
+func (b *bench) open(peer string, known bool, revoked ...*wire.TaskKey) {
+	w := &wire.Welcome{Incarnation: make([]byte, id.IncarnationSize), Known: known, Revoked: revoked}
+	b.did(b.home.Opened(b.now, peer, b.epochs[peer], &wire.GateNote{Seq: 1, Welcome: w, Load: &wire.Load{Slots: 4, Pace: paceUnit}}))
+}
+
+func (b *bench) sent(peer string) []*wire.Start {
+	var starts []*wire.Start
+	for _, n := range b.notes[peer] {
+		starts = append(starts, n.GetStarts()...)
+	}
+	return starts
+}
+
+func (b *bench) advance(d time.Duration) {
+	b.now += d
+	b.did(b.home.Tick(b.now))
+}
+
+func (b *bench) lose(peer string) {
+	b.did(b.home.Lost(b.now, peer, b.epochs[peer]))
+}
+
+func TestHomeLostPeer(t *testing.T) {
+	cases := []struct {
+		name string
+		// opened tells whether the session opened before the peer was lost.
+		opened  bool
+		tasks   int
+		outcome wire.Outcome
+	}{
+		{"1 the only task was sent", true, 1, wire.Outcome_OUTCOME_FAILED},
+		{"2 several tasks were sent", true, 3, wire.Outcome_OUTCOME_FAILED},
+		{"3 nothing was sent", false, 1, wire.Outcome_OUTCOME_NOT_RUN},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t)
+			if r := b.submit(b.submission(tc.tasks, candidate(testPeer, 4, 0))); r != nil {
+				t.Fatalf("answered at once: %v", r)
+			}
+			if tc.opened {
+				b.open(testPeer, false)
+				if n := len(b.sent(testPeer)); n != tc.tasks {
+					t.Fatalf("%d tasks sent", n)
+				}
+			}
+			b.lose(testPeer)
+			for range 400 {
+				b.advance(testStep)
+				b.lose(testPeer)
+			}
+			if len(b.answers) != 1 || b.answers[0].GetOutcome() != tc.outcome {
+				t.Fatalf("want %s: %v", tc.outcome, b.answers)
+			}
+			if tc.opened && b.now < time.Second {
+				t.Errorf("given up before the grace")
+			}
+		})
+	}
+}
+
+func TestHomeSettlesSession(t *testing.T) {
+	cases := []struct {
+		name    string
+		known   bool
+		revoked bool
+		outcome wire.Outcome
+		sends   int
+	}{
+		{"1 revoked by the same gate runs again", true, true, wire.Outcome_OUTCOME_UNSPECIFIED, 2},
+		{"2 lost by the same gate fails", true, false, wire.Outcome_OUTCOME_FAILED, 1},
+		{"3 unknown to the gate fails", false, true, wire.Outcome_OUTCOME_FAILED, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t)
+			b.submit(b.submission(1, candidate(testPeer, 4, 0)))
+			b.open(testPeer, false)
+			first := b.sent(testPeer)
+			b.lose(testPeer)
+			b.advance(testStep)
+			var revoked []*wire.TaskKey
+			if tc.revoked {
+				revoked = append(revoked, first[0].GetKey())
+			}
+			b.open(testPeer, tc.known, revoked...)
+			if tc.outcome != wire.Outcome_OUTCOME_UNSPECIFIED && (len(b.answers) != 1 || b.answers[0].GetOutcome() != tc.outcome) {
+				t.Fatalf("want %s: %v", tc.outcome, b.answers)
+			}
+			if tc.sends == 2 {
+				b.did(b.home.Received(b.now, testPeer, b.epochs[testPeer], &wire.GateNote{Seq: 2, Grants: 1, Load: &wire.Load{Slots: 4, Pace: paceUnit}}))
+			}
+			if n := len(b.sent(testPeer)); n != tc.sends {
+				t.Errorf("sent %d times, want %d", n, tc.sends)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/dispatch/policy.go
@@ -0,0 +1,77 @@
+package dispatch
+
+// Policy makes the decisions that operators may program.
+type Policy interface {
+	// Admit decides whether a new job is taken.
+	Admit(j JobView) Verdict
+	// Place spreads the tasks of a job over targets.
+	Place(j JobView, targets []TargetView) Plan
+	// Retry tells how long a task that a target refused is held back.
+	Retry(r RetryView) RetryVerdict
+}
+
+// JobView is what a policy sees of a job.
+type JobView struct {
+	Member, Kind string
+	// Tasks is the number of tasks to be placed.
+	Tasks int
+	// ExpectMS and LongestMS are the mean and the largest expected run time.
+	ExpectMS, LongestMS float64
+	DeadlineMS          float64
+	// ExpectedWaitMS is the wait that the known load suggests.
+	ExpectedWaitMS float64
+	// HomeWaiting is the number of tasks queued at this home, MemberWaiting of them the member's.
+	HomeWaiting, MemberWaiting int
+	// Slots and Free count the slots of the known targets.
+	Slots, Free int
+	// MaxWaitMS is the configured bound of the wait.
+	MaxWaitMS float64
+	// Domain is the home's failure domain.
+	Domain string
+}
+
+// TargetView is what a policy sees of a target.
+type TargetView struct {
+	Name, Domain string
+	// Self marks the target on the home's own box.
+	Self bool
+	// Slots and Free count its slots; Waiting the tasks queued at its home.
+	Slots, Free, Waiting int
+	// Pace is the ratio of run time to expected run time.
+	Pace float64
+	// ServiceMS is its mean run time in milliseconds.
+	ServiceMS float64
+}
+
+// Verdict is the answer of Admit.
+type Verdict struct {
+	Admit        bool
+	Reason       string
+	RetryAfterMS uint32
+}
+
+// Share gives N tasks to the target with index Target in the list shown to Place.
+type Share struct {
+	Target, N int
+}
+
+// Plan is the answer of Place. Tasks that no share covers wait at the home
+// until one of the targets in Wait has a slot.
+type Plan struct {
+	Start []Share
+	Wait  []int
+}
+
+// RetryView is what a policy sees of a refused task.
+type RetryView struct {
+	Kind     string
+	Refusals int
+	// LeftMS is the time to the deadline.
+	LeftMS float64
+}
+
+// RetryVerdict is the answer of Retry.
+type RetryVerdict struct {
+	Again   bool
+	AfterMS float64
+}
--- /dev/null
+++ b/id/id.go
@@ -0,0 +1,171 @@
+// Package id makes and reads submission ids.
+//
+// An id names its home: the address and the incarnation of the one agent that
+// judges it. It also carries the number of the block it was minted from, a
+// random part, and a tag that ties it to a member. To callers it is opaque.
+package id
+
+import (
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/rotisserie/eris"
+)
+
+// Sizes of the parts of an id, in bytes.
+const (
+	// IncarnationSize is the size of an incarnation.
+	IncarnationSize = 8
+	// KeySize is the size of the key of a block.
+	KeySize    = 16
+	randomSize = 9
+	tagSize    = 8
+	blockSize  = 4
+	maxText    = 128
+)
+
+// format is the first byte of every id.
+const format = 1
+
+// ErrMalformed says that a text is no id.
+var ErrMalformed = eris.New("id: malformed")
+
+// Incarnation is the random number that an agent draws at its start.
+type Incarnation [IncarnationSize]byte
+
+// NewIncarnation draws an incarnation.
+func NewIncarnation() Incarnation {
+	var n Incarnation
+	mustRead(n[:])
+	return n
+}
+
+// IncarnationOf returns the incarnation held in b, or false if b has not its size.
+func IncarnationOf(b []byte) (Incarnation, bool) {
+	if len(b) != IncarnationSize {
+		return Incarnation{}, false
+	}
+	return Incarnation(b), true
+}
+
+// String returns the incarnation in a form fit for logs.
+func (n Incarnation) String() string {
+	return base64.RawURLEncoding.EncodeToString(n[:])
+}
+
+// Secret is the key of one home, from which the keys of its blocks derive.
+type Secret [KeySize]byte
+
+// NewSecret draws a secret.
+func NewSecret() Secret {
+	var s Secret
+	mustRead(s[:])
+	return s
+}
+
+// BlockKey returns the key of the block with the given number.
+func (s Secret) BlockKey(block uint32) [KeySize]byte {
+	mac := hmac.New(sha256.New, s[:])
+	var number [blockSize]byte
+	binary.BigEndian.PutUint32(number[:], block)
+	mac.Write(number[:])
+	return [KeySize]byte(mac.Sum(nil)[:KeySize])
+}
+
+// Nonce is the random part of an id, unique within its block.
+type Nonce [randomSize]byte
+
+// ID is a parsed submission id.
+type ID struct {
+	// Home is the address of the agent that judges the id.
+	Home netip.AddrPort
+	// Incarnation is the incarnation of that agent.
+	Incarnation Incarnation
+	// Block is the number of the block the id was minted from.
+	Block uint32
+	// Nonce tells the ids of a block apart.
+	Nonce Nonce
+	tag   [tagSize]byte
+}
+
+// Mint returns a new id for a member from a block of a home.
+func Mint(home netip.AddrPort, n Incarnation, block uint32, key []byte, member string) ID {
+	v := ID{Home: home, Incarnation: n, Block: block}
+	mustRead(v.Nonce[:])
+	v.tag = v.sign(key, member)
+	return v
+}
+
+// Belongs reports whether the id was minted for the member with the home's secret.
+func (v ID) Belongs(s Secret, member string) bool {
+	key := s.BlockKey(v.Block)
+	want := v.sign(key[:], member)
+	return hmac.Equal(want[:], v.tag[:])
+}
+
+func (v ID) sign(key []byte, member string) [tagSize]byte {
+	mac := hmac.New(sha256.New, key)
+	mac.Write(v.Nonce[:])
+	mac.Write([]byte(member))
+	return [tagSize]byte(mac.Sum(nil)[:tagSize])
+}
+
+// Key returns the part of the id that names it within its home.
+func (v ID) Key() string {
+	b := binary.BigEndian.AppendUint32(nil, v.Block)
+	return string(append(b, v.Nonce[:]...))
+}
+
+// String returns the text form of the id.
+func (v ID) String() string {
+	addr, _ := v.Home.MarshalBinary()
+	b := make([]byte, 0, maxText)
+	b = append(b, format, byte(len(addr)))
+	b = append(b, addr...)
+	b = append(b, v.Incarnation[:]...)
+	b = binary.BigEndian.AppendUint32(b, v.Block)
+	b = append(b, v.Nonce[:]...)
+	b = append(b, v.tag[:]...)
+	return base64.RawURLEncoding.EncodeToString(b)
+}
+
+// Parse reads the text form of an id. It returns ErrMalformed for anything else.
+func Parse(text string) (ID, error) {
+	if len(text) > maxText {
+		return ID{}, ErrMalformed
+	}
+	b, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil || len(b) < 2 || b[0] != format {
+		return ID{}, ErrMalformed
+	}
+	size := int(b[1])
+	b = b[2:]
+	if len(b) != size+IncarnationSize+blockSize+randomSize+tagSize {
+		return ID{}, ErrMalformed
+	}
+	var v ID
+	if err := v.Home.UnmarshalBinary(b[:size]); err != nil || !v.Home.IsValid() {
+		return ID{}, ErrMalformed
+	}
+	b = b[size:]
+	v.Incarnation = Incarnation(b[:IncarnationSize])
+	b = b[IncarnationSize:]
+	v.Block = binary.BigEndian.Uint32(b)
+	b = b[blockSize:]
+	v.Nonce = Nonce(b[:randomSize])
+	v.tag = [tagSize]byte(b[randomSize:])
+	if v.String() != text {
+		return ID{}, ErrMalformed
+	}
+	return v, nil
+}
+
+// mustRead fills b with random bytes; the standard library ends the process
+// if the system can't give any.
+func mustRead(b []byte) {
+	_, _ = rand.Read(b)
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,111 @@
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"rackspur/platform"
+)
+
+// Paths by which tests and trials steer the stand-ins.
+const (
+	PathFaults     = "/admin/faults"
+	PathAdminBoxes = "/admin/boxes"
+	PathCounts     = "/admin/counts"
+)
+
+// maxObject bounds the body of a write, in bytes.
+const maxObject = 64 << 20
+
+// PlatformHandler serves a store over the platform's HTTP interface.
+func PlatformHandler(s *Store) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathTable, func(w http.ResponseWriter, r *http.Request) {
+		rows, err := s.List(r.Context(), r.URL.Query().Get("prefix"))
+		answer(w, rows, err)
+	})
+	mux.HandleFunc("GET "+platform.PathTable+"/{key}", func(w http.ResponseWriter, r *http.Request) {
+		row, err := s.Get(r.Context(), r.PathValue("key"))
+		answer(w, row, err)
+	})
+	mux.HandleFunc("POST "+platform.PathCommit, func(w http.ResponseWriter, r *http.Request) {
+		var c platform.Commit
+		if !readJSON(w, r, &c) {
+			return
+		}
+		answer(w, struct{}{}, s.Commit(r.Context(), c))
+	})
+	mux.HandleFunc("GET "+platform.PathObjects+"/{key}", func(w http.ResponseWriter, r *http.Request) {
+		value, err := s.GetObject(r.Context(), r.PathValue("key"))
+		if err != nil {
+			answer(w, nil, err)
+			return
+		}
+		_, _ = w.Write(value)
+	})
+	mux.HandleFunc("PUT "+platform.PathObjects+"/{key}", func(w http.ResponseWriter, r *http.Request) {
+		value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		answer(w, struct{}{}, s.PutObject(r.Context(), r.PathValue("key"), value))
+	})
+	mux.HandleFunc("GET "+platform.PathBoxes, func(w http.ResponseWriter, r *http.Request) {
+		boxes, err := s.ListBoxes(r.Context())
+		answer(w, boxes, err)
+	})
+	adminHandlers(mux, s)
+	return mux
+}
+
+func adminHandlers(mux *http.ServeMux, s *Store) {
+	mux.HandleFunc("PUT "+PathFaults, func(w http.ResponseWriter, r *http.Request) {
+		var f PlatformFaults
+		if readJSON(w, r, &f) {
+			s.SetFaults(f)
+		}
+	})
+	mux.HandleFunc("PUT "+PathAdminBoxes, func(w http.ResponseWriter, r *http.Request) {
+		var b platform.Box
+		if readJSON(w, r, &b) {
+			s.SetBox(b)
+		}
+	})
+	mux.HandleFunc("DELETE "+PathAdminBoxes+"/{name}", func(_ http.ResponseWriter, r *http.Request) {
+		s.RemoveBox(r.PathValue("name"))
+	})
+	mux.HandleFunc("GET "+PathCounts, func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, s.Counts(), nil)
+	})
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+// answer writes v, or the status that stands for an error. An answer that is
+// lost is a connection that ends without one.
+func answer(w http.ResponseWriter, v any, err error) {
+	switch {
+	case err == nil:
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(v)
+	case errors.Is(err, platform.ErrNotFound):
+		http.Error(w, "not found", http.StatusNotFound)
+	case errors.Is(err, platform.ErrConflict):
+		http.Error(w, "conflict", http.StatusConflict)
+	case errors.Is(err, platform.ErrUncertain):
+		panic(http.ErrAbortHandler)
+	default:
+		http.Error(w, "unavailable", http.StatusServiceUnavailable)
+	}
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,241 @@
+// Package standin holds small stand-ins of the systems that rackspur serves:
+// the platform's service and a target. They are used by the tests, by trials
+// and by "rackspur dev", and can be made to fail.
+package standin
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"rackspur/platform"
+)
+
+// What the platform's service carries, in calls a second.
+const (
+	WritesPerSecond = 100
+	ReadsPerSecond  = 2000
+)
+
+// PlatformFaults says how the stand-in misbehaves.
+type PlatformFaults struct {
+	// Down makes every call fail without effect.
+	Down bool `json:"down"`
+	// SlowMS delays every call.
+	SlowMS int `json:"slow_ms"`
+	// LoseAnswers lets that many writes take effect without an answer.
+	LoseAnswers int `json:"lose_answers"`
+	// LagMS is how old the list of boxes is.
+	LagMS int `json:"lag_ms"`
+}
+
+// Store is the platform's service in memory. It implements platform.Service.
+type Store struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	boxes   map[string]platform.Box
+	// past holds the earlier states of the list of boxes, oldest first.
+	past   []boxList
+	faults PlatformFaults
+	writes *rate.Limiter
+	reads  *rate.Limiter
+	counts StoreCounts
+}
+
+// StoreCounts are the calls handled since the start.
+type StoreCounts struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+}
+
+type boxList struct {
+	until time.Time
+	boxes []platform.Box
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		rows:    map[string]platform.Row{},
+		objects: map[string][]byte{},
+		boxes:   map[string]platform.Box{},
+		writes:  rate.NewLimiter(WritesPerSecond, WritesPerSecond),
+		reads:   rate.NewLimiter(ReadsPerSecond, ReadsPerSecond),
+	}
+}
+
+// SetFaults sets how the store misbehaves from now on.
+func (s *Store) SetFaults(f PlatformFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Counts returns the calls handled so far.
+func (s *Store) Counts() StoreCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// SetBox adds or changes a box of the list.
+func (s *Store) SetBox(b platform.Box) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.past = append(s.past, boxList{until: time.Now(), boxes: s.list()})
+	s.boxes[b.Name] = b
+}
+
+// RemoveBox takes a box off the list.
+func (s *Store) RemoveBox(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.past = append(s.past, boxList{until: time.Now(), boxes: s.list()})
+	delete(s.boxes, name)
+}
+
+func (s *Store) list() []platform.Box {
+	boxes := make([]platform.Box, 0, len(s.boxes))
+	for _, b := range s.boxes {
+		boxes = append(boxes, b)
+	}
+	sort.Slice(boxes, func(i, j int) bool { return boxes[i].Name < boxes[j].Name })
+	return boxes
+}
+
+// begin delays the call and fails it if the store is down or over its rate.
+func (s *Store) begin(ctx context.Context, limit *rate.Limiter) error {
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	if f.SlowMS > 0 {
+		select {
+		case <-time.After(time.Duration(f.SlowMS) * time.Millisecond):
+		case <-ctx.Done():
+			return platform.ErrUnavailable
+		}
+	}
+	if f.Down || !limit.Allow() {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+func (s *Store) read(ctx context.Context) error {
+	if err := s.begin(ctx, s.reads); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Reads++
+	return nil
+}
+
+// Get implements platform.Table.Get.
+func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
+	if err := s.read(ctx); err != nil {
+		return platform.Row{}, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	row, ok := s.rows[key]
+	if !ok {
+		return platform.Row{}, platform.ErrNotFound
+	}
+	return row, nil
+}
+
+// List implements platform.Table.List.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+	if err := s.read(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rows := []platform.Row{}
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows, nil
+}
+
+// write runs a write and loses its answer if a fault says so.
+func (s *Store) write(ctx context.Context, effect func() error) error {
+	if err := s.begin(ctx, s.writes); err != nil {
+		return platform.ErrUncertain
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Writes++
+	if err := effect(); err != nil {
+		return err
+	}
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		return platform.ErrUncertain
+	}
+	return nil
+}
+
+// Commit implements platform.Table.Commit.
+func (s *Store) Commit(ctx context.Context, c platform.Commit) error {
+	return s.write(ctx, func() error {
+		for _, cond := range c.Conditions {
+			if s.rows[cond.Key].Version != cond.Version {
+				return platform.ErrConflict
+			}
+		}
+		for _, p := range c.Puts {
+			s.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: s.rows[p.Key].Version + 1}
+		}
+		return nil
+	})
+}
+
+// GetObject implements platform.Objects.GetObject.
+func (s *Store) GetObject(ctx context.Context, key string) ([]byte, error) {
+	if err := s.read(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	value, ok := s.objects[key]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return value, nil
+}
+
+// PutObject implements platform.Objects.PutObject.
+func (s *Store) PutObject(ctx context.Context, key string, value []byte) error {
+	return s.write(ctx, func() error {
+		s.objects[key] = value
+		return nil
+	})
+}
+
+// ListBoxes implements platform.Boxes.ListBoxes.
+func (s *Store) ListBoxes(ctx context.Context) ([]platform.Box, error) {
+	if err := s.read(ctx); err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seen := time.Now().Add(-time.Duration(s.faults.LagMS) * time.Millisecond)
+	for i, old := range s.past {
+		if old.until.After(seen) {
+			s.past = s.past[i:]
+			return old.boxes, nil
+		}
+	}
+	s.past = nil
+	return s.list(), nil
+}
--- /dev/null
+++ b/observe/metrics.go
@@ -0,0 +1,123 @@
+package observe
+
+import (
+	"context"
+	"net/http"
+	"strings"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc/stats"
+)
+
+// Names of the metrics. Times are in microseconds.
+const (
+	MetricMessagesSent     = "messages.sent"
+	MetricMessagesReceived = "messages.received"
+	MetricMessagesWasted   = "messages.wasted"
+	MetricBytesSent        = "bytes.sent"
+	MetricBytesReceived    = "bytes.received"
+	MetricTasksStarted     = "tasks.started"
+	MetricTasksRefused     = "tasks.refused"
+	MetricTaskTime         = "tasks.time_us"
+	MetricResponseTime     = "submissions.time_us"
+	MetricOutcomePrefix    = "submissions.outcome."
+	MetricRefusalPrefix    = "submissions.refused."
+	MetricPolicyPrefix     = "policy."
+	MetricGrants           = "slots.granted"
+	MetricGrantsReturned   = "slots.returned"
+)
+
+// reservoir sizes of the latency histograms.
+const (
+	reservoirSize  = 1028
+	reservoirAlpha = 0.015
+)
+
+// Metrics is the registry of one process.
+type Metrics struct {
+	registry metrics.Registry
+}
+
+// NewMetrics returns an empty registry.
+func NewMetrics() *Metrics {
+	return &Metrics{registry: metrics.NewRegistry()}
+}
+
+// Count adds n to a counter.
+func (m *Metrics) Count(name string, n int64) {
+	metrics.GetOrRegisterCounter(name, m.registry).Inc(n)
+}
+
+// Value returns the value of a counter.
+func (m *Metrics) Value(name string) int64 {
+	return metrics.GetOrRegisterCounter(name, m.registry).Count()
+}
+
+// Gauge registers a gauge that reads f.
+func (m *Metrics) Gauge(name string, f func() int64) {
+	_ = m.registry.Register(name, metrics.NewFunctionalGauge(f))
+}
+
+// Time adds a sample in microseconds to a histogram.
+func (m *Metrics) Time(name string, micros int64) {
+	h := m.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
+	})
+	h.(metrics.Histogram).Update(micros)
+}
+
+// ServeHTTP implements http.Handler.ServeHTTP. It writes all metrics as JSON.
+func (m *Metrics) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(m.registry, w)
+}
+
+// Messages returns a gRPC stats handler that counts the messages and bytes
+// between our processes.
+func (m *Metrics) Messages() stats.Handler {
+	return &messageCounter{
+		sent:     metrics.GetOrRegisterCounter(MetricMessagesSent, m.registry),
+		received: metrics.GetOrRegisterCounter(MetricMessagesReceived, m.registry),
+		out:      metrics.GetOrRegisterCounter(MetricBytesSent, m.registry),
+		in:       metrics.GetOrRegisterCounter(MetricBytesReceived, m.registry),
+		metrics:  m,
+	}
+}
+
+// messageCounter implements stats.Handler.
+type messageCounter struct {
+	sent, received, out, in metrics.Counter
+	metrics                 *Metrics
+}
+
+type methodKey struct{}
+
+// TagRPC implements stats.Handler.TagRPC.
+func (c *messageCounter) TagRPC(ctx context.Context, i *stats.RPCTagInfo) context.Context {
+	name := i.FullMethodName[strings.LastIndexByte(i.FullMethodName, '/')+1:]
+	counter := metrics.GetOrRegisterCounter(MetricMessagesSent+"."+strings.ToLower(name), c.metrics.registry)
+	return context.WithValue(ctx, methodKey{}, counter)
+}
+
+// HandleRPC implements stats.Handler.HandleRPC.
+func (c *messageCounter) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	switch v := s.(type) {
+	case *stats.OutPayload:
+		c.sent.Inc(1)
+		c.out.Inc(int64(v.WireLength))
+		if counter, ok := ctx.Value(methodKey{}).(metrics.Counter); ok {
+			counter.Inc(1)
+		}
+	case *stats.InPayload:
+		c.received.Inc(1)
+		c.in.Inc(int64(v.WireLength))
+	}
+}
+
+// TagConn implements stats.Handler.TagConn.
+func (c *messageCounter) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context {
+	return ctx
+}
+
+// HandleConn implements stats.Handler.HandleConn.
+func (c *messageCounter) HandleConn(context.Context, stats.ConnStats) {}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,186 @@
+// Package settings reads a role's settings from flags and environment
+// variables of the same names and checks all of them at start.
+//
+// A setting "target-url" is the flag --target-url and the environment variable
+// RACKSPUR_TARGET_URL; the flag wins.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/spf13/pflag"
+)
+
+// EnvPrefix starts the name of every environment variable.
+const EnvPrefix = "RACKSPUR_"
+
+// ErrWrong says that at least one setting is wrong; its text names each.
+var ErrWrong = eris.New("settings: wrong settings")
+
+// Setting describes one setting.
+type Setting struct {
+	Name, Default, Usage string
+	// Right says what a right value looks like.
+	Right string
+	// Required settings have no default.
+	Required bool
+	parse    func(text string) error
+	raw      *string
+}
+
+// Env returns the name of the setting's environment variable.
+func (s *Setting) Env() string {
+	return EnvPrefix + strings.ToUpper(strings.ReplaceAll(s.Name, "-", "_"))
+}
+
+// Set is the settings of one role.
+type Set struct {
+	flags *pflag.FlagSet
+	list  []*Setting
+}
+
+// NewSet returns an empty set whose flags are added to fs.
+func NewSet(fs *pflag.FlagSet) *Set {
+	return &Set{flags: fs}
+}
+
+// All returns the settings in the order of their definition.
+func (s *Set) All() []*Setting {
+	return s.list
+}
+
+// Check reads every setting and reports all wrong ones at once as ErrWrong.
+func (s *Set) Check() error {
+	var wrong []string
+	for _, d := range s.list {
+		text, from := s.value(d)
+		if text == "" && !d.Required {
+			continue
+		}
+		err := d.parse(text)
+		if text == "" {
+			err = eris.New("is not set")
+		}
+		if err != nil {
+			wrong = append(wrong, fmt.Sprintf("%s=%q (%s): want %s", d.Name, text, from, d.Right))
+		}
+	}
+	if len(wrong) == 0 {
+		return nil
+	}
+	return eris.Wrap(ErrWrong, strings.Join(wrong, "\n  "))
+}
+
+func (s *Set) value(d *Setting) (text, from string) {
+	if s.flags.Changed(d.Name) {
+		return *d.raw, "--" + d.Name
+	}
+	if env, ok := os.LookupEnv(d.Env()); ok {
+		return env, d.Env()
+	}
+	return *d.raw, "default"
+}
+
+func (s *Set) add(name, def, usage, right string, parse func(string) error) *Setting {
+	d := &Setting{Name: name, Default: def, Usage: usage, Right: right, parse: parse}
+	d.raw = s.flags.String(name, def, usage)
+	s.list = append(s.list, d)
+	return d
+}
+
+// Require marks the setting as one that must be given.
+func (s *Setting) Require() *Setting {
+	s.Required = true
+	return s
+}
+
+// String defines a setting of free text.
+func (s *Set) String(v *string, name, def, usage string) *Setting {
+	return s.add(name, def, usage, "any text", func(text string) error {
+		*v = text
+		return nil
+	})
+}
+
+// Choice defines a setting with a few values.
+func (s *Set) Choice(v *string, name, def, usage string, choices ...string) *Setting {
+	return s.add(name, def, usage, "one of "+strings.Join(choices, ", "), func(text string) error {
+		for _, c := range choices {
+			if text == c {
+				*v = text
+				return nil
+			}
+		}
+		return eris.New("is none of the choices")
+	})
+}
+
+// Address defines a setting with an IP address and a port.
+func (s *Set) Address(v *string, name, def, usage string) *Setting {
+	return s.add(name, def, usage, "an IP address and a port, like 127.0.0.1:7000", func(text string) error {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return err
+		}
+		*v = a.String()
+		return nil
+	})
+}
+
+// URL defines a setting with an http or https URL.
+func (s *Set) URL(v *string, name, def, usage string) *Setting {
+	return s.add(name, def, usage, "a URL, like http://127.0.0.1:7100", func(text string) error {
+		u, err := url.Parse(text)
+		if err != nil {
+			return err
+		}
+		if u.Scheme != "http" && u.Scheme != "https" {
+			return eris.New("has no http or https scheme")
+		}
+		if _, _, err := net.SplitHostPort(u.Host); err != nil {
+			return err
+		}
+		*v = strings.TrimSuffix(text, "/")
+		return nil
+	})
+}
+
+// Int defines a setting with a whole number from low to high.
+func (s *Set) Int(v *int, name string, def int, usage string, low, high int) *Setting {
+	right := fmt.Sprintf("a whole number from %d to %d", low, high)
+	return s.add(name, strconv.Itoa(def), usage, right, func(text string) error {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			return err
+		}
+		if n < low || n > high {
+			return eris.New("is out of range")
+		}
+		*v = n
+		return nil
+	})
+}
+
+// Duration defines a setting with a time from low to high.
+func (s *Set) Duration(v *time.Duration, name string, def time.Duration, usage string, low, high time.Duration) *Setting {
+	right := fmt.Sprintf("a duration from %s to %s", low, high)
+	return s.add(name, def.String(), usage, right, func(text string) error {
+		d, err := time.ParseDuration(text)
+		if err != nil {
+			return err
+		}
+		if d < low || d > high {
+			return eris.New("is out of range")
+		}
+		*v = d
+		return nil
+	})
+}
--- /dev/null
+++ b/test/proxy_test.go
@@ -0,0 +1,214 @@
+package test
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// proxy is a small TCP proxy that injects faults between two processes.
+type proxy struct {
+	address string
+	to      string
+
+	mu     sync.Mutex
+	faults faults
+	held   chan struct{}
+	conns  map[net.Conn]struct{}
+}
+
+// faults says what the proxy does. The zero value passes everything.
+type faults struct {
+	// Delay is added in each direction.
+	Delay time.Duration
+	// CutUp and CutDown swallow the bytes towards and from the server.
+	CutUp, CutDown bool
+	// ResetAfterUp resets a connection after that many bytes towards the
+	// server have been passed on; 0 means never.
+	ResetAfterUp int
+	// ResetOnDown resets a connection instead of passing the server's first bytes.
+	ResetOnDown bool
+	// Hold keeps the bytes from the server back until release.
+	Hold bool
+	// Duplicate sends the bytes of each connection a second time, on a
+	// connection of their own whose answers nobody reads.
+	Duplicate bool
+	// Refuse closes every new connection.
+	Refuse bool
+}
+
+// newProxy serves an address until the test ends.
+func newProxy(t *testing.T, address, to string) *proxy {
+	t.Helper()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{address: l.Addr().String(), to: to, held: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	t.Cleanup(func() {
+		l.Close()
+		p.breakAll()
+	})
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.serve(c)
+		}
+	}()
+	return p
+}
+
+func (p *proxy) set(f faults) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = f
+}
+
+func (p *proxy) get() faults {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.faults
+}
+
+// release lets go what Hold kept back and ends all faults.
+func (p *proxy) release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults = faults{}
+	close(p.held)
+	p.held = make(chan struct{})
+}
+
+// breakAll ends all connections.
+func (p *proxy) breakAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		reset(c)
+	}
+}
+
+func reset(c net.Conn) {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (p *proxy) track(c net.Conn, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if on {
+		p.conns[c] = struct{}{}
+	} else {
+		delete(p.conns, c)
+	}
+}
+
+func (p *proxy) serve(client net.Conn) {
+	if p.get().Refuse {
+		reset(client)
+		return
+	}
+	server, err := net.Dial("tcp", p.to)
+	if err != nil {
+		reset(client)
+		return
+	}
+	p.track(client, true)
+	p.track(server, true)
+	defer p.track(client, false)
+	defer p.track(server, false)
+	var twin net.Conn
+	if p.get().Duplicate {
+		if twin, err = net.Dial("tcp", p.to); err == nil {
+			defer twin.Close()
+			go func() { _, _ = io.Copy(io.Discard, twin) }()
+		}
+	}
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() {
+		defer wg.Done()
+		p.up(client, server, twin)
+	}()
+	go func() {
+		defer wg.Done()
+		p.down(client, server)
+	}()
+	wg.Wait()
+}
+
+const chunk = 32 << 10
+
+// up carries the bytes towards the server.
+func (p *proxy) up(client, server, twin net.Conn) {
+	defer closeWrite(server)
+	passed := 0
+	for b := make([]byte, chunk); ; {
+		n, err := client.Read(b)
+		f := p.get()
+		p.delay(f)
+		if n > 0 && !f.CutUp {
+			if _, err := server.Write(b[:n]); err != nil {
+				return
+			}
+			if twin != nil {
+				_, _ = twin.Write(b[:n])
+			}
+			passed += n
+		}
+		if f.ResetAfterUp > 0 && passed >= f.ResetAfterUp {
+			reset(client)
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// down carries the bytes from the server.
+func (p *proxy) down(client, server net.Conn) {
+	defer client.Close()
+	for b := make([]byte, chunk); ; {
+		n, err := server.Read(b)
+		f := p.get()
+		p.delay(f)
+		if f.ResetOnDown && n > 0 {
+			reset(client)
+			return
+		}
+		if f.Hold {
+			p.mu.Lock()
+			held := p.held
+			p.mu.Unlock()
+			<-held
+		}
+		if n > 0 && !f.CutDown {
+			if _, err := client.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) delay(f faults) {
+	if f.Delay > 0 {
+		<-time.After(f.Delay)
+	}
+}
+
+func closeWrite(c net.Conn) {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.CloseWrite()
+	}
+}
--- /dev/null
+++ b/test/stop_test.go
@@ -0,0 +1,131 @@
+package test
+
+import (
+	"net/http"
+	"testing"
+
+	"rackspur/api"
+	"rackspur/caller"
+	"rackspur/internal/standin"
+)
+
+// TestStopRolling restarts every entry box and every agent in order, one at a
+// time, under load. No submission may go wrong.
+func TestStopRolling(t *testing.T) {
+	c := newCluster(t, shape{entries: 2, agents: 3, slots: 4})
+	l := startLoad(c, 10, 3, 50)
+	waitFor(t, "the load runs", func() bool { return l.sent.Load() > 20 })
+	for _, a := range c.agents {
+		a.stop()
+		a.restart()
+		for _, e := range c.entries {
+			c.awaitLinks(e, len(c.agents))
+		}
+	}
+	for _, e := range c.entries {
+		e.stop()
+		e.restart()
+		c.awaitLinks(e, len(c.agents))
+	}
+	if wrong := l.stop(); len(wrong) > 0 {
+		t.Errorf("%d of %d submissions went wrong: %s", len(wrong), l.sent.Load(), wrong[0])
+	}
+	t.Logf("%d submissions, none went wrong", l.sent.Load())
+	c.checkNoDoubles()
+}
+
+// TestStopInFlight stops a home, another agent or an entry box while jobs with
+// waiting tasks run. The jobs end whole.
+func TestStopInFlight(t *testing.T) {
+	cases := []struct {
+		name string
+		stop func(c *cluster, home int) *node
+	}{
+		{"1 home", func(c *cluster, home int) *node { return c.agents[home] }},
+		{"2 another agent", func(c *cluster, home int) *node { return c.agents[(home+1)%3] }},
+		{"3 entry box", func(c *cluster, _ int) *node { return c.entries[0] }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, shape{entries: 2, agents: 3, slots: 4})
+			client := c.client(tokenA, 0)
+			id := c.id(client)
+			job := newJob(t, "reshuffle", 60, 100)
+			got := make(chan *caller.Reply, 1)
+			go func() {
+				r, _ := client.Submit(c.context(), id, job)
+				got <- r
+			}()
+			c.awaitStarts(job, 12)
+			tc.stop(c, c.homeOf(id)).stop()
+			r := <-got
+			if r == nil {
+				t.Fatal("no answer")
+			}
+			checkWhole(t, job, r)
+			if client.Resubmits.Load() > 0 {
+				t.Errorf("the request in flight was cut off")
+			}
+			c.checkOnce(job)
+		})
+	}
+}
+
+// TestStopKeepsAnswers has a home leave in order. Through any entry box its ids
+// are answered as it would have: kept answers, and a true "not run".
+func TestStopKeepsAnswers(t *testing.T) {
+	cases := []struct {
+		name string
+		down bool
+	}{{"1 store up", false}, {"2 store down while it leaves", true}}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, shape{entries: 2, agents: 2, slots: 4})
+			client := c.client(tokenA, 0)
+			done := c.id(client)
+			unseen := done
+			for unseen == done || c.homeOf(unseen) != c.homeOf(done) {
+				unseen = c.id(client)
+			}
+			job := newJob(t, "swap", 3, 50)
+			if _, err := client.Submit(c.context(), done, job); err != nil {
+				t.Fatal(err)
+			}
+			c.platformFaults(standin.PlatformFaults{Down: tc.down})
+			home := c.agents[c.homeOf(done)]
+			home.stop()
+			for i := range c.entries {
+				checkLeft(t, c, i, done, unseen, job)
+			}
+			// After a restart another incarnation answers at the address.
+			home.restart()
+			c.platformFaults(standin.PlatformFaults{})
+			for i, e := range c.entries {
+				c.awaitLinks(e, 2)
+				checkLeft(t, c, i, done, unseen, job)
+			}
+			other := c.client(tokenB, 0)
+			r, err := other.Once(c.context(), http.MethodGet, done, nil)
+			if err != nil || r.Status != http.StatusNotFound {
+				t.Errorf("another member asks a home that left: %v %+v", err, r)
+			}
+			c.checkOnce(job)
+		})
+	}
+}
+
+func checkLeft(t *testing.T, c *cluster, entry int, done, unseen string, job *api.Job) {
+	t.Helper()
+	client := c.client(tokenA, entry)
+	r, err := client.Once(c.context(), http.MethodPut, done, mustJSON(t, job))
+	if err != nil {
+		t.Fatal(err)
+	}
+	checkWhole(t, job, r)
+	r, err = client.Once(c.context(), http.MethodPut, unseen, mustJSON(t, newJob(t, "swap", 1, 10)))
+	if err != nil || r.Outcome() != api.NotRun {
+		t.Errorf("an id never used of a home that left: %v %+v", err, r)
+	}
+}
--- /dev/null
+++ b/test/whole_test.go
@@ -0,0 +1,116 @@
+package test
+
+import (
+	"testing"
+	"time"
+
+	"rackspur/api"
+	"rackspur/internal/standin"
+)
+
+// TestWholeOrFailed disturbs one target of a job that is spread over many. The
+// answer is the whole one or marked failed, and it comes at once.
+func TestWholeOrFailed(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(c *cluster)
+		// reason is the reason of the failure.
+		reason string
+	}{
+		{"1 half an answer", func(c *cluster) { c.targetFaults(1, standin.TargetFaults{Answer: standin.AnswerHalf}) }, "task-failed"},
+		{"2 another task's result", func(c *cluster) { c.targetFaults(1, standin.TargetFaults{Answer: standin.AnswerWrong}) }, "task-failed"},
+		{"3 no answer", func(c *cluster) { c.targetFaults(1, standin.TargetFaults{Answer: standin.AnswerNone}) }, "task-failed"},
+		{"4 an error", func(c *cluster) { c.targetFaults(1, standin.TargetFaults{Answer: standin.AnswerError}) }, "task-failed"},
+		{"5 target stopped", func(c *cluster) { c.targetFaults(1, standin.TargetFaults{Stopped: true}) }, "task-failed"},
+		{"6 straggler past its lease", func(c *cluster) { c.targetFaults(1, standin.TargetFaults{Slow: 5000}) }, "task-failed"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := newCluster(t, shape{entries: 1, agents: 3, slots: 8})
+			tc.fault(c)
+			job := newJob(t, "short", 24, 100)
+			client := c.client(tokenA, 0)
+			reply, err := client.Submit(c.context(), c.id(client), job)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if reply.Outcome() != api.Failed || reply.Problem.Reason != tc.reason {
+				t.Fatalf("want failed for %s: %+v", tc.reason, reply.Problem)
+			}
+			checkListed(t, c, job, reply.Problem)
+		})
+	}
+}
+
+// checkListed checks what a failure says of its tasks against the start logs.
+func checkListed(t *testing.T, c *cluster, job *api.Job, p *api.Problem) {
+	t.Helper()
+	if len(p.Results) != len(job.Tasks) {
+		t.Fatalf("%d of %d tasks listed", len(p.Results), len(job.Tasks))
+	}
+	for i, n := range c.startsOf(job) {
+		if p.Results[i].Status == api.TaskNotStarted && n > 0 {
+			t.Errorf("task %d is listed as not started and started %d times", i, n)
+		}
+		if n > 1 {
+			t.Errorf("task %d started %d times", i, n)
+		}
+	}
+}
+
+// TestWholeAgentKilled kills an agent that runs part of a job of 380 tasks. The
+// failure comes long before the deadline.
+func TestWholeAgentKilled(t *testing.T) {
+	c := newCluster(t, shape{entries: 1, agents: 4, slots: 8})
+	client := c.client(tokenA, 0)
+	id := c.id(client)
+	victim := (c.homeOf(id) + 1) % 4
+	job := newJob(t, "reshuffle", 380, 200)
+	job.DeadlineMS = 20000
+	type answer struct {
+		outcome api.Outcome
+		problem *api.Problem
+		at      time.Time
+	}
+	got := make(chan answer, 1)
+	go func() {
+		reply, err := client.Submit(c.context(), id, job)
+		if err != nil {
+			close(got)
+			return
+		}
+		got <- answer{reply.Outcome(), reply.Problem, time.Now()}
+	}()
+	c.awaitStarts(job, 32)
+	killed := time.Now()
+	c.agents[victim].kill()
+	a := <-got
+	if a.outcome != api.Failed {
+		t.Fatalf("want failed: %+v", a)
+	}
+	gap := a.at.Sub(killed)
+	t.Logf("given up %s after the kill, deadline %d ms", gap, job.DeadlineMS)
+	if gap > time.Duration(job.DeadlineMS)*time.Millisecond/2 {
+		t.Errorf("the failure was held back for %s", gap)
+	}
+	c.settled()
+	checkListed(t, c, job, a.problem)
+}
+
+// TestWholeStraggler has a job of 380 tasks with one straggler past its lease.
+func TestWholeStraggler(t *testing.T) {
+	c := newCluster(t, shape{entries: 1, agents: 4, slots: 8})
+	job := newJob(t, "short", 379, 50)
+	slow := newJob(t, "short", 1, 5000)
+	job.Tasks = append(job.Tasks, slow.Tasks...)
+	client := c.client(tokenA, 0)
+	reply, err := client.Submit(c.context(), c.id(client), job)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if reply.Outcome() != api.Failed {
+		t.Fatalf("want failed: %+v", reply.Answer)
+	}
+	checkListed(t, c, job, reply.Problem)
+}
