--- a/agent/agent.go
+++ b/agent/agent.go
@@ -17,6 +17,7 @@
 	"rackspur/id"
 	"rackspur/observe"
 	"rackspur/platform"
+	"rackspur/policy"
 	"rackspur/rpc"
 	"rackspur/target"
 	"rackspur/wire"
@@ -41,6 +42,8 @@
 // PolicySource returns the policy in force.
 type PolicySource interface {
 	Current() dispatch.Policy
+	// Recent returns the last decisions, those about one submission if its id is given.
+	Recent(submission string) []policy.Decision
 }
 
 // Agent is one agent process.
@@ -153,7 +156,7 @@
 		return
 	}
 	a.log.Info("Leaving.", "reason", reason)
-	a.node.leave()
+	a.node.leave(a.policy.Current())
 	a.link.leave()
 }
 
@@ -289,6 +292,9 @@
 	a.port.Handle("GET "+observe.PathStatus, func(w http.ResponseWriter, _ *http.Request) {
 		observe.WriteJSON(w, http.StatusOK, a.Status())
 	})
+	a.port.Handle("GET "+observe.PathWatch, func(w http.ResponseWriter, r *http.Request) {
+		observe.WriteJSON(w, http.StatusOK, a.policy.Recent(r.URL.Query().Get("submission")))
+	})
 	a.port.Handle("POST "+observe.PathDrain, func(w http.ResponseWriter, _ *http.Request) {
 		a.drain("operator")
 		observe.WriteJSON(w, http.StatusOK, struct{}{})
--- a/agent/gate.go
+++ b/agent/gate.go
@@ -74,7 +74,10 @@
 	g.offer(note)
 	g.node.do(func(now dispatch.Time) ([]dispatch.HomeAction, []dispatch.GateAction) {
 		s.version = max(s.version, note.GetConfigVersion())
-		return nil, g.node.gate.Note(now, home, s.epoch, note)
+		before := g.node.gate.Counts.Refused
+		actions := g.node.gate.Note(now, home, s.epoch, note)
+		g.node.wasteOfRefusal(note, g.node.gate.Counts.Refused-before)
+		return nil, actions
 	})
 }
 
--- a/agent/node.go
+++ b/agent/node.go
@@ -167,6 +167,22 @@
 	}
 }
 
+// wasteOfHome counts what a note without starts tells of wasted messages: a
+// grant or a wish that is taken back was wasted together with the note.
+func (n *node) wasteOfHome(note *wire.HomeNote) {
+	if len(note.GetStarts()) > 0 || note.GetWant() > 0 {
+		return
+	}
+	n.metrics.Count(observe.MetricMessagesWasted, 2)
+}
+
+// wasteOfRefusal counts a note of which every start was refused.
+func (n *node) wasteOfRefusal(note *wire.HomeNote, refused int64) {
+	if starts := len(note.GetStarts()); starts > 0 && int64(starts) == refused {
+		n.metrics.Count(observe.MetricMessagesWasted, 1)
+	}
+}
+
 // answer wakes the callers that wait for a submission.
 func (n *node) answer(a *dispatch.Answered) {
 	for _, ch := range n.waiters[a.Submission] {
@@ -221,10 +237,9 @@
 }
 
 // leave closes the gate and the home for new work.
-func (n *node) leave() {
+func (n *node) leave(p dispatch.Policy) {
 	n.do(func(dispatch.Time) ([]dispatch.HomeAction, []dispatch.GateAction) {
-		n.home.Leave()
-		return nil, n.gate.Leave()
+		return n.home.Leave(p), n.gate.Leave()
 	})
 }
 
--- a/agent/session.go
+++ b/agent/session.go
@@ -8,7 +8,6 @@
 	"google.golang.org/grpc"
 
 	"rackspur/dispatch"
-	"rackspur/observe"
 	"rackspur/wire"
 )
 
@@ -46,9 +45,7 @@
 	if stream == nil {
 		return
 	}
-	if len(note.GetStarts()) == 0 && note.GetWant() == 0 {
-		s.node.metrics.Count(observe.MetricMessagesWasted, 1)
-	}
+	s.node.wasteOfHome(note)
 	note.ConfigVersion = s.node.config.Version()
 	note.Config = s.node.config.For(stream.version)
 	stream.version = max(stream.version, note.ConfigVersion)
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -85,7 +85,7 @@
 	})
 	root.AddCommand(
 		newEntry(), newAgent(), newDev(), newStandin(),
-		newSubmit(), newApply(), newConfig(), newStatus(), newDrain(),
+		newSubmit(), newLoad(), newApply(), newConfig(), newPolicy(), newStatus(), newDrain(),
 		newVersion(),
 	)
 	return root
--- a/cli/dev.go
+++ b/cli/dev.go
@@ -22,6 +22,7 @@
 	"rackspur/internal/standin"
 	"rackspur/observe"
 	"rackspur/platform"
+	"rackspur/policy"
 	"rackspur/settings"
 )
 
@@ -159,7 +160,7 @@
 			Report: time.Second, KeepMB: 32,
 		},
 		Config:   holder,
-		Policy:   newPolicies(holder, m, log),
+		Policy:   policy.NewEngine(holder, m, log),
 		Platform: store,
 		Metrics:  m,
 		Log:      log,
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -19,6 +19,7 @@
 	"rackspur/entry"
 	"rackspur/observe"
 	"rackspur/platform"
+	"rackspur/policy"
 	"rackspur/settings"
 )
 
@@ -90,6 +91,9 @@
 	if err != nil {
 		return nil, &exitError{code: ExitUsage, err: err}
 	}
+	if err := policy.Check(d.Policies); err != nil {
+		return nil, &exitError{code: ExitUsage, err: err}
+	}
 	return d, nil
 }
 
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -11,6 +11,7 @@
 	"rackspur/entry"
 	"rackspur/observe"
 	"rackspur/platform"
+	"rackspur/policy"
 	"rackspur/settings"
 )
 
@@ -81,7 +82,7 @@
 	a, err := agent.New(agent.Parts{
 		Settings: s,
 		Config:   holder,
-		Policy:   newPolicies(holder, m, log),
+		Policy:   policy.NewEngine(holder, m, log),
 		Platform: platform.NewClient(s.Platform),
 		Metrics:  m,
 		Log:      log,
--- a/config/check.go
+++ b/config/check.go
@@ -28,10 +28,6 @@
 // nameForm is the form of the names of members, kinds and targets.
 var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
-// PolicyCheck checks the policies of a document; the policy package's Check is
-// registered by the program's root, so that this package needs no interpreter.
-type PolicyCheck func(Policies) error
-
 // problems collects everything that is wrong with a document.
 type problems []string
 
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -113,9 +113,27 @@
 	h.peers[h.self].setLoad(l)
 }
 
-// Leave closes the home: ids not seen so far are refused, jobs in progress go on.
-func (h *Home) Leave() {
+// Leave closes the home: ids not seen so far are refused, jobs of which a task
+// has started go on, and the policy decides about the others.
+func (h *Home) Leave(p Policy) []HomeAction {
 	h.leaving = true
+	var idle []*job
+	v := DrainView{}
+	for _, j := range h.queue.all() {
+		if !j.started() {
+			idle = append(idle, j)
+			v.Jobs++
+			v.Waiting += len(j.waiting)
+		}
+	}
+	verdict := p.Drain(v)
+	if verdict.Move {
+		return h.flush()
+	}
+	for _, j := range idle {
+		h.fail(j, verdict.Reason, "the home leaves")
+	}
+	return h.flush()
 }
 
 // Submit judges a submission. It returns the answer if there is one already;
@@ -220,6 +238,7 @@
 // view returns what a policy sees of a job.
 func (h *Home) view(sub *Submission) JobView {
 	v := JobView{
+		Submission:  sub.ID.String(),
 		Member:      sub.Member,
 		Kind:        sub.Kind,
 		Tasks:       len(sub.Tasks),
@@ -271,6 +290,7 @@
 	h.Counts.Accepted++
 	h.active++
 	h.queue.push(j)
+	h.updateWanted(j)
 	peers, views := h.targets(j.sub)
 	plan := j.sub.Policy.Place(h.view(j.sub), views)
 	for _, share := range plan.Start {
@@ -298,7 +318,7 @@
 		}
 	}
 	j.wait = append(j.wait, p)
-	p.wanting += len(j.waiting)
+	p.wanting += j.wanted
 	h.mark(p)
 }
 
@@ -307,7 +327,7 @@
 	t := &j.tasks[j.waiting[0]]
 	j.waiting = j.waiting[1:]
 	h.queue.took(j)
-	h.addWanting(j, -1)
+	h.updateWanted(j)
 	p.free--
 	t.state = taskAssigned
 	t.peer = p
@@ -399,8 +419,6 @@
 // end writes the final answer of a job.
 func (h *Home) end(j *job, o wire.Outcome, reason, detail string, results []*wire.TaskResult) {
 	h.queue.remove(j)
-	h.addWanting(j, -len(j.waiting))
-	j.wait = nil
 	r := reply(o, reason, detail)
 	r.Results = results
 	r.HandledVersion = j.sub.Version
@@ -416,16 +434,22 @@
 	}
 	h.active--
 	h.ledger.keep(j.entry, r)
+	h.updateWanted(j)
+	j.wait = nil
 	h.out = append(h.out, HomeAction{Answer: &Answered{Submission: j.sub.ID.Key(), Reply: r}})
 }
 
-// addWanting changes what the job's peers are asked for.
-func (h *Home) addWanting(j *job, n int) {
-	if n == 0 {
+// updateWanted asks the peers that a job waits at for as many slots as it wants.
+// What is asked for must be just what a slot could start: a slot that comes and
+// finds nothing goes back, and would be granted again at once.
+func (h *Home) updateWanted(j *job) {
+	more := j.wants() - j.wanted
+	if more == 0 {
 		return
 	}
+	j.wanted += more
 	for _, p := range j.wait {
-		p.wanting += n
+		p.wanting += more
 		h.mark(p)
 	}
 }
@@ -448,7 +472,7 @@
 		j.waiting = []uint32{t.index}
 		h.queue.push(j)
 	}
-	h.addWanting(j, 1)
+	h.updateWanted(j)
 }
 
 // Ask answers a question about a submission, or cancels it.
--- a/dispatch/home_test.go
+++ b/dispatch/home_test.go
@@ -173,3 +173,51 @@
 		})
 	}
 }
+
+// refuse has a peer refuse everything sent since the given number of starts.
+func (b *bench) refuse(peer string, seq uint64, from int) {
+	n := &wire.GateNote{Seq: seq, Load: &wire.Load{Slots: 4, Running: 4, Pace: paceUnit}}
+	for _, s := range b.sent(peer)[from:] {
+		n.Refused = append(n.Refused, s.GetKey())
+	}
+	b.did(b.home.Received(b.now, peer, b.epochs[peer], n))
+}
+
+// grant has a peer reserve a slot.
+func (b *bench) grant(peer string, seq uint64) {
+	b.did(b.home.Received(b.now, peer, b.epochs[peer], &wire.GateNote{Seq: seq, Grants: 1, Load: &wire.Load{Slots: 4, Running: 3, Reserved: 1, Pace: paceUnit}}))
+}
+
+// TestHomePausedJobWantsNothing has a task refused so often that the policy
+// holds it back. A slot granted meanwhile goes back, and no other is asked for:
+// asking again made the gate of the own box and the home pass the slot to and
+// fro without end.
+func TestHomePausedJobWantsNothing(t *testing.T) {
+	b := newBench(t)
+	b.submit(b.submission(1, candidate(testPeer, 4, 0)))
+	b.open(testPeer, false)
+	seq := uint64(1)
+	for i := range pauseAfter {
+		b.refuse(testPeer, seq+1, i)
+		if i < pauseAfter-1 {
+			b.grant(testPeer, seq+2)
+		}
+		seq += 2
+	}
+	notes := b.notes[testPeer]
+	last := notes[len(notes)-1]
+	if last.GetWant() != 0 {
+		t.Errorf("a job that is held back wants %d slots", last.GetWant())
+	}
+	before := len(notes)
+	b.grant(testPeer, seq+1)
+	notes = b.notes[testPeer]
+	if len(notes) != before+1 || notes[before].GetReturned() != 1 || notes[before].GetWant() != 0 {
+		t.Fatalf("the slot did not go back: %v", notes[before:])
+	}
+	b.advance(time.Second)
+	notes = b.notes[testPeer]
+	if notes[len(notes)-1].GetWant() != 1 {
+		t.Errorf("the job did not want a slot after the pause: %v", notes[len(notes)-1])
+	}
+}
--- a/dispatch/job.go
+++ b/dispatch/job.go
@@ -99,6 +99,8 @@
 	deadline Time
 	// wait lists the peers that are asked for slots while tasks wait.
 	wait []*peer
+	// wanted is the number of slots that each of them is asked for.
+	wanted int
 	// paused is set while the retry policy holds refused tasks back.
 	paused int
 }
@@ -123,6 +125,14 @@
 	return j.sent > 0 || j.done > 0
 }
 
+// wants returns the number of tasks that a slot could start now.
+func (j *job) wants() int {
+	if j.paused > 0 || j.over() {
+		return 0
+	}
+	return len(j.waiting)
+}
+
 func (t *task) key() taskKey {
 	return taskKey{submission: t.job.sub.ID.Key(), index: t.index}
 }
--- a/dispatch/native.go
+++ b/dispatch/native.go
@@ -59,6 +59,11 @@
 	return RetryVerdict{Again: true}
 }
 
+// Drain implements Policy.Drain. What waits is moved to other targets.
+func (Native) Drain(DrainView) DrainVerdict {
+	return DrainVerdict{Move: true}
+}
+
 // rank orders the targets that are not slow: the home's own first, then its
 // failure domain, then those with the most free slots.
 func rank(j JobView, targets []TargetView) []int {
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -8,10 +8,15 @@
 	Place(j JobView, targets []TargetView) Plan
 	// Retry tells how long a task that a target refused is held back.
 	Retry(r RetryView) RetryVerdict
+	// Drain decides what becomes of jobs that have not started when their home
+	// leaves.
+	Drain(d DrainView) DrainVerdict
 }
 
 // JobView is what a policy sees of a job.
 type JobView struct {
+	// Submission names the submission in logs and to those who watch.
+	Submission   string
 	Member, Kind string
 	// Tasks is the number of tasks to be placed.
 	Tasks int
@@ -64,8 +69,9 @@
 
 // RetryView is what a policy sees of a refused task.
 type RetryView struct {
-	Kind     string
-	Refusals int
+	Submission string
+	Kind       string
+	Refusals   int
 	// LeftMS is the time to the deadline.
 	LeftMS float64
 }
@@ -75,3 +81,18 @@
 	Again   bool
 	AfterMS float64
 }
+
+// DrainView is what a policy sees of a home that leaves.
+type DrainView struct {
+	// Jobs counts the jobs of which no task has started, Waiting their tasks.
+	Jobs, Waiting int
+}
+
+// DrainVerdict is the answer of Drain.
+type DrainVerdict struct {
+	// Move keeps such jobs: the home places their tasks on other targets.
+	// Otherwise they are refused for Reason and did not run.
+	Move         bool
+	Reason       string
+	RetryAfterMS uint32
+}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -149,7 +149,7 @@
 	if !p.leaving() {
 		h.waitAt(j, p)
 	}
-	v := j.sub.Policy.Retry(RetryView{Kind: j.sub.Kind, Refusals: t.refusals, LeftMS: millis(j.deadline - now)})
+	v := j.sub.Policy.Retry(RetryView{Submission: j.sub.ID.String(), Kind: j.sub.Kind, Refusals: t.refusals, LeftMS: millis(j.deadline - now)})
 	switch {
 	case !v.Again:
 		h.fail(j, "retries", "too many targets refused a task")
@@ -177,8 +177,10 @@
 // pause holds the waiting tasks of a job back for a while.
 func (h *Home) pause(now Time, j *job, afterMS float64) {
 	j.paused++
+	h.updateWanted(j)
 	h.timers.add(now+fromMillis(afterMS), func(now Time) {
 		j.paused--
+		h.updateWanted(j)
 		if j.paused == 0 && !j.over() && len(j.waiting) > 0 {
 			h.replace(now, j)
 		}
@@ -220,7 +222,7 @@
 			kept = append(kept, p)
 			continue
 		}
-		from.wanting -= len(j.waiting)
+		from.wanting -= j.wanted
 	}
 	j.wait = kept
 	if len(j.wait) > 0 {
--- /dev/null
+++ b/load/report.go
@@ -0,0 +1,162 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"rackspur/api"
+)
+
+// Bounds of the histograms: ratios in thousandths, up to a thousand fold.
+const (
+	ratioUnit   = 1000
+	ratioMost   = 1000 * ratioUnit
+	ratioDigits = 3
+)
+
+// Report is what a load measured.
+type Report struct {
+	Scenario string  `json:"scenario"`
+	Load     float64 `json:"load"`
+	// Seconds is the time from the first arrival to the last answer.
+	Seconds float64 `json:"seconds"`
+	// Offered and Done are the work that arrived and that was answered whole,
+	// as shares of the slots over the time in which submissions arrived.
+	Offered float64 `json:"offered"`
+	Done    float64 `json:"done"`
+	// Wrong counts answers that were not the whole answer to their own job.
+	Wrong int `json:"wrong"`
+	Kinds []KindReport `json:"kinds"`
+	// Reference is what a central queue without latency would reach.
+	Reference Spread `json:"reference"`
+
+	samples []sample
+}
+
+// KindReport is the part of a report about one kind of request, or all.
+type KindReport struct {
+	Kind     string         `json:"kind"`
+	Sent     int            `json:"sent"`
+	Tasks    int            `json:"tasks"`
+	Outcomes map[string]int `json:"outcomes"`
+	// Ratio is the response time divided by the ideal, of complete submissions.
+	Ratio Spread `json:"ratio"`
+	// ResponseMS is the response time in milliseconds of complete submissions.
+	ResponseMS Spread `json:"response_ms"`
+	// RefusedMS is the time to a refusal in milliseconds.
+	RefusedMS Spread `json:"refused_ms"`
+}
+
+// Spread sums up a distribution.
+type Spread struct {
+	Mean float64 `json:"mean"`
+	P50  float64 `json:"p50"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+}
+
+// allKinds is the name of the row about all kinds together.
+const allKinds = "all"
+
+func (r *runner) report(list []arrival, took time.Duration) *Report {
+	rep := &Report{Scenario: r.scenario.Name, Load: r.scenario.Load, Seconds: took.Seconds(), samples: r.samples}
+	capacity := r.scenario.Duration.Seconds() * float64(r.scenario.Slots)
+	for _, a := range list {
+		rep.Offered += a.work.Seconds() / capacity
+	}
+	// Work that is answered after the last arrival counts over the longer time.
+	capacity = max(capacity, r.lastDone().Seconds()*float64(r.scenario.Slots))
+	byKind := map[string][]sample{}
+	for _, s := range r.samples {
+		byKind[s.kind] = append(byKind[s.kind], s)
+		byKind[allKinds] = append(byKind[allKinds], s)
+		if s.outcome == string(api.Complete) {
+			rep.Done += s.work.Seconds() / capacity
+		}
+		if s.wrong {
+			rep.Wrong++
+		}
+	}
+	rep.Reference = kindReport(allKinds, r.scenario.reference(list)).Ratio
+	var names []string
+	for name := range byKind {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		rep.Kinds = append(rep.Kinds, kindReport(name, byKind[name]))
+	}
+	return rep
+}
+
+// lastDone returns when the last complete answer came.
+func (r *runner) lastDone() time.Duration {
+	last := time.Duration(0)
+	for _, s := range r.samples {
+		if s.outcome == string(api.Complete) {
+			last = max(last, s.at+s.response)
+		}
+	}
+	return last
+}
+
+func kindReport(name string, samples []sample) KindReport {
+	k := KindReport{Kind: name, Sent: len(samples), Outcomes: map[string]int{}}
+	ratio, response, refused := newHistogram(), newHistogram(), newHistogram()
+	for _, s := range samples {
+		k.Tasks += s.tasks
+		outcome := s.outcome
+		if s.reason != "" {
+			outcome += "/" + s.reason
+		}
+		k.Outcomes[outcome]++
+		micros := s.response.Microseconds()
+		switch s.outcome {
+		case string(api.Complete):
+			record(ratio, int64(ratioUnit*s.response.Seconds()/s.ideal.Seconds()))
+			record(response, micros)
+		case string(api.NotRun):
+			record(refused, micros)
+		}
+	}
+	k.Ratio = spread(ratio)
+	k.ResponseMS = spread(response)
+	k.RefusedMS = spread(refused)
+	return k
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, ratioMost*100, ratioDigits)
+}
+
+func record(h *hdrhistogram.Histogram, v int64) {
+	_ = h.RecordValue(max(1, min(v, ratioMost*100)))
+}
+
+func spread(h *hdrhistogram.Histogram) Spread {
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / ratioUnit }
+	return Spread{Mean: h.Mean() / ratioUnit, P50: at(50), P99: at(99), P999: at(99.9)}
+}
+
+// WriteText writes the report as a table.
+func (r *Report) WriteText(w io.Writer) error {
+	fmt.Fprintf(w, "scenario %s at %.0f%% of the slots: %.1f s, offered %.1f%%, done %.1f%%, wrong answers %d\n",
+		r.Scenario, 100*r.Load, r.Seconds, 100*r.Offered, 100*r.Done, r.Wrong)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "kind\tsent\ttasks\tratio mean\tp50\tp99\tp99.9\tms mean\tp99\trefused ms p99\t outcomes\t")
+	for _, k := range r.Kinds {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.1f\t%.1f\t%.1f\t %v\t\n", k.Kind, k.Sent, k.Tasks,
+			k.Ratio.Mean, k.Ratio.P50, k.Ratio.P99, k.Ratio.P999, k.ResponseMS.Mean, k.ResponseMS.P99, k.RefusedMS.P99, k.Outcomes)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(w, "a central queue without latency: ratio mean %.3f, p50 %.3f, p99 %.3f, p99.9 %.3f\n",
+		r.Reference.Mean, r.Reference.P50, r.Reference.P99, r.Reference.P999)
+	return err
+}
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -35,7 +35,7 @@
 
 // cluster is a whole system in separate processes.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	platform *node
 	entries  []*node
 	agents   []*node
@@ -76,7 +76,7 @@
 )
 
 // newCluster starts a cluster and waits until it is ready.
-func newCluster(t *testing.T, s shape) *cluster {
+func newCluster(t testing.TB, s shape) *cluster {
 	t.Helper()
 	if s.declaration == "" {
 		s.declaration = declare("")
@@ -300,7 +300,7 @@
 var payloads atomic.Int64
 
 // newJob returns a job whose payloads differ from those of all other jobs.
-func newJob(t *testing.T, kind string, tasks int, ms int) *api.Job {
+func newJob(t testing.TB, kind string, tasks int, ms int) *api.Job {
 	number := payloads.Add(1)
 	job := &api.Job{Kind: kind}
 	for i := range tasks {
@@ -311,7 +311,7 @@
 }
 
 // checkWhole fails the test unless the reply is the whole answer to the job.
-func checkWhole(t *testing.T, job *api.Job, r *caller.Reply) {
+func checkWhole(t testing.TB, job *api.Job, r *caller.Reply) {
 	t.Helper()
 	if r.Answer == nil {
 		t.Fatalf("no answer: %+v", r.Problem)
--- a/test/command_test.go
+++ b/test/command_test.go
@@ -15,7 +15,7 @@
 }
 
 // command runs the program to its end.
-func command(t *testing.T, in string, args ...string) ran {
+func command(t testing.TB, in string, args ...string) ran {
 	t.Helper()
 	cmd := exec.Command(binary, args...)
 	var out, errOut bytes.Buffer
--- a/test/leaving_test.go
+++ b/test/leaving_test.go
@@ -16,9 +16,9 @@
 // leavingBound is what "a few seconds" may be at most.
 const leavingBound = 5 * time.Second
 
-// load sends single tasks from several callers until stop is called, which
+// steady sends jobs from several callers until stop is called, which
 // returns the outcomes that were not complete.
-type load struct {
+type steady struct {
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	mu     sync.Mutex
@@ -26,9 +26,9 @@
 	sent   atomic.Int64
 }
 
-func startLoad(c *cluster, callers, tasks, ms int) *load {
+func startLoad(c *cluster, callers, tasks, ms int) *steady {
 	ctx, cancel := context.WithCancel(context.Background())
-	l := &load{cancel: cancel}
+	l := &steady{cancel: cancel}
 	for i := range callers {
 		client := c.client(tokenA, i)
 		l.wg.Add(1)
@@ -42,7 +42,7 @@
 	return l
 }
 
-func (l *load) one(c *cluster, ctx context.Context, client *caller.Client, job *api.Job) {
+func (l *steady) one(c *cluster, ctx context.Context, client *caller.Client, job *api.Job) {
 	ids, _, err := client.IDs(ctx, 1)
 	if err != nil || len(ids) == 0 {
 		return
@@ -74,7 +74,7 @@
 	}
 }
 
-func (l *load) stop() []string {
+func (l *steady) stop() []string {
 	l.cancel()
 	l.wg.Wait()
 	l.mu.Lock()
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -23,7 +23,7 @@
 )
 
 // waitFor waits until a condition holds and fails the test if it never does.
-func waitFor(t *testing.T, what string, cond func() bool) {
+func waitFor(t testing.TB, what string, cond func() bool) {
 	t.Helper()
 	if !holdsWithin(patience, cond) {
 		t.Fatalf("never came about: %s", what)
@@ -58,7 +58,7 @@
 }
 
 // freeAddresses returns n different loopback addresses that are free now.
-func freeAddresses(t *testing.T, n int) []string {
+func freeAddresses(t testing.TB, n int) []string {
 	t.Helper()
 	var list []string
 	for range portCount {
@@ -97,7 +97,7 @@
 
 // process is a running process of the program under test.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	args []string
 	cmd  *exec.Cmd
@@ -106,7 +106,7 @@
 }
 
 // start runs the program with arguments until the test ends.
-func start(t *testing.T, name string, args ...string) *process {
+func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, args: args, log: &logBuffer{}}
 	p.run()
--- a/test/proxy_test.go
+++ b/test/proxy_test.go
@@ -40,7 +40,7 @@
 }
 
 // newProxy serves an address until the test ends.
-func newProxy(t *testing.T, address, to string) *proxy {
+func newProxy(t testing.TB, address, to string) *proxy {
 	t.Helper()
 	l, err := net.Listen("tcp", address)
 	if err != nil {
@@ -146,29 +146,55 @@
 
 const chunk = 32 << 10
 
+// piece is what was read at once, with the time at which it is due.
+type piece struct {
+	data []byte
+	due  time.Time
+	err  error
+}
+
+// pieces reads a connection to its end; a delay does not hold back what follows.
+func (p *proxy) pieces(c net.Conn) <-chan piece {
+	out := make(chan piece, 1024)
+	go func() {
+		defer close(out)
+		for {
+			b := make([]byte, chunk)
+			n, err := c.Read(b)
+			out <- piece{data: b[:n], due: time.Now().Add(p.get().Delay), err: err}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return out
+}
+
+func (x *piece) await() {
+	if wait := time.Until(x.due); wait > 0 {
+		<-time.After(wait)
+	}
+}
+
 // up carries the bytes towards the server.
 func (p *proxy) up(client, server, twin net.Conn) {
 	defer closeWrite(server)
 	passed := 0
-	for b := make([]byte, chunk); ; {
-		n, err := client.Read(b)
+	for x := range p.pieces(client) {
+		x.await()
 		f := p.get()
-		p.delay(f)
-		if n > 0 && !f.CutUp {
-			if _, err := server.Write(b[:n]); err != nil {
-				return
+		if len(x.data) > 0 && !f.CutUp {
+			if _, err := server.Write(x.data); err != nil {
+				reset(client)
+				continue
 			}
 			if twin != nil {
-				_, _ = twin.Write(b[:n])
+				_, _ = twin.Write(x.data)
 			}
-			passed += n
+			passed += len(x.data)
 		}
 		if f.ResetAfterUp > 0 && passed >= f.ResetAfterUp {
 			reset(client)
-			return
-		}
-		if err != nil {
-			return
 		}
 	}
 }
@@ -176,13 +202,11 @@
 // down carries the bytes from the server.
 func (p *proxy) down(client, server net.Conn) {
 	defer client.Close()
-	for b := make([]byte, chunk); ; {
-		n, err := server.Read(b)
+	for x := range p.pieces(server) {
+		x.await()
 		f := p.get()
-		p.delay(f)
-		if f.ResetOnDown && n > 0 {
+		if f.ResetOnDown && len(x.data) > 0 {
 			reset(client)
-			return
 		}
 		if f.Hold {
 			p.mu.Lock()
@@ -190,20 +214,11 @@
 			p.mu.Unlock()
 			<-held
 		}
-		if n > 0 && !f.CutDown {
-			if _, err := client.Write(b[:n]); err != nil {
-				return
+		if len(x.data) > 0 && !f.CutDown {
+			if _, err := client.Write(x.data); err != nil {
+				reset(server)
 			}
 		}
-		if err != nil {
-			return
-		}
-	}
-}
-
-func (p *proxy) delay(f faults) {
-	if f.Delay > 0 {
-		<-time.After(f.Delay)
 	}
 }
 
