Fewer messages: wait at the own target first, loads carried by answers

Change: a task waits at the home's own target, where a slot costs no message, and at others only when the home's queue is longer than half a round of the own slots; targets are drawn by free slots times a drawn number; the last free slot of another target is left to its own home; a link repeats no load that an answer carried within the report interval.

What is left is wishes for slots that are withdrawn, and refusals on stale loads.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -337,7 +337,7 @@
 		}
 	}
 	srv := rpc.NewServer(s.agent.metrics)
-	wire.RegisterHomeServer(srv, &homeServer{node: s.agent.node, policy: s.agent.policy.Current})
+	wire.RegisterHomeServer(srv, &homeServer{node: s.agent.node, policy: s.agent.policy.Current, link: s.agent.link})
 	wire.RegisterGateServer(srv, &gateServer{node: s.agent.node})
 	wire.RegisterLinkServer(srv, s.agent.link)
 	stop := context.AfterFunc(ctx, srv.Stop)
--- a/agent/home.go
+++ b/agent/home.go
@@ -20,6 +20,7 @@
 	wire.UnimplementedHomeServer
 	node   *node
 	policy func() dispatch.Policy
+	link   *linkServer
 }
 
 // Submit implements wire.HomeServer.Submit. It returns when the answer is final.
@@ -48,6 +49,7 @@
 		return nil, err
 	}
 	span.SetAttributes(attribute.String("rackspur.outcome", reply.GetOutcome().String()))
+	s.link.answered(r.GetEntry())
 	return s.finish(r, reply), nil
 }
 
--- a/agent/link.go
+++ b/agent/link.go
@@ -43,6 +43,8 @@
 	// version is what the entry box has, told what it was told of this agent.
 	version uint64
 	told    uint64
+	// answered is when an answer last carried the load to the entry box.
+	answered time.Time
 }
 
 func newLinkServer(s *Settings, n *node, drain func(string), log logr.Logger) *linkServer {
@@ -120,7 +122,7 @@
 		note, waste := s.compose(l, last, first, &blockAt)
 		if note != nil {
 			if waste {
-				s.node.metrics.Count(observe.MetricMessagesWasted, 1)
+				s.node.metrics.Wasted(observe.WasteReport, 1)
 			}
 			last = note.GetLoad()
 			if err := stream.Send(note); err != nil {
@@ -165,15 +167,24 @@
 	}
 	useful := first || len(note.Blocks) > 0 || note.Config != nil || note.ConfigVersion > l.told
 	l.told = note.ConfigVersion
-	if !useful && sameLoad(last, load) {
+	fresh := time.Since(l.answered) < s.settings.Report && load.GetLeaving() == last.GetLeaving()
+	if !useful && (fresh || proto.Equal(last, load)) {
 		return nil, false
 	}
 	return note, !useful
 }
 
-// sameLoad reports whether a load report would tell an entry box nothing new.
-func sameLoad(a, b *wire.Load) bool {
-	return proto.Equal(a, b)
+// answered notes that an answer has carried the load to an entry box.
+func (s *linkServer) answered(entry string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for l := range s.links {
+		if l.entry == entry {
+			l.mu.Lock()
+			l.answered = time.Now()
+			l.mu.Unlock()
+		}
+	}
 }
 
 // blocks issues id blocks when the last ones are half used up in time.
--- a/agent/node.go
+++ b/agent/node.go
@@ -162,24 +162,33 @@
 
 // wasteOfGate counts a note that led neither to a start nor to an answer.
 func (n *node) wasteOfGate(note *wire.GateNote) {
-	if len(note.GetResults()) == 0 && note.GetGrants() == 0 && note.GetWelcome() == nil {
-		n.metrics.Count(observe.MetricMessagesWasted, 1)
+	if len(note.GetResults()) > 0 || note.GetGrants() > 0 || note.GetWelcome() != nil {
+		return
+	}
+	if len(note.GetRefused()) > 0 {
+		n.metrics.Wasted(observe.WasteRefusal, 1)
+		return
 	}
+	n.metrics.Wasted(observe.WasteReport, 1)
 }
 
 // wasteOfHome counts what a note without starts tells of wasted messages: a
-// grant or a wish that is taken back was wasted together with the note.
-func (n *node) wasteOfHome(note *wire.HomeNote) {
+// slot given back, or a wish withdrawn, was wasted together with the note.
+func (n *node) wasteOfHome(note *wire.HomeNote, withdrawn bool) {
 	if len(note.GetStarts()) > 0 || note.GetWant() > 0 {
 		return
 	}
-	n.metrics.Count(observe.MetricMessagesWasted, 2)
+	if note.GetReturned() > 0 || withdrawn {
+		n.metrics.Wasted(observe.WasteGrant, 2)
+		return
+	}
+	n.metrics.Wasted(observe.WasteAck, 1)
 }
 
 // wasteOfRefusal counts a note of which every start was refused.
 func (n *node) wasteOfRefusal(note *wire.HomeNote, refused int64) {
 	if starts := len(note.GetStarts()); starts > 0 && int64(starts) == refused {
-		n.metrics.Count(observe.MetricMessagesWasted, 1)
+		n.metrics.Wasted(observe.WasteRefusal, 1)
 	}
 }
 
--- a/agent/session.go
+++ b/agent/session.go
@@ -30,7 +30,9 @@
 type homeStream struct {
 	epoch   uint64
 	version uint64
-	out     *outbox[*wire.HomeNote]
+	// wanted is the number of slots that the last note asked for.
+	wanted uint32
+	out    *outbox[*wire.HomeNote]
 }
 
 func newSessions(n *node, dial func(string) (*grpc.ClientConn, error)) *sessions {
@@ -45,7 +47,8 @@
 	if stream == nil {
 		return
 	}
-	s.node.wasteOfHome(note)
+	s.node.wasteOfHome(note, stream.wanted > 0)
+	stream.wanted = note.GetWant()
 	note.ConfigVersion = s.node.config.Version()
 	note.Config = s.node.config.For(stream.version)
 	stream.version = max(stream.version, note.ConfigVersion)
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"rackspur/id"
@@ -35,6 +37,7 @@
 	leaving     bool
 	version     uint64
 	maxWait     float64
+	rng         *rand.Rand
 	out         []HomeAction
 	// Counts are running totals for observation.
 	Counts HomeCounts
@@ -68,6 +71,7 @@
 		ledger:      NewLedger(o.Incarnation, o.KeepBytes),
 		queue:       newFairQueue(),
 		peers:       map[string]*peer{},
+		rng:         rand.New(rand.NewPCG(binary.BigEndian.Uint64(o.Incarnation[:]), 0)),
 	}
 	own := h.peer(o.Address)
 	own.target = o.Target
@@ -224,7 +228,7 @@
 			return
 		}
 		peers = append(peers, p)
-		views = append(views, p.view(p.address == h.self))
+		views = append(views, p.view(p.address == h.self, h.rng.Float64()))
 	}
 	add(h.peers[h.self])
 	for _, c := range sub.Candidates {
@@ -304,8 +308,8 @@
 	for _, i := range plan.Wait {
 		h.waitAt(j, peers[i])
 	}
-	if own := h.peers[h.self]; len(j.wait) == 0 && !own.leaving() {
-		h.waitAt(j, own)
+	if len(j.wait) == 0 && len(j.waiting) > 0 {
+		h.waitAnywhere(j, peers)
 	}
 	h.timers.add(j.deadline, func(now Time) { h.overdue(j) })
 }
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -69,8 +69,9 @@
 }
 
 // view returns what a policy sees of the peer.
-func (p *peer) view(self bool) TargetView {
+func (p *peer) view(self bool, tie float64) TargetView {
 	return TargetView{
+		Tie:       tie,
 		Name:      p.target,
 		Domain:    p.domain,
 		Self:      self,
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -46,6 +46,9 @@
 	Pace float64
 	// ServiceMS is its mean run time in milliseconds.
 	ServiceMS float64
+	// Tie is a number drawn for this job, 0 or more and less than 1, by which
+	// homes that see the same loads choose differently.
+	Tie float64
 }
 
 // Verdict is the answer of Admit.
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -146,9 +146,6 @@
 	if j.over() {
 		return
 	}
-	if !p.leaving() {
-		h.waitAt(j, p)
-	}
 	v := j.sub.Policy.Retry(RetryView{Submission: j.sub.ID.String(), Kind: j.sub.Kind, Refusals: t.refusals, LeftMS: millis(j.deadline - now)})
 	switch {
 	case !v.Again:
@@ -160,17 +157,42 @@
 	}
 }
 
-// replace tries a refused task at the best target that seems to have a slot.
+// replace tries a refused task at a target that seems to have a slot, the own
+// one first. If there is none, the job waits.
 func (h *Home) replace(now Time, j *job) {
 	peers, views := h.targets(j.sub)
-	best := -1
+	best, most := -1, 0.0
 	for i, v := range views {
-		if v.Free > 0 && (best < 0 || v.Free > views[best].Free) {
+		weight := float64(v.Free) * v.Tie
+		if v.Self && v.Free > 0 {
 			best = i
+			break
+		}
+		if v.Free > staleSlots && weight > most {
+			best, most = i, weight
 		}
 	}
 	if best >= 0 {
 		h.send(now, j, peers[best])
+		return
+	}
+	if len(j.wait) == 0 {
+		h.waitAnywhere(j, peers)
+	}
+}
+
+// waitAnywhere has a job wait at the own target or, if that takes no work, at
+// all others.
+func (h *Home) waitAnywhere(j *job, peers []*peer) {
+	if own := h.peers[h.self]; !own.leaving() {
+		h.waitAt(j, own)
+		return
+	}
+	for _, p := range peers {
+		h.waitAt(j, p)
+	}
+	if len(j.wait) == 0 {
+		h.fail(j, "no-target", "no target takes new work")
 	}
 }
 
@@ -229,12 +251,7 @@
 		return
 	}
 	peers, _ := h.targets(j.sub)
-	for _, p := range peers {
-		h.waitAt(j, p)
-	}
-	if len(j.wait) == 0 {
-		h.fail(j, "no-target", "no target takes new work")
-	}
+	h.waitAnywhere(j, peers)
 }
 
 // Lost tells that the session with a gate broke or could not be opened.
--- a/entry/http.go
+++ b/entry/http.go
@@ -231,6 +231,7 @@
 		attribute.String("rackspur.kind", req.GetKind()))
 	defer span.End()
 	req.Id = v.String()
+	req.Entry = e.settings.Name
 	req.Member = m.Name
 	req.ConfigVersion = accepted.Version
 	refusal := e.quotas.enter(m.Name)
--- a/load/report.go
+++ b/load/report.go
@@ -30,7 +30,7 @@
 	Offered float64 `json:"offered"`
 	Done    float64 `json:"done"`
 	// Wrong counts answers that were not the whole answer to their own job.
-	Wrong int `json:"wrong"`
+	Wrong int          `json:"wrong"`
 	Kinds []KindReport `json:"kinds"`
 	// Reference is what a central queue without latency would reach.
 	Reference Spread `json:"reference"`
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -48,6 +48,27 @@
 	metrics.GetOrRegisterCounter(name, m.registry).Inc(n)
 }
 
+// Waste is the reason for which a message led neither to a start nor an answer.
+type Waste string
+
+// The reasons.
+const (
+	// WasteReport: a load report that no request needed.
+	WasteReport Waste = "report"
+	// WasteRefusal: a start that a gate refused, and the refusal.
+	WasteRefusal Waste = "refusal"
+	// WasteGrant: a slot granted and given back, or a wish for one withdrawn.
+	WasteGrant Waste = "grant"
+	// WasteAck: an acknowledgement or cancellation alone.
+	WasteAck Waste = "ack"
+)
+
+// Wasted counts wasted messages, all together and by reason.
+func (m *Metrics) Wasted(why Waste, n int64) {
+	m.Count(MetricMessagesWasted, n)
+	m.Count(MetricMessagesWasted+"."+string(why), n)
+}
+
 // Value returns the value of a counter.
 func (m *Metrics) Value(name string) int64 {
 	return metrics.GetOrRegisterCounter(name, m.registry).Count()
--- a/policy/builtins.go
+++ b/policy/builtins.go
@@ -165,6 +165,7 @@
 			"waiting":    starlark.MakeInt(t.Waiting),
 			"pace":       starlark.Float(t.Pace),
 			"service_ms": starlark.Float(t.ServiceMS),
+			"tie":        starlark.Float(t.Tie),
 		})
 	}
 	return starlark.NewList(list)
--- a/policy/sets/default.star
+++ b/policy/sets/default.star
@@ -1,11 +1,17 @@
 # default: response time first (the acquiring platform).
 #
-# Free slots are used at once, the home's own target first, then its failure
-# domain, then the targets with the most free slots. What finds no free slot
-# waits at the home for the first slot of any target. Targets that run tasks
-# three times slower than the median get nothing new.
+# Known free slots are used at once: the home's own target first, then the
+# others by their free slots times a drawn number, so that homes which see the
+# same loads choose differently. What is known of another target is a little
+# old, so its last slot is left to its own home. What finds no slot waits at the
+# home's own target, where a slot costs no message, and at a few others if the
+# home's queue is long. Targets three times slower than the median get nothing.
 
 SLOW = 3.0
+STALE = 1
+NEAR = 1.5
+PATIENT = 0.5
+FEW = 1
 
 def admit(job):
     if job.slots == 0:
@@ -20,16 +26,30 @@
     starts = []
     left = job.tasks
     for t in order:
-        n = min(left, t.free)
+        n = min(left, t.free if t.self else t.free - STALE)
         if n > 0:
             starts.append((t.index, n))
             left -= n
-    return plan(start = starts, wait = [t.index for t in order] if left > 0 else [])
+    return plan(start = starts, wait = waits(job, order, left) if left > 0 else [])
 
 def rank(job, targets):
     limit = SLOW * median([t.pace for t in targets])
     good = [t for t in targets if t.pace <= limit]
-    return sorted(good, key = lambda t: (not t.self, t.domain != job.domain, -t.free))
+    return sorted(good, key = lambda t: -weight(job, t))
+
+def weight(job, t):
+    if t.self:
+        return float("inf")
+    return (NEAR if t.domain == job.domain else 1.0) * t.free * t.tie
+
+def waits(job, order, left):
+    if not order or not order[0].self:
+        return [t.index for t in order]
+    slots = max(1, order[0].slots)
+    if (job.home_waiting + left) / slots <= PATIENT:
+        return [order[0].index]
+    others = sorted(order[1:], key = lambda t: (t.waiting, t.tie))
+    return [order[0].index] + [t.index for t in others[:FEW + left // slots]]
 
 def retry(task):
     if task.refusals > 20:
