--- a/dispatch/home_test.go
+++ b/dispatch/home_test.go
@@ -48,10 +48,14 @@
 	}
 }
 
+func addrPort(text string) netip.AddrPort {
+	return netip.MustParseAddrPort(text)
+}
+
 // newID mints an id of the home's first block.
 func (b *bench) newID(member string) id.ID {
 	key := b.home.ledger.secret.BlockKey(1)
-	return id.Mint(netip.MustParseAddrPort(testHome), b.inc, 1, key[:], member)
+	return id.Mint(addrPort(testHome), b.inc, 1, key[:], member)
 }
 
 func candidate(address string, slots, running uint32) *wire.Candidate {
--- a/id/id.go
+++ b/id/id.go
@@ -79,6 +79,13 @@
 // Nonce is the random part of an id, unique within its block.
 type Nonce [randomSize]byte
 
+// NewNonce draws a nonce.
+func NewNonce() Nonce {
+	var n Nonce
+	mustRead(n[:])
+	return n
+}
+
 // ID is a parsed submission id.
 type ID struct {
 	// Home is the address of the agent that judges the id.
@@ -94,8 +101,7 @@
 
 // Mint returns a new id for a member from a block of a home.
 func Mint(home netip.AddrPort, n Incarnation, block uint32, key []byte, member string) ID {
-	v := ID{Home: home, Incarnation: n, Block: block}
-	mustRead(v.Nonce[:])
+	v := ID{Home: home, Incarnation: n, Block: block, Nonce: NewNonce()}
 	v.tag = v.sign(key, member)
 	return v
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -126,7 +126,29 @@
 	var targets []dispatch.TargetView
 	for i := range rng.IntN(12) {
 		targets = append(targets, dispatch.TargetView{Name: fmt.Sprint(i), Domain: []string{"a", "b"}[rng.IntN(2)], Self: i == 0,
-			Slots: 8, Free: rng.IntN(9), Waiting: rng.IntN(5), Pace: 0.5 + rng.Float64()*4, Tie: rng.Float64()})
+			Slots: 8, Free: rng.IntN(9), Waiting: rng.IntN(5), Queued: rng.IntN(4), Room: rng.IntN(3), Pace: 0.5 + rng.Float64()*4, Tie: rng.Float64()})
 	}
 	return job, targets
 }
+
+func FuzzCompile(f *testing.F) {
+	for _, name := range Names() {
+		source, err := Source(name)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(source)
+	}
+	f.Add("def place(job, targets):\n  return plan(start=[(0, 1 << 40)])")
+	f.Fuzz(func(t *testing.T, source string) {
+		p, err := Compile("fuzz", source)
+		if err != nil {
+			return
+		}
+		for h := range hooks {
+			if p.Has(h) {
+				_ = p.try(h)
+			}
+		}
+	})
+}
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -436,3 +436,8 @@
 	}
 	return false
 }
+
+// digestOf returns the digest of a job's first task.
+func digestOf(job *api.Job) string {
+	return standin.Digest(job.Tasks[0].Payload)
+}
