--- a/agent/agent.go
+++ b/agent/agent.go
@@ -139,7 +139,6 @@
 		c := a.node.config.Current()
 		limits := c.Document.Limits
 		a.node.home.Configure(c.Version, time.Duration(limits.MaxWaitMS)*time.Millisecond)
-		a.node.gate.SetRoom(limits.GateQueue)
 		if a.left.Load() {
 			return nil, nil
 		}
--- a/config/check.go
+++ b/config/check.go
@@ -13,7 +13,6 @@
 	maxLeaseMS   = 600_000
 	maxTaskBound = 10_000
 	maxBodyBound = 64 << 20
-	maxGateQueue = 64
 )
 
 // Errors of this package.
@@ -113,9 +112,6 @@
 	if l.MaxWaitMS < 1 {
 		p.add("limits.max_wait_ms: %d must be 1 or more", l.MaxWaitMS)
 	}
-	if l.GateQueue < -1 || l.GateQueue > maxGateQueue {
-		p.add("limits.gate_queue: %d must be -1 to %d", l.GateQueue, maxGateQueue)
-	}
 	if l.BlockMintMS < 1 || l.BlockLifetimeMS < 2*l.BlockMintMS {
 		p.add("limits: block_lifetime_ms must be at least twice block_mint_ms")
 	}
--- a/config/document.go
+++ b/config/document.go
@@ -21,7 +21,6 @@
 	DefaultMaxTasks        = 380
 	DefaultMaxBodyBytes    = 4 << 20
 	DefaultMaxWaitMS       = 60_000
-	DefaultGateQueue       = 2
 )
 
 // Document is one declaration of the whole system.
@@ -72,8 +71,6 @@
 	MaxBodyBytes int64 `yaml:"max_body_bytes" json:"max_body_bytes"`
 	// MaxWaitMS is the longest expected wait that is admitted.
 	MaxWaitMS int `yaml:"max_wait_ms" json:"max_wait_ms"`
-	// GateQueue is how many tasks a gate takes beyond its free slots; -1 means none.
-	GateQueue int `yaml:"gate_queue" json:"gate_queue"`
 	// BlockLifetimeMS is how long ids and outcomes are remembered.
 	BlockLifetimeMS int `yaml:"block_lifetime_ms" json:"block_lifetime_ms"`
 	// BlockMintMS is how long an entry box mints ids from a block.
@@ -172,7 +169,6 @@
 	setDefault(&d.Limits.MaxTasks, DefaultMaxTasks)
 	setDefault(&d.Limits.MaxBodyBytes, DefaultMaxBodyBytes)
 	setDefault(&d.Limits.MaxWaitMS, DefaultMaxWaitMS)
-	setDefault(&d.Limits.GateQueue, DefaultGateQueue)
 	setDefault(&d.Limits.BlockLifetimeMS, DefaultBlockLifetimeMS)
 	setDefault(&d.Limits.BlockMintMS, DefaultBlockMintMS)
 	for i := range d.Members {
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -30,15 +30,9 @@
 	running  int
 	reserved int
 	leaving  bool
-	// queue holds tasks taken beyond the free slots, at most room of them. None
-	// has started; they go back when their session breaks or the gate leaves.
-	queue []queuedTask
-	room  int
-	// queueTurn alternates between the queue and the homes that wait.
-	queueTurn bool
-	pace      float64
-	service   float64
-	sessions  map[id.Incarnation]*session
+	pace     float64
+	service  float64
+	sessions map[id.Incarnation]*session
 	// waiters are the sessions that want slots, in their order of service.
 	waiters []*session
 	lastRun int
@@ -50,7 +44,7 @@
 
 // GateCounts are totals since the start of the process.
 type GateCounts struct {
-	Started, Queued, Refused, Duplicates, Grants, GrantsReturned, GrantsLapsed int64
+	Started, Refused, Duplicates, Grants, GrantsReturned, GrantsLapsed int64
 }
 
 // session is what a gate knows of one home.
@@ -69,12 +63,6 @@
 	note      *wire.GateNote
 }
 
-// queuedTask is a task that waits at the gate for a slot.
-type queuedTask struct {
-	session *session
-	start   *wire.Start
-}
-
 // record remembers a task that started, until its home has the result.
 type record struct {
 	result *wire.Result
@@ -100,11 +88,6 @@
 	return g.flush()
 }
 
-// SetRoom sets how many tasks the gate takes beyond its free slots.
-func (g *Gate) SetRoom(n int) {
-	g.room = max(0, n)
-}
-
 // Free returns the number of slots that can take a task now.
 func (g *Gate) Free() int {
 	if g.leaving {
@@ -127,8 +110,6 @@
 		Pace:      uint32(g.pace),
 		ServiceUs: uint32(g.service),
 		Leaving:   g.leaving,
-		Queued:    uint32(len(g.queue)),
-		Room:      uint32(max(0, g.room-len(g.queue))),
 	}
 }
 
@@ -138,10 +119,6 @@
 		return nil
 	}
 	g.leaving = true
-	for _, q := range g.queue {
-		g.refuse(q.session, q.start.GetKey())
-	}
-	g.queue = nil
 	for _, s := range g.waiters {
 		s.want = 0
 		g.touch(s)
@@ -211,7 +188,7 @@
 	s.forget(n.GetAck())
 	g.takeBack(s, int(n.GetReturned()))
 	for _, start := range n.GetStarts() {
-		g.take(s, start)
+		g.start(s, start)
 	}
 	for _, k := range n.GetCancels() {
 		g.cancel(s, k)
@@ -224,59 +201,29 @@
 	return g.flushAt(now)
 }
 
-// take starts a task, queues it, or refuses it.
-func (g *Gate) take(s *session, start *wire.Start) {
+func (g *Gate) start(s *session, start *wire.Start) {
 	key := keyOf(start.GetKey())
-	if s.records[key] != nil || g.queuedAt(s, key) >= 0 {
+	if s.records[key] != nil {
 		g.Counts.Duplicates++
 		return
 	}
-	switch {
-	case g.leaving:
-		g.refuse(s, start.GetKey())
-	case s.reserved > 0:
+	if g.leaving || (s.reserved == 0 && g.Free() == 0) {
+		g.Counts.Refused++
+		note := g.touch(s)
+		note.Refused = append(note.Refused, start.GetKey())
+		return
+	}
+	if s.reserved > 0 {
 		s.reserved--
 		g.reserved--
-		g.start(s, start)
-	case g.Free() > 0:
-		g.start(s, start)
-	case len(g.queue) < g.room:
-		g.Counts.Queued++
-		g.queue = append(g.queue, queuedTask{session: s, start: start})
-	default:
-		g.refuse(s, start.GetKey())
 	}
-}
-
-func (g *Gate) start(s *session, start *wire.Start) {
-	s.records[keyOf(start.GetKey())] = &record{}
+	s.records[key] = &record{}
 	g.running++
 	g.Counts.Started++
 	g.out = append(g.out, GateAction{Start: &Run{Home: s.home, Start: start}})
 }
 
-func (g *Gate) refuse(s *session, k *wire.TaskKey) {
-	g.Counts.Refused++
-	note := g.touch(s)
-	note.Refused = append(note.Refused, k)
-}
-
-// queuedAt returns the place of a task in the queue, or -1.
-func (g *Gate) queuedAt(s *session, key taskKey) int {
-	for i, q := range g.queue {
-		if q.session == s && keyOf(q.start.GetKey()) == key {
-			return i
-		}
-	}
-	return -1
-}
-
 func (g *Gate) cancel(s *session, k *wire.TaskKey) {
-	if i := g.queuedAt(s, keyOf(k)); i >= 0 {
-		g.queue = append(g.queue[:i], g.queue[i+1:]...)
-		g.refuse(s, k)
-		return
-	}
 	r := s.records[keyOf(k)]
 	if r == nil || r.result != nil {
 		return
@@ -349,16 +296,8 @@
 	return g.flushAt(now)
 }
 
-// release takes back what a session held or waited for. Its queued tasks never
-// start.
+// release takes back what a session held or waited for.
 func (g *Gate) release(s *session) {
-	kept := g.queue[:0]
-	for _, q := range g.queue {
-		if q.session != s {
-			kept = append(kept, q)
-		}
-	}
-	g.queue = kept
 	g.reserved -= s.reserved
 	s.reserved = 0
 	g.setWant(s, 0)
@@ -397,17 +336,10 @@
 	}
 }
 
-// grantFree uses free slots: for queued tasks and for the homes that wait, in
-// turn. The home whose task just ended goes first a few times in a row.
+// grantFree reserves free slots for the homes that wait, in turn. The home
+// whose task just ended goes first a few times in a row.
 func (g *Gate) grantFree(ended *session) {
-	for g.Free() > 0 && (len(g.queue) > 0 || len(g.waiters) > 0) {
-		g.queueTurn = !g.queueTurn
-		if len(g.queue) > 0 && (g.queueTurn || len(g.waiters) == 0) {
-			next := g.queue[0]
-			g.queue = g.queue[1:]
-			g.start(next.session, next.start)
-			continue
-		}
+	for g.Free() > 0 && len(g.waiters) > 0 {
 		s := g.waiters[0]
 		if ended != nil && ended.want > 0 && g.lastRun < grantRun {
 			s = ended
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -360,8 +360,7 @@
 		ExpectMs:    sub.expectMS(sub.Tasks[t.index]),
 		Traceparent: sub.Trace,
 	})
-	// A task may wait in the gate's queue for as long as the tasks before it run.
-	h.timers.add(now+2*sub.Lease+leaseMargin, func(Time) { h.lapsed(t, p) })
+	h.timers.add(now+sub.Lease+leaseMargin, func(Time) { h.lapsed(t, p) })
 }
 
 // lapsed gives up a job whose task has outlived its lease without word.
--- a/dispatch/native.go
+++ b/dispatch/native.go
@@ -24,10 +24,9 @@
 	nearWeight = 1.5
 	// patientRounds is the length of the home's queue, in rounds of the own
 	// slots, up to which tasks wait at the own target only.
-	patientRounds = 0.25
-	// queueShare bounds the queue of another gate that is still joined, as a
-	// share of its slots.
-	queueShare = 4
+	patientRounds = 0.5
+	// fewOthers is how many other targets a longer queue waits at, at least.
+	fewOthers = 1
 )
 
 // Admit implements Policy.Admit. It refuses a job whose expected wait leaves no
@@ -44,23 +43,17 @@
 }
 
 // Place implements Policy.Place. Known free slots are used at once. What finds
-// none waits at the home's own target, where a slot costs no message, as long as
-// the home's queue is short; then it goes into the short queues of other gates.
-// Only what finds no place there either asks a few targets for a slot.
+// none waits at the home's own target, where a slot costs no message, and at a
+// few others if that would take long.
 func (Native) Place(j JobView, targets []TargetView) Plan {
 	order := rank(j, targets)
-	take := make([]int, len(targets))
-	left := j.Tasks
-	for _, i := range order {
-		n := max(0, min(left, usable(targets[i])))
-		take[i] += n
-		left -= n
-	}
-	left -= enqueue(j, targets, order, take, left)
 	var plan Plan
+	left := j.Tasks
 	for _, i := range order {
-		if take[i] > 0 {
-			plan.Start = append(plan.Start, Share{Target: i, N: take[i]})
+		n := min(left, usable(targets[i]))
+		if n > 0 {
+			plan.Start = append(plan.Start, Share{Target: i, N: n})
+			left -= n
 		}
 	}
 	if left > 0 {
@@ -78,61 +71,27 @@
 	return t.Free - staleSlots
 }
 
-// patience returns how many tasks may wait at the home before other gates'
-// queues are used.
-func patience(own TargetView) int {
-	return int(patientRounds * float64(own.Slots))
-}
-
-// enqueue gives tasks that would wait too long at the home to the queues of
-// other gates, one round over all of them, and returns how many it gave.
-func enqueue(j JobView, targets []TargetView, order, take []int, left int) int {
-	if len(order) == 0 {
-		return 0
-	}
-	over := left
-	if own := targets[order[0]]; own.Self {
-		over = min(left, j.HomeWaiting+left-patience(own))
-	}
-	given := 0
-	for _, i := range byQueue(targets, order) {
-		t := targets[i]
-		if given >= over || t.Room == 0 || t.Queued > t.Slots/queueShare {
-			continue
-		}
-		take[i]++
-		given++
+// waits returns where the tasks that found no slot wait: first the own target.
+func waits(j JobView, targets []TargetView, order []int, left int) []int {
+	if len(order) == 0 || !targets[order[0]].Self {
+		return order
 	}
-	return max(0, given)
-}
-
-// byQueue orders the other targets by their queues, the shortest first.
-func byQueue(targets []TargetView, order []int) []int {
-	var others []int
-	for _, i := range order {
-		if !targets[i].Self {
-			others = append(others, i)
-		}
+	own := targets[order[0]]
+	rounds := float64(j.HomeWaiting+left) / float64(max(1, own.Slots))
+	if rounds <= patientRounds {
+		return order[:1]
 	}
+	list := append([]int{}, order...)
+	others := list[1:]
 	sort.SliceStable(others, func(a, b int) bool {
 		x, y := targets[others[a]], targets[others[b]]
-		if dx, dy := x.Queued-x.Free, y.Queued-y.Free; dx != dy {
-			return dx < dy
+		if x.Waiting != y.Waiting {
+			return x.Waiting < y.Waiting
 		}
 		return x.Tie < y.Tie
 	})
-	return others
-}
-
-// waits returns where the tasks that found no place wait: at the own target,
-// and at a few others for each round of its slots that the queue is long.
-func waits(j JobView, targets []TargetView, order []int, left int) []int {
-	if len(order) == 0 || !targets[order[0]].Self {
-		return order
-	}
-	rounds := (j.HomeWaiting + left) / max(1, targets[order[0]].Slots)
-	others := byQueue(targets, order)
-	return append(order[:1:1], others[:min(rounds, len(others))]...)
+	enough := 1 + fewOthers + left/max(1, own.Slots)
+	return list[:min(enough, len(list))]
 }
 
 // Retry implements Policy.Retry.
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -76,26 +76,13 @@
 		Domain:    p.domain,
 		Self:      self,
 		Slots:     int(p.load.GetSlots()),
-		Free:      max(0, p.free),
+		Free:      max(0, p.free-len(p.pending)),
 		Waiting:   int(p.load.GetWaiting()),
-		Queued:    p.queued(),
-		Room:      p.room(),
 		Pace:      float64(p.load.GetPace()) / paceUnit,
 		ServiceMS: float64(p.load.GetServiceUs()) / 1000,
 	}
 }
 
-// queued estimates the tasks in the gate's queue: what was sent beyond its free
-// slots counts.
-func (p *peer) queued() int {
-	return int(p.load.GetQueued()) + max(0, -p.free)
-}
-
-// room estimates how many more tasks the gate's queue takes.
-func (p *peer) room() int {
-	return max(0, int(p.load.GetRoom())+min(0, p.free))
-}
-
 // same reports whether the gate is still the incarnation the home knew.
 func (p *peer) same(incarnation []byte) bool {
 	return bytes.Equal(p.incarnation, incarnation)
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -42,9 +42,6 @@
 	Self bool
 	// Slots and Free count its slots; Waiting the tasks queued at its home.
 	Slots, Free, Waiting int
-	// Queued counts the tasks that wait at its gate for a slot, Room how many
-	// more it takes.
-	Queued, Room int
 	// Pace is the ratio of run time to expected run time.
 	Pace float64
 	// ServiceMS is its mean run time in milliseconds.
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -220,12 +220,12 @@
 }
 
 func (a *agentState) free() int {
-	return int(a.load.GetSlots()) - int(a.load.GetRunning()) - int(a.load.GetReserved()) - int(a.load.GetQueued()) - a.guess
+	return int(a.load.GetSlots()) - int(a.load.GetRunning()) - int(a.load.GetReserved()) - a.guess
 }
 
 // busyness orders agents for the choice of a home.
 func (a *agentState) busyness() float64 {
-	return float64(int(a.load.GetRunning())+int(a.load.GetQueued())+int(a.load.GetWaiting())+a.guess) / float64(max(1, a.load.GetSlots()))
+	return float64(int(a.load.GetRunning())+int(a.load.GetWaiting())+a.guess) / float64(max(1, a.load.GetSlots()))
 }
 
 // mint returns a new id for a member, or false if no linked agent can be a home.
@@ -302,8 +302,6 @@
 			Waiting:   l.GetWaiting(),
 			Pace:      l.GetPace(),
 			ServiceUs: l.GetServiceUs(),
-			Queued:    l.GetQueued(),
-			Room:      l.GetRoom(),
 		},
 	}
 }
--- a/policy/builtins.go
+++ b/policy/builtins.go
@@ -163,8 +163,6 @@
 			"slots":      starlark.MakeInt(t.Slots),
 			"free":       starlark.MakeInt(t.Free),
 			"waiting":    starlark.MakeInt(t.Waiting),
-			"queued":     starlark.MakeInt(t.Queued),
-			"room":       starlark.MakeInt(t.Room),
 			"pace":       starlark.Float(t.Pace),
 			"service_ms": starlark.Float(t.ServiceMS),
 			"tie":        starlark.Float(t.Tie),
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -126,7 +126,7 @@
 	var targets []dispatch.TargetView
 	for i := range rng.IntN(12) {
 		targets = append(targets, dispatch.TargetView{Name: fmt.Sprint(i), Domain: []string{"a", "b"}[rng.IntN(2)], Self: i == 0,
-			Slots: 8, Free: rng.IntN(9), Waiting: rng.IntN(5), Queued: rng.IntN(4), Room: rng.IntN(3), Pace: 0.5 + rng.Float64()*4, Tie: rng.Float64()})
+			Slots: 8, Free: rng.IntN(9), Waiting: rng.IntN(5), Pace: 0.5 + rng.Float64()*4, Tie: rng.Float64()})
 	}
 	return job, targets
 }
--- a/policy/sets/default.star
+++ b/policy/sets/default.star
@@ -4,16 +4,14 @@
 # others by their free slots times a drawn number, so that homes which see the
 # same loads choose differently. What is known of another target is a little
 # old, so its last slot is left to its own home. What finds no slot waits at the
-# home's own target, where a slot costs no message, as long as the home's queue
-# is short; then it goes into the short queues of other gates; only then does it
-# ask a few targets for a slot. Targets three times slower than the median get
-# nothing.
+# home's own target, where a slot costs no message, and at a few others if the
+# home's queue is long. Targets three times slower than the median get nothing.
 
 SLOW = 3.0
 STALE = 1
 NEAR = 1.5
-PATIENT = 0.25
-QUEUE_SHARE = 4
+PATIENT = 0.5
+FEW = 1
 
 def admit(job):
     if job.slots == 0:
@@ -25,17 +23,14 @@
 
 def place(job, targets):
     order = rank(job, targets)
-    take = {}
+    starts = []
     left = job.tasks
     for t in order:
-        n = max(0, min(left, t.free if t.self else t.free - STALE))
-        take[t.index] = n
-        left -= n
-    left -= enqueue(job, order, take, left)
-    return plan(
-        start = [(t.index, take[t.index]) for t in order if take[t.index] > 0],
-        wait = waits(job, order, left) if left > 0 else [],
-    )
+        n = min(left, t.free if t.self else t.free - STALE)
+        if n > 0:
+            starts.append((t.index, n))
+            left -= n
+    return plan(start = starts, wait = waits(job, order, left) if left > 0 else [])
 
 def rank(job, targets):
     limit = SLOW * median([t.pace for t in targets])
@@ -47,29 +42,14 @@
         return float("inf")
     return (NEAR if t.domain == job.domain else 1.0) * t.free * t.tie
 
-def enqueue(job, order, take, left):
-    """Gives tasks that would wait too long at the home to other gates' queues."""
-    if not order:
-        return 0
-    over = left
-    if order[0].self:
-        over = min(left, job.home_waiting + left - int(PATIENT * order[0].slots))
-    given = 0
-    for t in by_queue(order):
-        if given >= over or t.room == 0 or t.queued > t.slots // QUEUE_SHARE:
-            continue
-        take[t.index] += 1
-        given += 1
-    return given
-
-def by_queue(order):
-    return sorted([t for t in order if not t.self], key = lambda t: (t.queued - t.free, t.tie))
-
 def waits(job, order, left):
     if not order or not order[0].self:
         return [t.index for t in order]
-    rounds = (job.home_waiting + left) // max(1, order[0].slots)
-    return [order[0].index] + [t.index for t in by_queue(order)[:rounds]]
+    slots = max(1, order[0].slots)
+    if (job.home_waiting + left) / slots <= PATIENT:
+        return [order[0].index]
+    others = sorted(order[1:], key = lambda t: (t.waiting, t.tie))
+    return [order[0].index] + [t.index for t in others[:FEW + left // slots]]
 
 def retry(task):
     if task.refusals > 20:
