Jobs take turns, wishes for slots are shared out, policies choose how eager

Causes, from the counters of wasted messages by reason: - Within a member jobs were served whole, one after another: a single task waited at its home for the end of a reshuffle. - Each waiting task asked every target of its list for a slot; what the own target took first had to be withdrawn elsewhere, two messages each. Change: jobs of a member take turns, a task each. A home asks each other target for its share of the queue only; rounded down unless the policy is eager. The built-in default is eager (response first), few-messages is not.

--- a/dispatch/gate_test.go
+++ b/dispatch/gate_test.go
@@ -249,3 +249,21 @@
 		t.Errorf("order %v, left of the few %d", order, len(few.waiting))
 	}
 }
+
+// TestQueueSmallAmongLarge has a single task behind a job of many tasks of the
+// same member.
+func TestQueueSmallAmongLarge(t *testing.T) {
+	q := newFairQueue()
+	large := newJob(0, &Submission{Member: "m", Tasks: make([]*wire.Task, 100)}, &entry{})
+	small := newJob(0, &Submission{Member: "m", Tasks: make([]*wire.Task, 1)}, &entry{})
+	q.push(large)
+	q.push(small)
+	for range 3 {
+		j := q.next()
+		j.waiting = j.waiting[1:]
+		q.took(j)
+	}
+	if len(small.waiting) != 0 {
+		t.Error("the single task waits for the end of the large job")
+	}
+}
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -34,11 +34,15 @@
 	marked      []*peer
 	timers      timers
 	active      int
-	leaving     bool
-	version     uint64
-	maxWait     float64
-	rng         *rand.Rand
-	out         []HomeAction
+	// asked counts the peers at which tasks wait.
+	asked int
+	// eager is set by the last plan that had tasks wait.
+	eager   bool
+	leaving bool
+	version uint64
+	maxWait float64
+	rng     *rand.Rand
+	out     []HomeAction
 	// Counts are running totals for observation.
 	Counts HomeCounts
 }
@@ -305,6 +309,9 @@
 			h.send(now, j, peers[share.Target])
 		}
 	}
+	if len(plan.Wait) > 0 {
+		h.eager = plan.Eager
+	}
 	for _, i := range plan.Wait {
 		h.waitAt(j, peers[i])
 	}
@@ -322,8 +329,7 @@
 		}
 	}
 	j.wait = append(j.wait, p)
-	p.wanting += j.wanted
-	h.mark(p)
+	h.addWanting(p, j.wanted)
 }
 
 // send gives the first waiting task of a job to a peer.
@@ -453,9 +459,40 @@
 	}
 	j.wanted += more
 	for _, p := range j.wait {
-		p.wanting += more
-		h.mark(p)
+		h.addWanting(p, more)
+	}
+}
+
+// addWanting changes the number of tasks that wait at a peer.
+func (h *Home) addWanting(p *peer, n int) {
+	was := p.wanting > 0
+	p.wanting += n
+	switch is := p.wanting > 0; {
+	case is && !was:
+		h.asked++
+	case was && !is:
+		h.asked--
+	}
+	h.mark(p)
+}
+
+// wish returns how many slots a peer is to be asked for. The own gate, where
+// asking costs no message, is asked for all. Each other one is asked for its
+// share only, so that a wish is used up before the queue has drained and need
+// not be withdrawn.
+func (h *Home) wish(p *peer) int {
+	most := 2 * max(1, int(p.load.GetSlots()))
+	if p.wanting == 0 {
+		return 0
+	}
+	if p.address == h.self {
+		return min(p.wanting, most)
+	}
+	share := p.wanting / h.asked
+	if h.eager || h.peers[h.self].wanting == 0 {
+		share = (p.wanting + h.asked - 1) / h.asked
 	}
+	return min(share, most)
 }
 
 // putBack makes a task that did not start wait again, ahead of the job's others.
--- a/dispatch/home_test.go
+++ b/dispatch/home_test.go
@@ -243,3 +243,46 @@
 		t.Errorf("after the pause the job wants %d slots", want)
 	}
 }
+
+// sharing is the built-in policy, eager or not.
+type sharing struct {
+	Native
+	eager bool
+}
+
+func (p sharing) Place(j JobView, targets []TargetView) Plan {
+	plan := p.Native.Place(j, targets)
+	plan.Eager = p.eager
+	return plan
+}
+
+// TestHomeWishesShares has a queue that waits at several targets. Others are
+// asked for their shares, and for nothing once nothing waits.
+func TestHomeWishesShares(t *testing.T) {
+	cases := []struct {
+		name  string
+		eager bool
+		other uint32
+	}{{"1 eager", true, 5}, {"2 not eager", false, 4}}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t)
+			b.home.SelfLoad(&wire.Load{Slots: 4, Running: 4, Pace: paceUnit})
+			s := b.submission(9, candidate(testPeer, 4, 4))
+			s.Policy = sharing{eager: tc.eager}
+			b.submit(s)
+			b.openFull(testHome)
+			b.openFull(testPeer)
+			if own, other := b.lastNote(testHome).GetWant(), b.lastNote(testPeer).GetWant(); own != 8 || other != tc.other {
+				t.Errorf("own gate asked for %d of 9, the other for %d", own, other)
+			}
+			for seq := uint64(2); b.home.Waiting() > 0; seq++ {
+				b.grant(testHome, seq)
+			}
+			b.grant(testPeer, 2)
+			if n := b.lastNote(testPeer); n.GetReturned() != 1 || n.GetWant() != 0 {
+				t.Errorf("a slot for nobody: %v", n)
+			}
+		})
+	}
+}
--- a/dispatch/native.go
+++ b/dispatch/native.go
@@ -24,7 +24,7 @@
 	nearWeight = 1.5
 	// patientRounds is the length of the home's queue, in rounds of the own
 	// slots, up to which tasks wait at the own target only.
-	patientRounds = 0.5
+	patientRounds = 0.25
 	// fewOthers is how many other targets a longer queue waits at, at least.
 	fewOthers = 1
 )
@@ -58,6 +58,7 @@
 	}
 	if left > 0 {
 		plan.Wait = waits(j, targets, order, left)
+		plan.Eager = true
 	}
 	return plan
 }
@@ -90,7 +91,7 @@
 		}
 		return x.Tie < y.Tie
 	})
-	enough := 1 + fewOthers + left/max(1, own.Slots)
+	enough := 1 + fewOthers + int(rounds)
 	return list[:min(enough, len(list))]
 }
 
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -68,6 +68,9 @@
 type Plan struct {
 	Start []Share
 	Wait  []int
+	// Eager asks each other target in Wait for one slot at least, at the price
+	// of wishes that are withdrawn when the own target was faster.
+	Eager bool
 }
 
 // RetryView is what a policy sees of a refused task.
--- a/dispatch/queue.go
+++ b/dispatch/queue.go
@@ -2,7 +2,8 @@
 
 // fairQueue holds the jobs with waiting tasks. Members take turns by deficit
 // round robin with their weights, so that one member's burst delays only
-// itself; within a member, jobs go in the order of their arrival.
+// itself. Within a member the jobs take turns too, a task each, so that a small
+// request does not wait for the end of a large one.
 type fairQueue struct {
 	members map[string]*memberQueue
 	turn    []*memberQueue
@@ -56,9 +57,9 @@
 	for range 2 * len(q.turn) {
 		m := q.turn[0]
 		if m.credit > 0 {
-			if j := m.ready(); j != nil {
+			if i := m.ready(); i >= 0 {
 				m.credit--
-				return j
+				return m.turnOf(i)
 			}
 		}
 		m.credit = m.weight
@@ -67,14 +68,23 @@
 	return nil
 }
 
-// ready returns the first job of the member that the retry policy does not hold back.
-func (m *memberQueue) ready() *job {
-	for _, j := range m.jobs {
+// ready returns the place of the first job that the retry policy does not hold
+// back, or -1.
+func (m *memberQueue) ready() int {
+	for i, j := range m.jobs {
 		if j.paused == 0 {
-			return j
+			return i
 		}
 	}
-	return nil
+	return -1
+}
+
+// turnOf returns a job and puts it behind the member's others.
+func (m *memberQueue) turnOf(i int) *job {
+	j := m.jobs[i]
+	copy(m.jobs[i:], m.jobs[i+1:])
+	m.jobs[len(m.jobs)-1] = j
+	return j
 }
 
 // all returns the jobs in the queue.
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -168,7 +168,7 @@
 			best = i
 			break
 		}
-		if v.Free > staleSlots && weight > most {
+		if v.Free > 0 && weight > most {
 			best, most = i, weight
 		}
 	}
@@ -244,7 +244,7 @@
 			kept = append(kept, p)
 			continue
 		}
-		from.wanting -= j.wanted
+		h.addWanting(from, -j.wanted)
 	}
 	j.wait = kept
 	if len(j.wait) > 0 {
@@ -341,14 +341,15 @@
 
 func (h *Home) settleNote(p *peer) {
 	p.marked = false
-	if p.state == peerClosed && p.downSince == 0 && (p.wanting > 0 || len(p.pending) > 0) {
+	wish := h.wish(p)
+	if p.state == peerClosed && p.downSince == 0 && (wish > 0 || len(p.pending) > 0) {
 		h.connect(p)
 		return
 	}
 	if p.state != peerOpen {
 		return
 	}
-	begins := p.wantSent == 0 && p.wanting > 0
+	begins := p.wantSent == 0 && wish > 0
 	ends := p.wantSent > 0 && p.wanting == 0
 	if p.note == nil && !begins && !ends {
 		return
@@ -358,10 +359,10 @@
 		note = &wire.HomeNote{}
 	}
 	p.note = nil
-	note.Want = uint32(min(p.wanting, 2*int(p.load.GetSlots())))
+	note.Want = uint32(wish)
 	note.GrantedSeen = p.grantsSeen
 	note.Ack = p.seq
 	p.acked = p.seq
-	p.wantSent = int(note.Want)
+	p.wantSent = wish
 	h.out = append(h.out, HomeAction{Peer: p.address, Note: note})
 }
--- a/policy/builtins.go
+++ b/policy/builtins.go
@@ -56,11 +56,12 @@
 type planned struct {
 	start starlark.Iterable
 	wait  starlark.Iterable
+	eager bool
 }
 
 func biPlan(_ *starlark.Thread, b *starlark.Builtin, args starlark.Tuple, kwargs []starlark.Tuple) (starlark.Value, error) {
 	p := planned{start: starlark.Tuple{}, wait: starlark.Tuple{}}
-	if err := starlark.UnpackArgs(b.Name(), args, kwargs, "start?", &p.start, "wait?", &p.wait); err != nil {
+	if err := starlark.UnpackArgs(b.Name(), args, kwargs, "start?", &p.start, "wait?", &p.wait, "eager?", &p.eager); err != nil {
 		return nil, err
 	}
 	return newDecision("plan", p), nil
--- a/policy/decide.go
+++ b/policy/decide.go
@@ -46,7 +46,7 @@
 // check turns a program's plan into the core's. Indexes must be those of
 // targets, and no more tasks may be started than the job has.
 func (p planned) check(targets, tasks int) (dispatch.Plan, error) {
-	var plan dispatch.Plan
+	plan := dispatch.Plan{Eager: p.eager}
 	total := 0
 	shares := p.start.Iterate()
 	defer shares.Done()
--- a/policy/sets/batch-sampling.star
+++ b/policy/sets/batch-sampling.star
@@ -6,4 +6,4 @@
 
 def place(job, targets):
     n = min(len(targets), max(1, PROBES * job.tasks))
-    return plan(wait = sample(len(targets), n))
+    return plan(wait = sample(len(targets), n), eager = True)
--- a/policy/sets/credit.star
+++ b/policy/sets/credit.star
@@ -2,4 +2,4 @@
 # The home asks every target that the entry box proposed.
 
 def place(job, targets):
-    return plan(wait = [t.index for t in targets])
+    return plan(wait = [t.index for t in targets], eager = True)
--- a/policy/sets/default.star
+++ b/policy/sets/default.star
@@ -4,13 +4,14 @@
 # others by their free slots times a drawn number, so that homes which see the
 # same loads choose differently. What is known of another target is a little
 # old, so its last slot is left to its own home. What finds no slot waits at the
-# home's own target, where a slot costs no message, and at a few others if the
-# home's queue is long. Targets three times slower than the median get nothing.
+# home's own target, where a slot costs no message, and at a few others unless
+# the home's queue is short. Targets three times slower than the median get
+# nothing.
 
 SLOW = 3.0
 STALE = 1
 NEAR = 1.5
-PATIENT = 0.5
+PATIENT = 0.25
 FEW = 1
 
 def admit(job):
@@ -30,7 +31,9 @@
         if n > 0:
             starts.append((t.index, n))
             left -= n
-    return plan(start = starts, wait = waits(job, order, left) if left > 0 else [])
+    if left == 0:
+        return plan(start = starts)
+    return plan(start = starts, wait = waits(job, order, left), eager = True)
 
 def rank(job, targets):
     limit = SLOW * median([t.pace for t in targets])
@@ -45,11 +48,11 @@
 def waits(job, order, left):
     if not order or not order[0].self:
         return [t.index for t in order]
-    slots = max(1, order[0].slots)
-    if (job.home_waiting + left) / slots <= PATIENT:
+    rounds = (job.home_waiting + left) / max(1, order[0].slots)
+    if rounds <= PATIENT:
         return [order[0].index]
     others = sorted(order[1:], key = lambda t: (t.waiting, t.tie))
-    return [order[0].index] + [t.index for t in others[:FEW + left // slots]]
+    return [order[0].index] + [t.index for t in others[:FEW + int(rounds)]]
 
 def retry(task):
     if task.refusals > 20:
