Sessions and memory follow use, docs, a bench for capacity

Change: sessions unused for a minute end, peers are forgotten after ten (their gates forgot the home after two), agents unlisted for 15 minutes are dropped with their connections.

--- a/agent/node.go
+++ b/agent/node.go
@@ -112,6 +112,8 @@
 		return gate
 	case a.Hello != nil:
 		w.hellos = append(w.hellos, a)
+	case a.Close:
+		n.sessions.close(a.Peer)
 	case a.Peer == n.self:
 		return n.gate.Note(n.now(), n.incarnation, n.sessions.self, a.Note)
 	default:
--- a/agent/session.go
+++ b/agent/session.go
@@ -30,6 +30,7 @@
 type homeStream struct {
 	epoch   uint64
 	version uint64
+	cancel  context.CancelFunc
 	// wanted is the number of slots that the last note asked for.
 	wanted uint32
 	out    *outbox[*wire.HomeNote]
@@ -57,12 +58,14 @@
 
 // open starts a session with a gate in the background.
 func (s *sessions) open(peer string, hello *wire.Hello) {
-	stream := &homeStream{epoch: hello.GetEpoch(), out: newOutbox[*wire.HomeNote]()}
+	ctx, cancel := context.WithCancel(context.Background())
+	stream := &homeStream{epoch: hello.GetEpoch(), cancel: cancel, out: newOutbox[*wire.HomeNote]()}
 	s.mu.Lock()
 	s.streams[peer] = stream
 	s.mu.Unlock()
 	go func() {
-		err := s.run(peer, stream, hello)
+		defer cancel()
+		err := s.run(ctx, peer, stream, hello)
 		stream.out.close()
 		s.node.log.V(1).Info("Session with gate ended.", "peer", peer, "reason", err.Error())
 		s.node.do(func(now dispatch.Time) ([]dispatch.HomeAction, []dispatch.GateAction) {
@@ -71,6 +74,20 @@
 	}()
 }
 
+// close ends the session with a gate and its connection.
+func (s *sessions) close(peer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if stream := s.streams[peer]; stream != nil {
+		stream.cancel()
+		delete(s.streams, peer)
+	}
+	if c := s.conns[peer]; c != nil {
+		delete(s.conns, peer)
+		go func() { _ = c.Close() }()
+	}
+}
+
 func (s *sessions) conn(peer string) (*grpc.ClientConn, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -84,15 +101,13 @@
 	return c, err
 }
 
-func (s *sessions) run(peer string, stream *homeStream, hello *wire.Hello) error {
+func (s *sessions) run(ctx context.Context, peer string, stream *homeStream, hello *wire.Hello) error {
 	conn, err := s.conn(peer)
 	if err != nil {
 		return err
 	}
 	conn.ResetConnectBackoff()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	late := time.AfterFunc(openTimeout, cancel)
+	late := time.AfterFunc(openTimeout, stream.cancel)
 	defer late.Stop()
 	work, err := wire.NewGateClient(conn).Work(ctx)
 	if err != nil {
@@ -108,7 +123,7 @@
 	}
 	late.Stop()
 	go func() {
-		defer cancel()
+		defer stream.cancel()
 		_ = stream.out.drain(ctx.Done(), work.Send)
 	}()
 	s.received(peer, stream, welcome)
--- /dev/null
+++ b/cli/settings_test.go
@@ -0,0 +1,34 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"testing"
+)
+
+// TestSettingsPage holds docs/SETTINGS.md to the code.
+func TestSettingsPage(t *testing.T) {
+	var want bytes.Buffer
+	writeSettings(&want)
+	got, err := os.ReadFile("../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got, want.Bytes()) {
+		t.Error("docs/SETTINGS.md is not what 'rackspur settings' prints")
+	}
+}
+
+// TestWrongSettingsEndWithUsage has a role started with several wrong settings.
+func TestWrongSettingsEndWithUsage(t *testing.T) {
+	var out, errOut bytes.Buffer
+	code := Main([]string{"agent", "--slots", "many", "--listen", "here", "--target-url", "x"}, nil, &out, &errOut)
+	if code != ExitUsage {
+		t.Errorf("exit %d", code)
+	}
+	for _, name := range []string{"slots=", "listen=", "target-url=", "target=", "domain=", "platform="} {
+		if !bytes.Contains(errOut.Bytes(), []byte(name)) {
+			t.Errorf("%s is not named in: %s", name, errOut.String())
+		}
+	}
+}
--- a/dispatch/bench_test.go
+++ b/dispatch/bench_test.go
@@ -59,3 +59,30 @@
 		b.Fatalf("%d of %d complete", home.Counts.Complete, b.N)
 	}
 }
+
+// BenchmarkLedgerEntry measures the memory of a remembered submission of one
+// task with a result of 100 bytes, as B/op.
+func BenchmarkLedgerEntry(b *testing.B) {
+	l := NewLedger(id.NewIncarnation(), 1<<40)
+	number, _ := l.Issue(time.Hour)
+	b.ReportAllocs()
+	for b.Loop() {
+		v := id.ID{Incarnation: l.incarnation, Block: number, Nonce: id.NewNonce()}
+		e := &entry{}
+		l.put(v, e)
+		l.keep(e, &wire.SubmitReply{Results: []*wire.TaskResult{{Result: make([]byte, 100)}}})
+	}
+}
+
+// BenchmarkPlaceOver measures the built-in placing over as many targets as an
+// entry box proposes.
+func BenchmarkPlaceOver(b *testing.B) {
+	targets := make([]TargetView, 32)
+	for i := range targets {
+		targets[i] = TargetView{Domain: "a", Self: i == 0, Slots: 8, Free: i % 4, Pace: 1, Tie: float64(i) / 32}
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Native{}.Place(JobView{Tasks: 60, Domain: "a"}, targets)
+	}
+}
--- a/dispatch/doc.go
+++ b/dispatch/doc.go
@@ -59,6 +59,8 @@
 	Hello *wire.Hello
 	// Note asks to send a note on the open session.
 	Note *wire.HomeNote
+	// Close asks to end the session, which nothing needs any more.
+	Close bool
 	// Answer asks to wake those who wait for the submission.
 	Answer *Answered
 }
--- a/dispatch/home.go
+++ b/dispatch/home.go
@@ -18,6 +18,11 @@
 	// ackBacklog is how many results may wait for an acknowledgement that
 	// travels with something else.
 	ackBacklog = 256
+	// sessionIdle is how long a session stays open without use, peerRetention how
+	// long a peer is remembered. By then its gate has forgotten this home too, so
+	// that epochs may begin anew.
+	sessionIdle   = time.Minute
+	peerRetention = 5 * sessionRetention
 	// retryHintMS is the advice to callers whose submission was refused for load.
 	retryHintMS = 250
 )
@@ -37,7 +42,9 @@
 	// asked counts the peers at which tasks wait.
 	asked int
 	// eager is set by the last plan that had tasks wait.
-	eager   bool
+	eager bool
+	// tidied is when sessions and peers were last looked through.
+	tidied  Time
 	leaving bool
 	version uint64
 	maxWait float64
@@ -113,9 +120,29 @@
 // Tick does what is due.
 func (h *Home) Tick(now Time) []HomeAction {
 	h.timers.run(now)
+	if now > h.tidied+sessionIdle {
+		h.tidy(now)
+	}
 	return h.flush()
 }
 
+// tidy ends sessions without use and forgets peers that are long gone, so that
+// a home's streams and memory follow what it uses and not the size of the fleet.
+func (h *Home) tidy(now Time) {
+	h.tidied = now
+	for address, p := range h.peers {
+		if address == h.self || !p.idle() {
+			continue
+		}
+		if p.state == peerOpen && now > p.used+sessionIdle {
+			h.out = append(h.out, HomeAction{Peer: address, Close: true})
+		}
+		if p.state == peerClosed && now > p.used+peerRetention {
+			delete(h.peers, address)
+		}
+	}
+}
+
 // SelfLoad takes the load of the home's own gate.
 func (h *Home) SelfLoad(l *wire.Load) {
 	h.peers[h.self].setLoad(l)
@@ -341,6 +368,7 @@
 	p.free--
 	t.state = taskAssigned
 	t.peer = p
+	p.used = now
 	if p.state == peerOpen {
 		h.hand(now, p, t)
 		return
--- a/dispatch/home_test.go
+++ b/dispatch/home_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -31,7 +32,7 @@
 	b := &bench{t: t, inc: id.NewIncarnation(), epochs: map[string]uint64{}, notes: map[string][]*wire.HomeNote{}}
 	b.home = NewHome(HomeOptions{Incarnation: b.inc, Address: testHome, Target: "own", Domain: "a", Grace: time.Second, KeepBytes: 1 << 10})
 	b.home.Configure(1, time.Minute)
-	b.home.ledger.Issue(time.Minute)
+	b.home.ledger.Issue(24 * time.Hour)
 	return b
 }
 
@@ -286,3 +287,32 @@
 		})
 	}
 }
+
+// TestHomeFollowsUse has many gates come and go. Sessions without use end, and
+// peers that are long gone are forgotten.
+func TestHomeFollowsUse(t *testing.T) {
+	b := newBench(t)
+	b.home.SelfLoad(&wire.Load{Slots: 1, Running: 1, Pace: paceUnit})
+	closed := 0
+	for i := range 200 {
+		peer := fmt.Sprintf("127.0.0.2:%d", 1000+i)
+		b.submit(b.submission(1, candidate(peer, 4, 0)))
+		b.open(peer, false)
+		sent := b.sent(peer)
+		done := &wire.Result{Key: sent[0].GetKey(), Status: wire.TaskStatus_TASK_STATUS_DONE}
+		b.did(b.home.Received(b.now, peer, b.epochs[peer], &wire.GateNote{Seq: 2, Results: []*wire.Result{done}}))
+		b.now += 20 * time.Second
+		for _, a := range b.home.Tick(b.now) {
+			if a.Close {
+				closed++
+				b.lose(a.Peer)
+			}
+		}
+	}
+	if closed < 190 {
+		t.Errorf("%d of 200 sessions were ended", closed)
+	}
+	if n := len(b.home.peers); n > 50 {
+		t.Errorf("%d peers are remembered", n)
+	}
+}
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -41,6 +41,13 @@
 	version    uint64
 	note       *wire.HomeNote
 	marked     bool
+	// used is when a job last had to do with the peer.
+	used Time
+}
+
+// idle reports whether nothing is in progress with the peer.
+func (p *peer) idle() bool {
+	return len(p.outstanding) == 0 && len(p.pending) == 0 && p.wanting == 0 && p.state != peerConnecting
 }
 
 // observe takes a candidate's load, unless the session's own news is fresher.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -194,7 +194,7 @@
 		e.log.V(1).Info("List of boxes not read.", "reason", err.Error())
 		return
 	}
-	e.fleet.list(boxes)
+	e.links.forget(e.fleet.list(boxes))
 	e.links.keep(ctx, e.fleet.wanted(e.settings.Name, e.settings.Links))
 	for _, address := range e.fleet.listedLeaving() {
 		e.links.drain(address)
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -30,8 +30,10 @@
 
 // agentState is what is known of one agent.
 type agentState struct {
-	address     netip.AddrPort
-	listed      bool
+	address netip.AddrPort
+	listed  bool
+	// seen is when the platform last listed the box.
+	seen        time.Time
 	leaving     bool
 	linked      bool
 	incarnation id.Incarnation
@@ -55,10 +57,12 @@
 }
 
 // list takes the platform's list of boxes. What is not listed any more stays
-// known, so that its ids can still be answered.
-func (f *fleet) list(boxes []platform.Box) {
+// known for a while, so that its ids can still be answered. It returns the
+// addresses that were forgotten.
+func (f *fleet) list(boxes []platform.Box) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := time.Now()
 	for _, a := range f.agents {
 		a.listed = false
 	}
@@ -75,9 +79,24 @@
 			continue
 		}
 		a.listed = true
+		a.seen = now
 		a.leaving = b.State == platform.BoxLeaving
 	}
 	f.entries = max(1, entries)
+	return f.forget(now)
+}
+
+// forget drops the agents that were not listed for so long that no id of theirs
+// is answered any more.
+func (f *fleet) forget(now time.Time) []string {
+	var gone []string
+	for address, a := range f.agents {
+		if !a.listed && !a.linked && now.Sub(a.seen) > ledgerRetention {
+			delete(f.agents, address)
+			gone = append(gone, address)
+		}
+	}
+	return gone
 }
 
 func (f *fleet) agent(address string) *agentState {
--- a/entry/link.go
+++ b/entry/link.go
@@ -52,6 +52,18 @@
 	return c, err
 }
 
+// forget closes the connections to agents that are no longer known.
+func (l *links) forget(addresses []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, address := range addresses {
+		if c := l.conns[address]; c != nil {
+			_ = c.Close()
+			delete(l.conns, address)
+		}
+	}
+}
+
 // keep starts and ends links so that just the wanted ones run.
 func (l *links) keep(ctx context.Context, wanted []string) {
 	l.mu.Lock()
