--- a/cli/cli.go
+++ b/cli/cli.go
@@ -102,6 +102,16 @@
 	}
 }
 
+// checked returns a RunE that checks the settings of a command before it runs.
+func checked(set *settings.Set, run func(cmd *cobra.Command, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		if err := set.Check(); err != nil {
+			return err
+		}
+		return run(cmd, args)
+	}
+}
+
 // common are the settings that every serving role has.
 type common struct {
 	logFormat string
--- a/cli/dev.go
+++ b/cli/dev.go
@@ -65,17 +65,14 @@
 	set.Int(&s.slots, "slots", 8, "slots of each target", 1, 1000)
 	set.Choice(&s.once, "once", "true", "whether to stop after the first job", "true", "false")
 	c.define(set)
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		return c.serve(cmd.Context(), "dev", func(ctx context.Context, log logr.Logger) error {
 			if c.verbosity == 0 {
 				log = logr.Discard()
 			}
 			return runDev(ctx, cmd, &s, log)
 		})
-	}
+	})
 	return cmd
 }
 
--- a/cli/load.go
+++ b/cli/load.go
@@ -40,12 +40,9 @@
 	set.Choice(&s.bursts, "bursts", "on", "whether the scenario's bursts are sent", "on", "off")
 	set.Choice(&s.output, "output", "text", "form of the report", "text", "json")
 	set.String(&s.plot, "plot", "", "file for a plot, .png or .svg")
-	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, args []string) error {
 		return runLoad(cmd, &s, args[0])
-	}
+	})
 	return cmd
 }
 
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -69,16 +69,13 @@
 	set := s.definePlatform(cmd.Flags())
 	set.Int(&base, "base", -1, "version that the declaration was made from (-1: the one in force)", -1, 1<<30)
 	set.String(&author, "author", "", "who makes the change (default: the user's name)")
-	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, args []string) error {
 		d, err := readDocument(args[0])
 		if err != nil {
 			return err
 		}
 		return apply(cmd, &s, d, base, author)
-	}
+	})
 	return cmd
 }
 
@@ -137,10 +134,7 @@
 	var s operatorSettings
 	cmd := &cobra.Command{Use: "show", Short: "Print the accepted declaration as JSON", Args: cobra.NoArgs}
 	set := s.definePlatform(cmd.Flags())
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		r, err := s.store().Current(cmd.Context())
 		if err != nil {
 			return err
@@ -150,7 +144,7 @@
 		}
 		printJSON(cmd.OutOrStdout(), r)
 		return nil
-	}
+	})
 	return cmd
 }
 
@@ -158,10 +152,7 @@
 	var s operatorSettings
 	cmd := &cobra.Command{Use: "history", Short: "List the accepted changes", Args: cobra.NoArgs}
 	set := s.definePlatform(cmd.Flags())
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		records, err := s.store().History(cmd.Context())
 		if err != nil {
 			return err
@@ -175,7 +166,7 @@
 			fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", r.Version, r.Time.Format(time.RFC3339), r.Author, r.ChangeID)
 		}
 		return w.Flush()
-	}
+	})
 	return cmd
 }
 
@@ -183,10 +174,7 @@
 	var s operatorSettings
 	cmd := &cobra.Command{Use: "status", Short: "Show which version is in force where", Args: cobra.NoArgs}
 	set := s.defineOps(cmd.Flags())
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		st, err := s.status()
 		if err != nil {
 			return err
@@ -201,7 +189,7 @@
 			fmt.Fprintf(w, "%s\t%d\n", a.Target, a.Version)
 		}
 		return w.Flush()
-	}
+	})
 	return cmd
 }
 
@@ -262,10 +250,7 @@
 		Args:    cobra.NoArgs,
 	}
 	set := s.defineOps(cmd.Flags())
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		st, err := s.status()
 		if err != nil {
 			return err
@@ -280,7 +265,7 @@
 			fmt.Fprintf(w, "%s\t%s\t%s\t%t\t%t\t%d/%d\t%d\t%d\t%d\n", a.Target, a.Domain, a.Address, a.Linked, a.Leaving, a.Running, a.Slots, a.Waiting, a.Pace, a.Version)
 		}
 		return w.Flush()
-	}
+	})
 	return cmd
 }
 
@@ -293,10 +278,7 @@
 		Args:    cobra.ExactArgs(1),
 	}
 	set := s.defineOps(cmd.Flags())
-	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, args []string) error {
 		client := &http.Client{Timeout: operatorTimeout}
 		res, err := client.Post(s.ops+observe.PathDrain+"/"+args[0], "application/json", nil)
 		if err != nil {
@@ -309,6 +291,6 @@
 		}
 		fmt.Fprintf(cmd.OutOrStdout(), "%s is leaving\n", args[0])
 		return nil
-	}
+	})
 	return cmd
 }
--- a/cli/policy.go
+++ b/cli/policy.go
@@ -127,14 +127,11 @@
 	set.URL(&ops, "ops", "http://127.0.0.1:7001", "operators' URL of an agent")
 	set.String(&submission, "submission", "", "id of the one submission to watch")
 	set.Duration(&limit, "for", 0, "how long to watch (0: print what is kept and end)", 0, time.Hour)
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		ctx, cancel := context.WithTimeout(cmd.Context(), limit)
 		defer cancel()
 		return watchDecisions(ctx, cmd, ops, submission)
-	}
+	})
 	return cmd
 }
 
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -28,14 +28,11 @@
 	set := settings.NewSet(cmd.Flags())
 	s.Define(set)
 	c.define(set)
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		return c.serve(cmd.Context(), "entry", func(ctx context.Context, log logr.Logger) error {
 			return runEntry(ctx, s, log)
 		})
-	}
+	})
 	return cmd
 }
 
@@ -65,14 +62,11 @@
 	set := settings.NewSet(cmd.Flags())
 	s.Define(set)
 	c.define(set)
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		return c.serve(cmd.Context(), "agent", func(ctx context.Context, log logr.Logger) error {
 			return runAgent(ctx, s, log)
 		})
-	}
+	})
 	return cmd
 }
 
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -38,10 +38,7 @@
 	set := settings.NewSet(cmd.Flags())
 	set.Address(&listen, "listen", "127.0.0.1:7100", "address to serve")
 	set.String(&boxes, "boxes", "", "JSON file with the list of boxes")
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		store := standin.NewStore()
 		if boxes != "" {
 			if err := readBoxes(store, boxes); err != nil {
@@ -49,7 +46,7 @@
 			}
 		}
 		return serveHTTP(cmd.Context(), listen, platformConnections, standin.PlatformHandler(store))
-	}
+	})
 	return cmd
 }
 
@@ -81,12 +78,9 @@
 	set.Address(&listen, "listen", "127.0.0.1:9001", "address to serve")
 	set.String(&name, "name", "", "name of the target").Require()
 	set.Int(&slots, "slots", 8, "number of slots", 1, 10_000)
-	cmd.RunE = func(cmd *cobra.Command, _ []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		return serveHTTP(cmd.Context(), listen, target.Connections, standin.NewTarget(name, slots).Handler())
-	}
+	})
 	return cmd
 }
 
--- a/cli/submit.go
+++ b/cli/submit.go
@@ -52,10 +52,7 @@
 	}
 	set := s.define(cmd.Flags())
 	c.define(set)
-	cmd.RunE = func(cmd *cobra.Command, args []string) error {
-		if err := set.Check(); err != nil {
-			return err
-		}
+	cmd.RunE = checked(set, func(cmd *cobra.Command, args []string) error {
 		job, err := readJob(cmd.InOrStdin(), args)
 		if err != nil {
 			return err
@@ -66,7 +63,7 @@
 		}
 		defer func() { _ = flush(context.Background()) }()
 		return submit(cmd, &s, job)
-	}
+	})
 	return cmd
 }
 
--- a/dispatch/peer.go
+++ b/dispatch/peer.go
@@ -94,3 +94,13 @@
 func (p *peer) same(incarnation []byte) bool {
 	return bytes.Equal(p.incarnation, incarnation)
 }
+
+// dropPending takes back a task that waits for the session to open.
+func (p *peer) dropPending(t *task) {
+	for i, other := range p.pending {
+		if other == t {
+			p.pending = append(p.pending[:i], p.pending[i+1:]...)
+			return
+		}
+	}
+}
