Asks carry the version under which the caller was let in

Cause: a stale entry box that wakes lets a GET in under the old credentials, takes the new configuration from a link, and then names the new version to the home, which so has nothing to object to. Found by TestConfigStaleEntry, now run with PUT, GET and DELETE: GET was answered 200 in one of three runs of the code before; with the home's check taken out as well, GET and DELETE in each of two. Change: the version of the configuration that judged the request goes along, as it does for submissions.

--- a/entry/forward.go
+++ b/entry/forward.go
@@ -111,13 +111,13 @@
 	return e.settle(ctx, v, r.GetMember(), reply, err)
 }
 
-// ask asks the home about a submission, or cancels it.
-func (e *Entry) ask(ctx context.Context, v id.ID, member string, cancelIt bool) *wire.SubmitReply {
+// ask asks the home about a submission, or cancels it. The version is that of the
+// configuration under which the caller was let in.
+func (e *Entry) ask(ctx context.Context, v id.ID, member string, version uint64, cancelIt bool) *wire.SubmitReply {
 	ctx, cancel := context.WithTimeout(ctx, e.settings.Grace+homeMargin)
 	defer cancel()
-	r := &wire.AskRequest{Id: v.String(), Member: member, Cancel: cancelIt}
+	r := &wire.AskRequest{Id: v.String(), Member: member, Cancel: cancelIt, ConfigVersion: version}
 	reply, err := e.reach(ctx, v, func(ctx context.Context, c wire.HomeClient) (*wire.SubmitReply, error) {
-		r.ConfigVersion = e.config.Version()
 		return c.Ask(ctx, r)
 	})
 	return e.settle(ctx, v, member, reply, err)
--- a/entry/http.go
+++ b/entry/http.go
@@ -266,7 +266,7 @@
 // configuration, the credentials are judged anew.
 func (e *Entry) serveAsk(w http.ResponseWriter, r *http.Request, cancel bool) {
 	for range judgeTries {
-		_, m := e.admit(w, r)
+		accepted, m := e.admit(w, r)
 		if m == nil {
 			return
 		}
@@ -274,7 +274,7 @@
 		if !ok {
 			return
 		}
-		reply := e.ask(r.Context(), v, m.Name, cancel)
+		reply := e.ask(r.Context(), v, m.Name, accepted.Version, cancel)
 		if reply.GetOutcome() == wire.Outcome_OUTCOME_STALE {
 			continue
 		}
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -234,6 +234,15 @@
 // TestConfigStaleEntry freezes an entry box while a member's credentials are
 // replaced. When it wakes it may not act on what it knew before.
 func TestConfigStaleEntry(t *testing.T) {
+	for _, method := range []string{http.MethodPut, http.MethodGet, http.MethodDelete} {
+		t.Run(method, func(t *testing.T) {
+			t.Parallel()
+			askStale(t, method)
+		})
+	}
+}
+
+func askStale(t *testing.T, method string) {
 	c := newCluster(t, shape{entries: 2, agents: 1, slots: 4})
 	stale := c.entries[1]
 	client := c.client(tokenA, 1)
@@ -252,7 +261,7 @@
 	job := newJob(t, "swap", 1, 10)
 	answer := make(chan int, 1)
 	go func() {
-		r, err := client.Once(c.context(), http.MethodPut, id, mustJSON(t, job))
+		r, err := client.Once(c.context(), method, id, mustJSON(t, job))
 		if err != nil {
 			answer <- 0
 			return
