--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -59,7 +59,7 @@
 	WasteRefusal Waste = "refusal"
 	// WasteGrant: a slot granted and given back, or a wish for one withdrawn.
 	WasteGrant Waste = "grant"
-	// WasteAck: an acknowledgement or cancellation alone.
+	// WasteAck: an acknowledgement alone.
 	WasteAck Waste = "ack"
 )
 
