--- a/agent/agent.go
+++ b/agent/agent.go
@@ -16,9 +16,9 @@
 	"rackspur/dispatch"
 	"rackspur/id"
 	"rackspur/observe"
-	"rackspur/platform"
 	"rackspur/policy"
 	"rackspur/rpc"
+	"rackspur/store"
 	"rackspur/target"
 	"rackspur/wire"
 )
@@ -55,7 +55,7 @@
 	policy   PolicySource
 	metrics  *observe.Metrics
 	log      logr.Logger
-	objects  platform.Objects
+	objects  store.Objects
 	listener net.Listener
 	left     atomic.Bool
 }
@@ -65,7 +65,7 @@
 	Settings Settings
 	Config   *config.Holder
 	Policy   PolicySource
-	Platform platform.Service
+	Platform store.Service
 	Metrics  *observe.Metrics
 	Log      logr.Logger
 }
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -86,7 +86,7 @@
 	root.AddCommand(
 		newEntry(), newAgent(), newDev(), newStandin(),
 		newSubmit(), newLoad(), newApply(), newConfig(), newPolicy(), newStatus(), newDrain(),
-		newSettings(), newVersion(),
+		newPlatform(), newSettings(), newVersion(),
 	)
 	return root
 }
--- a/cli/dev.go
+++ b/cli/dev.go
@@ -21,9 +21,9 @@
 	"rackspur/entry"
 	"rackspur/internal/standin"
 	"rackspur/observe"
-	"rackspur/platform"
 	"rackspur/policy"
 	"rackspur/settings"
+	"rackspur/store"
 	"rackspur/target"
 )
 
@@ -86,8 +86,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	sup := suture.New("dev", suture.Spec{EventHook: func(e suture.Event) { log.Info("Supervisor event.", "event", e.String()) }})
-	store := standin.NewStore()
-	if err := devConfigure(ctx, store); err != nil {
+	memory := standin.NewStore()
+	if err := devConfigure(ctx, memory); err != nil {
 		return err
 	}
 	addresses, err := freeAddresses(addressesPerAgent * s.targets)
@@ -95,11 +95,11 @@
 		return err
 	}
 	for i := range s.targets {
-		if err := devAgent(sup, store, s, i, addresses[addressesPerAgent*i:], log); err != nil {
+		if err := devAgent(sup, memory, s, i, addresses[addressesPerAgent*i:], log); err != nil {
 			return err
 		}
 	}
-	if err := devEntry(sup, store, s, log); err != nil {
+	if err := devEntry(sup, memory, s, log); err != nil {
 		return err
 	}
 	done := sup.ServeBackground(ctx)
@@ -115,12 +115,12 @@
 	return nil
 }
 
-func devConfigure(ctx context.Context, store *standin.Store) error {
+func devConfigure(ctx context.Context, memory *standin.Store) error {
 	d, err := config.Parse(devDeclaration)
 	if err != nil {
 		return err
 	}
-	_, err = config.NewStore(store).Apply(ctx, config.Change{ID: uuid.NewString(), Author: "dev", Document: d})
+	_, err = config.NewStore(memory).Apply(ctx, config.Change{ID: uuid.NewString(), Author: "dev", Document: d})
 	return err
 }
 
@@ -144,7 +144,7 @@
 // addressesPerAgent are those of the target, of the agent and of its operators' port.
 const addressesPerAgent = 3
 
-func devAgent(sup *suture.Supervisor, store *standin.Store, s *devSettings, i int, addresses []string, log logr.Logger) error {
+func devAgent(sup *suture.Supervisor, memory *standin.Store, s *devSettings, i int, addresses []string, log logr.Logger) error {
 	name := fmt.Sprintf("engine-%d", i+1)
 	domain := devDomains[i%len(devDomains)]
 	t := standin.NewTarget(name, s.slots)
@@ -159,7 +159,7 @@
 		},
 		Config:   holder,
 		Policy:   policy.NewEngine(holder, m, log),
-		Platform: store,
+		Platform: memory,
 		Metrics:  m,
 		Log:      log,
 	})
@@ -167,12 +167,12 @@
 		return err
 	}
 	sup.Add(serviceFunc(a.Run))
-	store.SetBox(platform.Box{Name: name, Role: platform.RoleAgent, Address: addresses[1], Domain: domain, State: platform.BoxLive})
+	memory.SetBox(store.Box{Name: name, Role: store.RoleAgent, Address: addresses[1], Domain: domain, State: store.BoxLive})
 	return nil
 }
 
-func devEntry(sup *suture.Supervisor, store *standin.Store, s *devSettings, log logr.Logger) error {
-	store.SetBox(platform.Box{Name: "entry-1", Role: platform.RoleEntry, Address: s.listen, Domain: devDomains[0], State: platform.BoxLive})
+func devEntry(sup *suture.Supervisor, memory *standin.Store, s *devSettings, log logr.Logger) error {
+	memory.SetBox(store.Box{Name: "entry-1", Role: store.RoleEntry, Address: s.listen, Domain: devDomains[0], State: store.BoxLive})
 	e, err := entry.New(entry.Parts{
 		Settings: entry.Settings{
 			Name: "entry-1", Listen: s.listen, Ops: s.ops, Domain: devDomains[0], Links: 64, Candidates: 32,
@@ -180,7 +180,7 @@
 			HeaderTimeout: 5 * time.Second, BodyTimeout: 30 * time.Second,
 		},
 		Config:   config.NewHolder(),
-		Platform: store,
+		Platform: memory,
 		Metrics:  observe.NewMetrics(),
 		Log:      log,
 	})
--- a/cli/operate.go
+++ b/cli/operate.go
@@ -18,9 +18,9 @@
 	"rackspur/config"
 	"rackspur/entry"
 	"rackspur/observe"
-	"rackspur/platform"
 	"rackspur/policy"
 	"rackspur/settings"
+	"rackspur/store"
 )
 
 // operatorTimeout bounds a call to the operators' port.
@@ -48,7 +48,7 @@
 }
 
 func (s *operatorSettings) store() *config.Store {
-	return config.NewStore(platform.NewClient(s.platform))
+	return config.NewStore(store.NewClient(s.platform))
 }
 
 func newApply() *cobra.Command {
--- /dev/null
+++ b/cli/platform.go
@@ -0,0 +1,141 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"github.com/spf13/cobra"
+
+	"rackspur/node"
+	"rackspur/observe"
+	"rackspur/platform"
+	"rackspur/settings"
+)
+
+// Times of the platform's roles.
+const (
+	frontHeaderTimeout = 3 * time.Second
+	frontIdleTimeout   = 15 * time.Second
+	// graceMargin is left of the grace for the end itself.
+	graceMargin = 1200 * time.Millisecond
+)
+
+// errListen says that an address can't be served.
+var errListen = eris.New("cli: can't listen")
+
+// newPlatform returns the commands that run rackspur on the users' platform.
+func newPlatform() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "platform",
+		Short: "Run a role on the platform that lays a settings file",
+	}
+	cmd.AddCommand(
+		newPlatformRole("entry", "Serve clients and own their jobs", runPlatformEntry),
+		newPlatformRole("agent", "Serve as the gate beside an executor", runPlatformAgent),
+	)
+	return cmd
+}
+
+// platformRole runs a role until the context ends, then stops it.
+type platformRole func(ctx context.Context, s *platform.Settings, o node.Options) error
+
+func newPlatformRole(name, short string, run platformRole) *cobra.Command {
+	var c common
+	cmd := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs}
+	set := settings.NewSet(cmd.Flags())
+	c.define(set)
+	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
+		return c.serve(cmd.Context(), name, func(ctx context.Context, log logr.Logger) error {
+			s, err := platform.LoadSettings()
+			if err != nil {
+				return exitWith(ExitUsage, "%v", err)
+			}
+			return run(ctx, s, platformOptions(s, c.logger(os.Stdout)))
+		})
+	})
+	return cmd
+}
+
+func platformOptions(s *platform.Settings, log logr.Logger) node.Options {
+	return node.Options{
+		Node: s.Node, Zone: s.Zone, Listen: s.InternalAddress(), Seeds: s.SeedAddresses(),
+		Parts: s.Parts(), MaxHold: s.MaxHold(), KeepFinished: s.KeepFinished(),
+		Store: platform.NewStore(s), Metrics: observe.NewMetrics(), Log: log.WithValues("node", s.Node),
+	}
+}
+
+func runPlatformEntry(ctx context.Context, s *platform.Settings, o node.Options) error {
+	run, end := context.WithCancel(context.Background())
+	defer end()
+	e, err := node.NewEntry(o, platform.FollowConfiguration)
+	if err != nil {
+		return err
+	}
+	o.Log.Info("Entry starts.", "zone", s.Zone, "parts", o.Parts)
+	readiness, err := serve(s.Listen.Readiness, platform.ReadinessHandler(e))
+	if err != nil {
+		return err
+	}
+	defer readiness.Close()
+	front, err := serve(s.Listen.Front, platform.FrontHandler(e, o.Log))
+	if err != nil {
+		return err
+	}
+	defer front.Close()
+	go func() { _ = e.Run(run) }()
+	<-ctx.Done()
+	o.Log.Info("Entry stops.")
+	grace, cancel := context.WithTimeout(run, s.Grace()-graceMargin)
+	defer cancel()
+	front.SetKeepAlivesEnabled(false)
+	e.Stop(grace)
+	last, cancelLast := context.WithTimeout(run, graceMargin/2)
+	defer cancelLast()
+	_ = front.Shutdown(last)
+	o.Log.Info("Entry has stopped.")
+	return nil
+}
+
+func runPlatformAgent(ctx context.Context, s *platform.Settings, o node.Options) error {
+	run, end := context.WithCancel(context.Background())
+	defer end()
+	a, err := node.NewAgent(run, o, platform.NewExecutor(s))
+	if err != nil {
+		return err
+	}
+	o.Log.Info("Agent starts.", "zone", s.Zone, "service", s.Service)
+	control, err := serve(s.Listen.Control, platform.ControlHandler(a.Driver()))
+	if err != nil {
+		return err
+	}
+	defer control.Close()
+	go func() { _ = a.Run(run) }()
+	<-ctx.Done()
+	o.Log.Info("Agent stops.")
+	grace, cancel := context.WithTimeout(run, s.Grace()-graceMargin)
+	defer cancel()
+	a.Stop(grace)
+	o.Log.Info("Agent has stopped.")
+	return nil
+}
+
+// serve serves a handler on an address until the server is closed.
+func serve(address string, h http.Handler) (*http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, eris.Wrap(errListen, err.Error())
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdleTimeout}
+	go func() {
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			_ = l.Close()
+		}
+	}()
+	return srv, nil
+}
--- a/cli/serve.go
+++ b/cli/serve.go
@@ -10,9 +10,9 @@
 	"rackspur/config"
 	"rackspur/entry"
 	"rackspur/observe"
-	"rackspur/platform"
 	"rackspur/policy"
 	"rackspur/settings"
+	"rackspur/store"
 )
 
 func newEntry() *cobra.Command {
@@ -40,7 +40,7 @@
 	e, err := entry.New(entry.Parts{
 		Settings: s,
 		Config:   config.NewHolder(),
-		Platform: platform.NewClient(s.Platform),
+		Platform: store.NewClient(s.Platform),
 		Metrics:  observe.NewMetrics(),
 		Log:      log,
 	})
@@ -77,7 +77,7 @@
 		Settings: s,
 		Config:   holder,
 		Policy:   policy.NewEngine(holder, m, log),
-		Platform: platform.NewClient(s.Platform),
+		Platform: store.NewClient(s.Platform),
 		Metrics:  m,
 		Log:      log,
 	})
--- a/cli/standin.go
+++ b/cli/standin.go
@@ -13,8 +13,8 @@
 	"golang.org/x/net/netutil"
 
 	"rackspur/internal/standin"
-	"rackspur/platform"
 	"rackspur/settings"
+	"rackspur/store"
 	"rackspur/target"
 )
 
@@ -39,28 +39,28 @@
 	set.Address(&listen, "listen", "127.0.0.1:7100", "address to serve")
 	set.String(&boxes, "boxes", "", "JSON file with the list of boxes")
 	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
-		store := standin.NewStore()
+		memory := standin.NewStore()
 		if boxes != "" {
-			if err := readBoxes(store, boxes); err != nil {
+			if err := readBoxes(memory, boxes); err != nil {
 				return err
 			}
 		}
-		return serveHTTP(cmd.Context(), listen, platformConnections, standin.PlatformHandler(store))
+		return serveHTTP(cmd.Context(), listen, platformConnections, standin.PlatformHandler(memory))
 	})
 	return cmd
 }
 
-func readBoxes(store *standin.Store, file string) error {
+func readBoxes(memory *standin.Store, file string) error {
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return exitWith(ExitUsage, "boxes: %v", err)
 	}
-	var list []platform.Box
+	var list []store.Box
 	if err := json.Unmarshal(text, &list); err != nil {
 		return exitWith(ExitUsage, "boxes: %s: %v", file, err)
 	}
 	for _, b := range list {
-		store.SetBox(b)
+		memory.SetBox(b)
 	}
 	return nil
 }
--- a/config/store.go
+++ b/config/store.go
@@ -9,7 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
-	"rackspur/platform"
+	"rackspur/store"
 	"rackspur/wire"
 )
 
@@ -38,11 +38,11 @@
 
 // Store keeps the accepted configurations in the platform's table.
 type Store struct {
-	table platform.Table
+	table store.Table
 }
 
 // NewStore returns the store on a table.
-func NewStore(t platform.Table) *Store {
+func NewStore(t store.Table) *Store {
 	return &Store{table: t}
 }
 
@@ -108,7 +108,7 @@
 			return got, nil
 		case err == nil && got != nil:
 			return nil, conflict(got)
-		case err == nil && errors.Is(cause, platform.ErrConflict):
+		case err == nil && errors.Is(cause, store.ErrConflict):
 			return nil, eris.Wrap(ErrConflict, cause.Error())
 		}
 		if try == resolveTries || ctx.Err() != nil {
@@ -127,7 +127,7 @@
 
 func (s *Store) read(ctx context.Context, key string) (*Record, uint64, error) {
 	row, err := s.table.Get(ctx, key)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		return nil, 0, nil
 	}
 	if err != nil {
@@ -140,14 +140,14 @@
 	return &r, row.Version, nil
 }
 
-func commitOf(r *Record, row uint64) platform.Commit {
+func commitOf(r *Record, row uint64) store.Commit {
 	value, err := json.Marshal(r)
 	if err != nil {
 		panic(err) // a record holds only text, numbers and valid JSON
 	}
-	return platform.Commit{
-		Conditions: []platform.Condition{{Key: keyCurrent, Version: row}, {Key: historyKey(r.Version)}},
-		Puts:       []platform.Put{{Key: keyCurrent, Value: value}, {Key: historyKey(r.Version), Value: value}},
+	return store.Commit{
+		Conditions: []store.Condition{{Key: keyCurrent, Version: row}, {Key: historyKey(r.Version)}},
+		Puts:       []store.Put{{Key: keyCurrent, Value: value}, {Key: historyKey(r.Version), Value: value}},
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -16,7 +16,7 @@
 
 	"rackspur/config"
 	"rackspur/observe"
-	"rackspur/platform"
+	"rackspur/store"
 )
 
 // maxHeaderBytes bounds the header of a request.
@@ -30,7 +30,7 @@
 	settings Settings
 	config   *config.Holder
 	store    *config.Store
-	platform platform.Service
+	platform store.Service
 	metrics  *observe.Metrics
 	log      logr.Logger
 	port     *observe.Port
@@ -49,7 +49,7 @@
 type Parts struct {
 	Settings Settings
 	Config   *config.Holder
-	Platform platform.Service
+	Platform store.Service
 	Metrics  *observe.Metrics
 	Log      logr.Logger
 }
--- a/entry/fleet.go
+++ b/entry/fleet.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"rackspur/id"
-	"rackspur/platform"
+	"rackspur/store"
 	"rackspur/wire"
 )
 
@@ -59,7 +59,7 @@
 // list takes the platform's list of boxes. What is not listed any more stays
 // known for a while, so that its ids can still be answered. It returns the
 // addresses that were forgotten.
-func (f *fleet) list(boxes []platform.Box) []string {
+func (f *fleet) list(boxes []store.Box) []string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
@@ -68,10 +68,10 @@
 	}
 	entries := 0
 	for _, b := range boxes {
-		if b.Role == platform.RoleEntry && b.State == platform.BoxLive {
+		if b.Role == store.RoleEntry && b.State == store.BoxLive {
 			entries++
 		}
-		if b.Role != platform.RoleAgent {
+		if b.Role != store.RoleAgent {
 			continue
 		}
 		a := f.agent(b.Address)
@@ -80,7 +80,7 @@
 		}
 		a.listed = true
 		a.seen = now
-		a.leaving = b.State == platform.BoxLeaving
+		a.leaving = b.State == store.BoxLeaving
 	}
 	f.entries = max(1, entries)
 	return f.forget(now)
--- a/entry/ledgers.go
+++ b/entry/ledgers.go
@@ -11,7 +11,7 @@
 	"rackspur/agent"
 	"rackspur/dispatch"
 	"rackspur/id"
-	"rackspur/platform"
+	"rackspur/store"
 )
 
 const (
@@ -23,7 +23,7 @@
 
 // ledgers holds the final ledgers of homes that left in order.
 type ledgers struct {
-	objects platform.Objects
+	objects store.Objects
 	log     logr.Logger
 
 	mu     sync.Mutex
@@ -39,7 +39,7 @@
 	used   time.Time
 }
 
-func newLedgers(o platform.Objects, log logr.Logger) *ledgers {
+func newLedgers(o store.Objects, log logr.Logger) *ledgers {
 	return &ledgers{objects: o, log: log, open: map[id.Incarnation]*heldLedger{}, absent: map[id.Incarnation]time.Time{}}
 }
 
@@ -57,7 +57,7 @@
 }
 
 // find returns the final ledger of a home; nil if the store has none; or
-// platform.ErrUnavailable if that can't be learned now.
+// store.ErrUnavailable if that can't be learned now.
 func (l *ledgers) find(ctx context.Context, n id.Incarnation) (*dispatch.FinalLedger, error) {
 	l.mu.Lock()
 	if h := l.open[n]; h != nil {
@@ -71,7 +71,7 @@
 		return nil, nil
 	}
 	raw, err := l.objects.GetObject(ctx, agent.LedgerKey+n.String())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, store.ErrNotFound) {
 		l.mu.Lock()
 		l.absent[n] = time.Now()
 		l.mu.Unlock()
--- /dev/null
+++ b/gate/contact.go
@@ -0,0 +1,112 @@
+package gate
+
+// silent says whether an owner has had no word of the gate for too long.
+func (g *Gate) silent(now Time, owner string) bool {
+	o := g.owners[owner]
+	return o == nil || now-o.contact > g.options.Contact
+}
+
+// overdue says whether a run has no owner in contact.
+func (g *Gate) overdue(now Time, r *run) bool {
+	if r.owner == "" {
+		return now-r.found > g.options.Contact
+	}
+	if o := g.owners[r.owner]; o == nil {
+		return now-r.found > g.options.Contact
+	}
+	return g.silent(now, r.owner)
+}
+
+// Tick looks at times: silent owners, stops to send again, runs that stand still.
+func (g *Gate) Tick(now Time) Actions {
+	g.loseAll(now)
+	for _, r := range g.runs {
+		if !g.overdue(now, r) {
+			continue
+		}
+		switch r.phase {
+		case phaseQueued:
+			g.queue.remove(r)
+			g.reject(r, "owner silent")
+		case phaseEnded:
+			g.judgeOrphan(now, r)
+		default:
+			if !r.stop {
+				r.stop = true
+				r.overBy = now + stopPatience
+			}
+			if r.overBy != 0 && now > r.overBy && !g.lapsing {
+				g.lapsing = true
+			}
+		}
+	}
+	g.forgetOwners(now)
+	return g.startFromQueue(now, g.stopWhatMust(now, Actions{}))
+}
+
+// judgeOrphan decides about an end that no owner has claimed for a long time:
+// it is noted after the lease has lapsed, so that it does not count.
+func (g *Gate) judgeOrphan(now Time, r *run) {
+	if r.noted || r.discarded || r.number == 0 {
+		return
+	}
+	if r.owner != "" && now-g.contactOf(r.owner) < orphanPatience*g.options.Contact {
+		return
+	}
+	if r.owner == "" && now-r.found < orphanPatience*g.options.Contact {
+		return
+	}
+	g.discard(r)
+	g.advanceSeen()
+}
+
+// orphanPatience is how many contact times an end waits for a new owner.
+const orphanPatience = 5
+
+func (g *Gate) contactOf(owner string) Time {
+	if o := g.owners[owner]; o != nil {
+		return o.contact
+	}
+	return 0
+}
+
+// forgetOwners drops owners that are long silent and own nothing.
+func (g *Gate) forgetOwners(now Time) {
+	for name, o := range g.owners {
+		if o.open || now-o.contact < 2*orphanPatience*g.options.Contact {
+			continue
+		}
+		if !g.ownsRuns(name) {
+			delete(g.owners, name)
+		}
+	}
+}
+
+func (g *Gate) ownsRuns(owner string) bool {
+	for _, r := range g.runs {
+		if r.owner == owner {
+			return true
+		}
+	}
+	return false
+}
+
+// stopWhatMust sends the stops that are due.
+func (g *Gate) stopWhatMust(now Time, a Actions) Actions {
+	a.Life = g.life
+	for _, r := range g.runs {
+		unsure := r.phase == phaseUnsure
+		if r.phase != phaseRunning && !unsure && !(r.stop && r.phase == phaseStarting) {
+			continue
+		}
+		if !r.stop && !unsure {
+			continue
+		}
+		if r.stopSent != 0 && now-r.stopSent < resend {
+			continue
+		}
+		r.stopSent = now
+		a.Stops = append(a.Stops, StopCall{Name: r.RunName, Fence: g.fence})
+	}
+	return a
+}
--- /dev/null
+++ b/gate/driver.go
@@ -0,0 +1,235 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Times of a driver.
+const (
+	// holdWait is how long a hold may wait for an end.
+	holdWait = 400 * time.Millisecond
+	// holdTimeout is the time given to a hold beyond its wait.
+	holdTimeout = 400 * time.Millisecond
+	callTimeout = 300 * time.Millisecond
+	// unnotedPause is the time between two holds while ends wait to be noted.
+	unnotedPause = 15 * time.Millisecond
+	failurePause = 60 * time.Millisecond
+	tickPause    = 50 * time.Millisecond
+)
+
+// Driver carries out what a Gate decides.
+type Driver struct {
+	executor Executor
+	started  time.Time
+	log      logr.Logger
+	// kick wakes the loop of holds.
+	kick chan struct{}
+	// ctx ends the calls.
+	ctx context.Context
+
+	mu   sync.Mutex
+	gate *Gate
+}
+
+// NewDriver returns a driver of a gate; the context ends its calls.
+func NewDriver(ctx context.Context, g *Gate, e Executor, log logr.Logger) *Driver {
+	return &Driver{executor: e, started: time.Now(), log: log, kick: make(chan struct{}, 1), ctx: ctx, gate: g}
+}
+
+func (d *Driver) now() Time { return time.Since(d.started) }
+
+// do runs an event and carries out what follows from it.
+func (d *Driver) do(event func(now Time, g *Gate) Actions) {
+	d.mu.Lock()
+	a := event(d.now(), d.gate)
+	d.mu.Unlock()
+	d.carryOut(a)
+}
+
+func (d *Driver) carryOut(a Actions) {
+	for _, c := range a.Starts {
+		go d.start(a.Life, c)
+	}
+	for _, c := range a.Stops {
+		go d.stop(a.Life, c)
+	}
+	if a.HoldNow {
+		d.poke()
+	}
+}
+
+func (d *Driver) poke() {
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Driver) start(life string, c StartCall) {
+	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+	defer cancel()
+	ans, err := d.executor.Start(ctx, life, c)
+	if err != nil {
+		d.log.Info("Start not done.", "job", c.Name.Job, "step", c.Name.Step, "index", c.Name.Index, "run", c.Name.Run, "error", err.Error())
+	}
+	d.do(func(now Time, g *Gate) Actions { return g.OnStart(now, life, c, ans, err) })
+}
+
+func (d *Driver) stop(life string, c StopCall) {
+	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+	defer cancel()
+	ans, err := d.executor.Stop(ctx, life, c)
+	d.do(func(now Time, g *Gate) Actions { return g.OnStop(now, life, c, ans, err) })
+}
+
+// Run holds the executor until the context ends.
+func (d *Driver) Run(ctx context.Context) {
+	go d.tick(ctx)
+	for ctx.Err() == nil {
+		var h Hold
+		d.do(func(now Time, g *Gate) Actions {
+			h = g.NextHold(now, holdWait)
+			return Actions{}
+		})
+		err := d.hold(ctx, h)
+		d.pause(ctx, h, err)
+	}
+}
+
+func (d *Driver) hold(ctx context.Context, h Hold) error {
+	callCtx, cancel := context.WithTimeout(ctx, time.Duration(h.Call.WaitMS)*time.Millisecond+holdTimeout)
+	defer cancel()
+	ans, lists, err := d.executor.Hold(callCtx, h.Life, h.Call)
+	d.do(func(now Time, g *Gate) Actions { return g.OnHold(now, h, ans, lists, err) })
+	return err
+}
+
+// pause waits until the next hold is of use.
+func (d *Driver) pause(ctx context.Context, h Hold, err error) {
+	var wait time.Duration
+	d.do(func(_ Time, g *Gate) Actions {
+		switch {
+		case err != nil:
+			wait = failurePause
+		case g.Lapsing():
+			wait = failurePause
+		case g.NoteDue(h):
+		case g.Unnoted():
+			wait = unnotedPause
+		}
+		return Actions{}
+	})
+	if wait == 0 {
+		return
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-d.kick:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+func (d *Driver) tick(ctx context.Context) {
+	t := time.NewTicker(tickPause)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			d.do(func(now Time, g *Gate) Actions { return g.Tick(now) })
+		}
+	}
+}
+
+// Heartbeat takes in an executor's word; it returns false if it is of an earlier life.
+func (d *Driver) Heartbeat(b Heartbeat) (ok bool) {
+	d.do(func(now Time, g *Gate) (a Actions) {
+		a, ok = g.OnHeartbeat(now, b)
+		return a
+	})
+	return ok
+}
+
+// Deregister takes in that a life of the executor has ended.
+func (d *Driver) Deregister(life string) {
+	d.do(func(now Time, g *Gate) Actions {
+		g.OnDeregister(now, life)
+		return Actions{}
+	})
+}
+
+// Connect takes in a new link; see Gate.Connect.
+func (d *Driver) Connect(owner string, link uint64, wake func()) (ok bool) {
+	d.do(func(now Time, g *Gate) Actions {
+		ok = g.Connect(now, owner, link, wake)
+		return Actions{}
+	})
+	return ok
+}
+
+// Disconnect takes in that a link has closed.
+func (d *Driver) Disconnect(owner string, link uint64) {
+	d.do(func(_ Time, g *Gate) Actions {
+		g.Disconnect(owner, link)
+		return Actions{}
+	})
+}
+
+// Frame takes in an owner's frame; see Gate.OnFrame.
+func (d *Driver) Frame(owner string, link uint64, f OwnerFrame) (ok bool) {
+	d.do(func(now Time, g *Gate) (a Actions) {
+		a, ok = g.OnFrame(now, owner, link, f)
+		return a
+	})
+	return ok
+}
+
+// Flush returns the frame to send to an owner; see Gate.Flush.
+func (d *Driver) Flush(owner string, link uint64) (f Frame, ok bool) {
+	d.do(func(now Time, g *Gate) Actions {
+		f, ok = g.Flush(now, owner, link)
+		return Actions{}
+	})
+	return f, ok
+}
+
+// Pending says whether there is more to send to an owner than a report.
+func (d *Driver) Pending(owner string) (pending bool) {
+	d.do(func(_ Time, g *Gate) Actions {
+		pending = g.Pending(owner)
+		return Actions{}
+	})
+	return pending
+}
+
+// Drain makes the gate take no more orders and waits until it is idle.
+func (d *Driver) Drain(ctx context.Context) {
+	d.do(func(_ Time, g *Gate) Actions {
+		g.Leave()
+		return Actions{}
+	})
+	t := time.NewTicker(tickPause)
+	defer t.Stop()
+	for {
+		idle := false
+		d.do(func(_ Time, g *Gate) Actions {
+			idle = g.Idle()
+			return Actions{}
+		})
+		if idle {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,277 @@
+// Package gate holds the gate beside an executor: the only one who orders it.
+//
+// Owners of jobs send it runs; the gate keeps the executor's room, starts runs
+// in the order of their rank, keeps their lease alive as long as their owners
+// are in contact, and reports ends. An end is noted at the executor only after
+// its owner has made the end's effect durable.
+//
+// Gate is a pure state machine: events with their time come in, calls to the
+// executor come out. Driver carries them out.
+package gate
+
+import (
+	"time"
+
+	"rackspur/job"
+)
+
+// Time is the time on the gate's steady clock since its start.
+type Time = time.Duration
+
+// Options are the bounds that a gate works with.
+type Options struct {
+	Node        string
+	Incarnation string
+	// MaxHold is the longest lease that the executor grants.
+	MaxHold time.Duration
+	// Contact is how long runs go on without word from their owner.
+	Contact time.Duration
+	// StopTime is how long a stop may take at the executor.
+	StopTime time.Duration
+}
+
+// Times of a gate.
+const (
+	// startLease bounds how late a start may be carried out.
+	startLease = 500 * time.Millisecond
+	// stopPatience is how long after an owner's silence a run that does not stop
+	// is waited for before the executor's whole lease is left to lapse.
+	stopPatience = 500 * time.Millisecond
+	// clockSlack covers an executor's clock that runs slow, in parts of a time.
+	clockSlack = 0.03
+	// lapseMargin is added to the time of a lapse.
+	lapseMargin = 100 * time.Millisecond
+	// resend is the time between two tries of a stop.
+	resend = 150 * time.Millisecond
+)
+
+type phase int
+
+const (
+	phaseQueued phase = iota
+	phaseStarting
+	// phaseUnsure: the start got no answer.
+	phaseUnsure
+	phaseRunning
+	phaseEnded
+)
+
+// run is a run that the gate knows of.
+type run struct {
+	job.RunName
+	owner      string
+	spec       string
+	need       job.Resources
+	checkpoint string
+	estimate   time.Duration
+	rank       int64
+	order      uint64
+
+	phase   phase
+	started Time
+	// runningSince is when the gate learnt that the run runs.
+	runningSince Time
+	percent      int
+	// moved is when the progress was last seen to change.
+	moved Time
+	// untilMS is the lease that the start carried.
+	untilMS int64
+	// found is when a run of nobody was found.
+	found Time
+
+	// stop is set once the run shall be stopped; stopSent is the last call.
+	stop     bool
+	stopSent Time
+	// stopConfirmed is when a stop was answered.
+	stopConfirmed Time
+	// overBy is when a run that was told to stop must have ended.
+	overBy Time
+
+	end    EndKind
+	number int64
+	ran    time.Duration
+	reason string
+	// verdict
+	noted     bool
+	discarded bool
+}
+
+// ownerState is what the gate knows of an owner's life.
+type ownerState struct {
+	// contact is the newest time at which the owner surely heard of the gate.
+	contact  Time
+	link     uint64
+	received uint64
+	// open says whether a link is up.
+	open      bool
+	states    []*run
+	inventory bool
+	wake      func()
+}
+
+// Gate is the state machine.
+type Gate struct {
+	options Options
+
+	life      string
+	pastLives map[string]bool
+	service   string
+	capacity  job.Resources
+	labels    []string
+	known     bool
+	draining  bool
+	leaving   bool
+	sequence  int64
+
+	fence uint64
+	// clockMS was the executor's clock at clockAt.
+	clockMS int64
+	clockAt Time
+	// grantedMS is the newest lease given, on the executor's clock.
+	grantedMS int64
+	// held is when the executor last answered a hold.
+	held Time
+
+	runs    map[job.RunName]*run
+	used    job.Resources
+	queue   queue
+	orders  uint64
+	owners  map[string]*ownerState
+	adopted map[string]string
+
+	seen   int64
+	listed map[int64]*run
+	// lapsing is set while the lease is left to lapse.
+	lapsing bool
+	health  health
+}
+
+// New returns a gate that knows nothing yet.
+func New(o Options) *Gate {
+	return &Gate{
+		options:   o,
+		pastLives: map[string]bool{},
+		runs:      map[job.RunName]*run{},
+		owners:    map[string]*ownerState{},
+		adopted:   map[string]string{},
+		listed:    map[int64]*run{},
+	}
+}
+
+// Actions are calls to the executor that follow from an event.
+type Actions struct {
+	Life   string
+	Starts []StartCall
+	Stops  []StopCall
+	// HoldNow asks for a hold at once.
+	HoldNow bool
+}
+
+func (a *Actions) empty() bool {
+	return len(a.Starts) == 0 && len(a.Stops) == 0 && !a.HoldNow
+}
+
+// executorClock returns a lower bound of the executor's clock.
+func (g *Gate) executorClock(now Time) int64 {
+	passed := float64(now-g.clockAt) * (1 - clockSlack)
+	return g.clockMS + time.Duration(passed).Milliseconds()
+}
+
+// takeClock takes in the clock that came with an answer.
+func (g *Gate) takeClock(now Time, clockMS int64) {
+	if clockMS == 0 {
+		return
+	}
+	if clockMS >= g.executorClock(now) {
+		g.clockMS = clockMS
+		g.clockAt = now
+	}
+}
+
+// OnHeartbeat takes in what the executor says of itself. It returns false for a
+// word of an earlier life or a late one.
+func (g *Gate) OnHeartbeat(now Time, b Heartbeat) (Actions, bool) {
+	if g.pastLives[b.Life] {
+		return Actions{}, false
+	}
+	if b.Life != g.life {
+		g.newLife(now, b.Life)
+	} else if b.Sequence < g.sequence {
+		return Actions{}, true
+	}
+	g.sequence = b.Sequence
+	g.known = true
+	g.service = b.Service
+	g.capacity = b.Capacity
+	g.labels = b.Labels
+	if b.Draining {
+		g.draining = true
+	}
+	g.takeClock(now, b.ClockMS)
+	g.tellAll()
+	return g.startFromQueue(now, Actions{HoldNow: g.fence == 0}), true
+}
+
+// newLife takes in that another life of the executor has begun: what ran on the
+// old one is over. The life that the gate found when it started takes its name
+// from the first heartbeat.
+func (g *Gate) newLife(now Time, life string) {
+	if g.life == "" && g.fence != 0 {
+		g.life = life
+		return
+	}
+	if g.life != "" {
+		g.pastLives[g.life] = true
+	}
+	for _, r := range g.runs {
+		if r.phase == phaseQueued {
+			continue
+		}
+		if r.phase != phaseEnded {
+			g.release(r)
+			g.finish(now, r, EndLost, 0)
+		}
+		r.noted = true
+		g.removeIfNoted(r)
+	}
+	g.life = life
+	g.known = false
+	g.draining = false
+	g.fence = 0
+	g.clockMS = 0
+	g.clockAt = now
+	g.grantedMS = 0
+	g.seen = 0
+	g.listed = map[int64]*run{}
+	g.lapsing = false
+	g.health = health{}
+}
+
+// OnDeregister takes in that the executor has ended.
+func (g *Gate) OnDeregister(now Time, life string) {
+	if life != g.life {
+		return
+	}
+	g.newLife(now, "")
+	g.pastLives[life] = true
+	g.tellAll()
+}
+
+// Leave makes the gate take no more orders.
+func (g *Gate) Leave() {
+	g.leaving = true
+	for _, r := range g.queue.takeAll() {
+		g.reject(r, "leaving")
+	}
+	g.tellAll()
+}
+
+// Idle says whether nothing is queued, runs, or waits for its end to be noted.
+func (g *Gate) Idle() bool {
+	return len(g.runs) == 0
+}
+
+// Open says whether the gate takes orders.
+func (g *Gate) Open() bool {
+	return g.known && !g.draining && !g.leaving && !g.lapsing && g.fence != 0
+}
--- /dev/null
+++ b/gate/hold.go
@@ -0,0 +1,306 @@
+package gate
+
+import (
+	"errors"
+	"time"
+
+	"rackspur/job"
+)
+
+// Hold is a hold that is due: the call and what the gate knew when it was made.
+type Hold struct {
+	Life string
+	Call HoldCall
+	sent Time
+	// peek: the first look, made to learn the clock.
+	peek bool
+}
+
+// NextHold returns the hold to make now.
+func (g *Gate) NextHold(now Time, wait time.Duration) Hold {
+	h := Hold{Life: g.life, sent: now}
+	if g.fence == 0 {
+		h.peek = true
+		return h
+	}
+	h.Call = HoldCall{Fence: g.fence, Seen: g.seen, WaitMS: int(wait.Milliseconds())}
+	if g.lapsing {
+		h.Call.WaitMS = 0
+		return h
+	}
+	if g.unanswered(now) {
+		return h
+	}
+	h.Call.UntilMS = g.executorClock(now) + g.options.MaxHold.Milliseconds()
+	g.grantedMS = max(g.grantedMS, h.Call.UntilMS)
+	return h
+}
+
+// unanswered says whether holds have gone without an answer for so long that
+// the lease is not extended any more, so that it is known when it is over.
+func (g *Gate) unanswered(now Time) bool {
+	return now-g.held > holdPatience
+}
+
+// holdPatience is how long holds may go unanswered while they extend the lease.
+const holdPatience = 700 * time.Millisecond
+
+// OnHold takes in the answer to a hold.
+func (g *Gate) OnHold(now Time, h Hold, a Answer, lists HoldAnswer, err error) Actions {
+	if h.Life != g.life {
+		return Actions{}
+	}
+	if err != nil {
+		return g.holdFailed(now, h, a, err)
+	}
+	if g.life == "" && a.Life != "" {
+		g.life = a.Life
+	}
+	g.held = now
+	g.takeClock(now, a.ClockMS)
+	if h.peek {
+		if a.ClockMS == 0 {
+			return Actions{}
+		}
+		g.fence = uint64(a.ClockMS) + 1
+		g.grantedMS = max(g.grantedMS, a.ClockMS+g.options.MaxHold.Milliseconds())
+		return Actions{HoldNow: true}
+	}
+	if h.Call.Fence != g.fence {
+		return Actions{}
+	}
+	g.takeFinished(now, lists.Finished)
+	g.takeRunning(now, h, lists)
+	g.finishLapse(a)
+	g.advanceSeen()
+	return g.startFromQueue(now, Actions{})
+}
+
+func (g *Gate) holdFailed(now Time, h Hold, a Answer, err error) Actions {
+	switch {
+	case errors.Is(err, ErrFenced):
+		// An earlier process of this gate has set a higher token; the
+		// executor's clock has passed it.
+		g.takeClock(now, a.ClockMS)
+		g.fence = uint64(a.ClockMS) + 1
+		g.grantedMS = max(g.grantedMS, a.ClockMS+g.options.MaxHold.Milliseconds())
+		return Actions{HoldNow: true}
+	case errors.Is(err, ErrOtherLife):
+		if g.life != "" {
+			g.newLife(now, "")
+			g.tellAll()
+		}
+	}
+	return g.Tick(now)
+}
+
+// takeFinished takes in the ends that the executor lists.
+func (g *Gate) takeFinished(now Time, ends []Ended) {
+	if len(ends) > 0 && len(g.listed) == 0 && ends[0].Number > g.seen+1 {
+		// Ends up to here were noted by an earlier process.
+		g.seen = ends[0].Number - 1
+	}
+	for _, e := range ends {
+		if e.Number <= g.seen || g.listed[e.Number] != nil {
+			continue
+		}
+		r := g.runs[e.Name]
+		if r == nil {
+			r = g.strange(now, e.Name)
+		}
+		if r.phase == phaseEnded {
+			// It was held to be over before the executor listed its end.
+			r.number = e.Number
+			g.listed[e.Number] = r
+			if r.noted && (e.Kind == EndDone || e.Kind == EndFailed) {
+				r.discarded = true
+				g.lapsing = true
+			}
+			continue
+		}
+		g.release(r)
+		r.checkpoint = e.Checkpoint
+		r.number = e.Number
+		g.listed[e.Number] = r
+		g.finish(now, r, e.Kind, now-r.started)
+	}
+}
+
+// takeRunning takes in what the executor lists as running, and decides about
+// runs that it does not list.
+func (g *Gate) takeRunning(now Time, h Hold, lists HoldAnswer) {
+	there := make(map[job.RunName]bool, len(lists.Running))
+	for _, x := range lists.Running {
+		there[x.Name] = true
+		r := g.runs[x.Name]
+		if r == nil {
+			r = g.strange(now, x.Name)
+			g.setRunning(now, r)
+		}
+		if x.Checkpoint != "" {
+			r.checkpoint = x.Checkpoint
+		}
+		if x.Percent != r.percent {
+			r.percent = x.Percent
+			r.moved = now
+		}
+		if r.phase == phaseUnsure {
+			g.setRunning(now, r)
+			g.tell(r)
+		}
+	}
+	if len(lists.Finished) >= fullList {
+		return
+	}
+	for name, r := range g.runs {
+		if there[name] || r.phase == phaseEnded || r.phase == phaseQueued {
+			continue
+		}
+		switch {
+		case g.neverStarted(r, h):
+			g.lose(now, r, EndRejected, "unanswered")
+		case r.phase == phaseRunning && r.runningSince < h.sent:
+			g.lose(now, r, EndLost, "not listed")
+		}
+	}
+}
+
+// lose ends a run that the executor will not list.
+func (g *Gate) lose(now Time, r *run, kind EndKind, reason string) {
+	g.release(r)
+	r.noted = true
+	r.reason = reason
+	g.finish(now, r, kind, 0)
+	g.removeIfNoted(r)
+}
+
+// loseAll ends all runs once the lease of an executor that does not answer is
+// surely over.
+func (g *Gate) loseAll(now Time) {
+	if g.fence == 0 || !g.unanswered(now) || g.executorClock(now) <= g.grantedMS+lapseMargin.Milliseconds() {
+		return
+	}
+	for _, r := range g.runs {
+		if r.phase != phaseQueued && r.phase != phaseEnded {
+			g.lose(now, r, EndLost, "executor silent")
+		}
+	}
+}
+
+// fullList is the most ends that an executor lists at once.
+const fullList = 500
+
+// neverStarted says whether a run that is neither listed as running nor as
+// ended can't start any more: its stop was answered before the look, or the
+// lease that its start carried was over.
+func (g *Gate) neverStarted(r *run, h Hold) bool {
+	if r.phase != phaseUnsure {
+		return false
+	}
+	if r.stopConfirmed != 0 && r.stopConfirmed < h.sent {
+		return true
+	}
+	return r.untilMS < g.clockMS-g.options.MaxHold.Milliseconds()
+}
+
+// strange adds a run that the gate did not start: one of an earlier process.
+func (g *Gate) strange(now Time, name job.RunName) *run {
+	r := &run{RunName: name, phase: phaseStarting, started: now, found: now, moved: now}
+	g.runs[name] = r
+	for _, o := range g.owners {
+		o.inventory = true
+		o.poke()
+	}
+	return r
+}
+
+// finish marks a run as ended and tells its owner.
+func (g *Gate) finish(now Time, r *run, kind EndKind, ran time.Duration) {
+	r.phase = phaseEnded
+	r.end = kind
+	r.ran = ran
+	g.health.ended(now, r)
+	if r.discarded {
+		r.discarded = false
+		g.discard(r)
+	}
+	g.tell(r)
+	g.tellAll()
+	if g.health.suspect {
+		for _, waiting := range g.queue.takeAll() {
+			g.reject(waiting, "suspect")
+		}
+	}
+}
+
+func (g *Gate) setRunning(now Time, r *run) {
+	r.phase = phaseRunning
+	r.runningSince = now
+}
+
+// reject ends a run that never started.
+func (g *Gate) reject(r *run, reason string) {
+	r.phase = phaseEnded
+	r.end = EndRejected
+	r.reason = reason
+	r.noted = true
+	g.tell(r)
+	g.removeIfNoted(r)
+}
+
+// advanceSeen moves the number of the newest noted end forward.
+func (g *Gate) advanceSeen() {
+	for {
+		r := g.listed[g.seen+1]
+		if r == nil || !r.noted {
+			return
+		}
+		if r.discarded {
+			return
+		}
+		g.seen++
+		delete(g.listed, g.seen)
+		g.removeIfNoted(r)
+	}
+}
+
+// finishLapse ends a lapse once the executor's lease is surely over: ends that
+// must not count can be noted now.
+func (g *Gate) finishLapse(a Answer) {
+	if !g.lapsing || a.ClockMS <= g.grantedMS {
+		return
+	}
+	g.lapsing = false
+	for _, r := range g.listed {
+		if r.discarded {
+			r.discarded = false
+			r.noted = true
+		}
+	}
+	g.tellAll()
+}
+
+func (g *Gate) removeIfNoted(r *run) {
+	if r.phase != phaseEnded || !r.noted {
+		return
+	}
+	if r.number != 0 && r.number > g.seen {
+		return
+	}
+	if g.runs[r.RunName] == r {
+		delete(g.runs, r.RunName)
+	}
+}
+
+// Unnoted says whether ends wait for the word of their owners.
+func (g *Gate) Unnoted() bool {
+	return len(g.listed) > 0
+}
+
+// NoteDue says whether a hold would note an end at the executor.
+func (g *Gate) NoteDue(h Hold) bool {
+	return g.seen > h.Call.Seen
+}
+
+// Lapsing says whether the lease is left to lapse.
+func (g *Gate) Lapsing() bool { return g.lapsing }
--- /dev/null
+++ b/gate/orders.go
@@ -0,0 +1,310 @@
+package gate
+
+import (
+	"errors"
+	"time"
+
+	"rackspur/job"
+)
+
+// Order is a start that an owner asks for.
+type Order struct {
+	Name       job.RunName
+	Spec       string
+	Need       job.Resources
+	Estimate   time.Duration
+	Rank       int64
+	Checkpoint string
+}
+
+// VerdictKind says what becomes of a run.
+type VerdictKind int
+
+// The verdicts of an owner.
+const (
+	// VerdictNote: the effect of the end is durable.
+	VerdictNote VerdictKind = iota + 1
+	// VerdictDiscard: the end must not count.
+	VerdictDiscard
+	// VerdictClaim: the run is the owner's and goes on.
+	VerdictClaim
+	// VerdictForeign: the owner knows nothing of the run.
+	VerdictForeign
+)
+
+// Verdict is an owner's word on a run.
+type Verdict struct {
+	Name job.RunName
+	Kind VerdictKind
+	// Need is what the run takes, given with a claim.
+	Need job.Resources
+}
+
+// OwnerFrame is what an owner sends.
+type OwnerFrame struct {
+	// Echo is the newest time of the gate that the owner has received.
+	Echo     Time
+	Sequence uint64
+	Starts   []Order
+	Stops    []job.RunName
+	Verdicts []Verdict
+	Adopt    []string
+}
+
+// Connect takes in a new link of an owner. It returns false if the link is
+// older than one known, or the owner's life is over. Wake is called whenever
+// there is something to send.
+func (g *Gate) Connect(now Time, owner string, link uint64, wake func()) bool {
+	if _, over := g.adopted[owner]; over {
+		return false
+	}
+	o := g.owners[owner]
+	if o == nil {
+		o = &ownerState{contact: now}
+		g.owners[owner] = o
+	}
+	if link <= o.link {
+		return false
+	}
+	o.link = link
+	o.open = true
+	o.inventory = true
+	o.states = nil
+	o.received = 0
+	o.wake = wake
+	o.poke()
+	return true
+}
+
+// Disconnect takes in that a link has closed.
+func (g *Gate) Disconnect(owner string, link uint64) {
+	o := g.owners[owner]
+	if o == nil || o.link != link {
+		return
+	}
+	o.open = false
+	o.states = nil
+	o.wake = nil
+}
+
+func (o *ownerState) poke() {
+	if o.wake != nil {
+		o.wake()
+	}
+}
+
+// OnFrame takes in a frame that came over a link. It returns false if the link
+// is not the newest.
+func (g *Gate) OnFrame(now Time, owner string, link uint64, f OwnerFrame) (Actions, bool) {
+	o := g.owners[owner]
+	if o == nil || o.link != link {
+		return Actions{}, false
+	}
+	if _, over := g.adopted[owner]; over {
+		return Actions{}, false
+	}
+	o.contact = max(o.contact, min(f.Echo, now))
+	o.received = f.Sequence
+	g.adopt(owner, f.Adopt)
+	for _, v := range f.Verdicts {
+		g.judge(now, owner, v)
+	}
+	var a Actions
+	for _, name := range f.Stops {
+		g.stopOrder(owner, name)
+	}
+	stale := now-o.contact > g.options.Contact
+	for _, order := range f.Starts {
+		g.accept(now, owner, order, stale)
+	}
+	before := g.seen
+	g.advanceSeen()
+	a.HoldNow = g.seen > before
+	a = g.stopWhatMust(now, a)
+	return g.startFromQueue(now, a), true
+}
+
+// adopt takes over the runs of lives that are over.
+func (g *Gate) adopt(owner string, lives []string) {
+	if len(lives) == 0 {
+		return
+	}
+	for _, life := range lives {
+		g.adopted[life] = owner
+		delete(g.owners, life)
+		for _, r := range g.runs {
+			if r.owner == life {
+				r.owner = owner
+			}
+		}
+	}
+	g.owners[owner].inventory = true
+	g.owners[owner].poke()
+}
+
+func (g *Gate) accept(now Time, owner string, o Order, stale bool) {
+	if g.runs[o.Name] != nil {
+		return
+	}
+	g.orders++
+	r := &run{
+		RunName: o.Name, owner: owner, spec: o.Spec, need: o.Need, checkpoint: o.Checkpoint,
+		estimate: o.Estimate, rank: o.Rank, order: g.orders,
+	}
+	g.runs[o.Name] = r
+	switch {
+	case stale:
+		g.reject(r, "stale order")
+	case !g.Open():
+		g.reject(r, "closed")
+	case g.health.suspect && (g.queue.first() != nil || !g.health.mayStart(now)):
+		g.reject(r, "suspect")
+	case !g.capacity.Fits(o.Need):
+		g.reject(r, "too large")
+	default:
+		g.queue.push(r)
+	}
+}
+
+func (g *Gate) judge(now Time, owner string, v Verdict) {
+	r := g.runs[v.Name]
+	if r == nil || (r.owner != "" && r.owner != owner) {
+		return
+	}
+	switch v.Kind {
+	case VerdictClaim:
+		g.claim(owner, r, v.Need)
+	case VerdictNote:
+		r.noted = true
+		g.removeIfNoted(r)
+	case VerdictDiscard:
+		g.discard(r)
+	}
+}
+
+// claim gives a run that the gate found to its owner.
+func (g *Gate) claim(owner string, r *run, need job.Resources) {
+	if r.owner != "" {
+		return
+	}
+	r.owner = owner
+	r.need = need
+	if r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning {
+		g.used = g.used.Plus(need)
+	}
+}
+
+// discard makes sure that a run counts for nothing: it is stopped if it is not
+// over, and an end that counts is noted only after the lease has lapsed.
+func (g *Gate) discard(r *run) {
+	switch {
+	case r.phase == phaseQueued:
+		g.queue.remove(r)
+		g.reject(r, "discarded")
+	case r.phase != phaseEnded:
+		r.stop = true
+		r.discarded = true
+	case r.end == EndDone || r.end == EndFailed:
+		r.discarded = true
+		g.lapsing = true
+	default:
+		r.noted = true
+		g.removeIfNoted(r)
+	}
+}
+
+func (g *Gate) stopOrder(owner string, name job.RunName) {
+	r := g.runs[name]
+	if r == nil || r.owner != owner {
+		return
+	}
+	switch r.phase {
+	case phaseQueued:
+		g.queue.remove(r)
+		g.reject(r, "withdrawn")
+	case phaseEnded:
+	default:
+		r.stop = true
+	}
+}
+
+// startFromQueue starts what fits, in the order of rank.
+func (g *Gate) startFromQueue(now Time, a Actions) Actions {
+	a.Life = g.life
+	if !g.Open() || g.life == "" {
+		return a
+	}
+	for {
+		r := g.queue.first()
+		if r == nil {
+			return a
+		}
+		if g.silent(now, r.owner) {
+			g.queue.pop()
+			g.reject(r, "owner silent")
+			continue
+		}
+		if !g.capacity.Minus(g.used).Fits(r.need) || !g.health.mayStart(now) {
+			return a
+		}
+		g.queue.pop()
+		a.Starts = append(a.Starts, g.start(now, r))
+	}
+}
+
+func (g *Gate) start(now Time, r *run) StartCall {
+	r.phase = phaseStarting
+	r.started = now
+	r.moved = now
+	r.untilMS = g.executorClock(now) + startLease.Milliseconds()
+	g.grantedMS = max(g.grantedMS, r.untilMS)
+	g.used = g.used.Plus(r.need)
+	g.health.started(now)
+	return StartCall{Name: r.RunName, Spec: r.spec, Need: r.need, Checkpoint: r.checkpoint, UntilMS: r.untilMS, Fence: g.fence}
+}
+
+// release gives back the room of a run that is over.
+func (g *Gate) release(r *run) {
+	if r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning {
+		g.used = g.used.Minus(r.need)
+	}
+}
+
+// OnStart takes in the answer to a start.
+func (g *Gate) OnStart(now Time, life string, c StartCall, ans Answer, err error) Actions {
+	r := g.runs[c.Name]
+	if life != g.life || r == nil || r.phase != phaseStarting {
+		return Actions{}
+	}
+	g.takeClock(now, ans.ClockMS)
+	switch {
+	case err == nil:
+		g.setRunning(now, r)
+		g.tell(r)
+		return Actions{}
+	case errors.Is(err, ErrUnanswered):
+		r.phase = phaseUnsure
+		return Actions{HoldNow: true}
+	}
+	g.release(r)
+	if errors.Is(err, ErrUnhealthy) {
+		g.health.turnedAway(now)
+	}
+	g.reject(r, err.Error())
+	g.tellAll()
+	return g.startFromQueue(now, Actions{HoldNow: errors.Is(err, ErrFenced)})
+}
+
+// OnStop takes in the answer to a stop.
+func (g *Gate) OnStop(now Time, life string, c StopCall, ans Answer, err error) Actions {
+	r := g.runs[c.Name]
+	if life != g.life || r == nil {
+		return Actions{}
+	}
+	g.takeClock(now, ans.ClockMS)
+	if err == nil {
+		r.stopConfirmed = now
+		return Actions{HoldNow: true}
+	}
+	return Actions{}
+}
--- /dev/null
+++ b/gate/queue.go
@@ -0,0 +1,65 @@
+package gate
+
+import "container/heap"
+
+// queue holds runs that wait for room, lowest rank first.
+type queue struct {
+	items runHeap
+}
+
+func (q *queue) push(r *run) { heap.Push(&q.items, r) }
+
+// first returns the run that is next, or nil.
+func (q *queue) first() *run {
+	if len(q.items) == 0 {
+		return nil
+	}
+	return q.items[0]
+}
+
+func (q *queue) pop() *run { return heap.Pop(&q.items).(*run) }
+
+// remove takes a run out.
+func (q *queue) remove(r *run) {
+	for i, item := range q.items {
+		if item == r {
+			heap.Remove(&q.items, i)
+			return
+		}
+	}
+}
+
+func (q *queue) takeAll() []*run {
+	all := q.items
+	q.items = nil
+	return all
+}
+
+// runHeap implements heap.Interface.
+type runHeap []*run
+
+// Len implements sort.Interface.Len.
+func (h runHeap) Len() int { return len(h) }
+
+// Less implements sort.Interface.Less.
+func (h runHeap) Less(i, j int) bool {
+	if h[i].rank != h[j].rank {
+		return h[i].rank < h[j].rank
+	}
+	return h[i].order < h[j].order
+}
+
+// Swap implements sort.Interface.Swap.
+func (h runHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.Push.
+func (h *runHeap) Push(x any) { *h = append(*h, x.(*run)) }
+
+// Pop implements heap.Interface.Pop.
+func (h *runHeap) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return last
+}
--- /dev/null
+++ b/gate/report.go
@@ -0,0 +1,123 @@
+package gate
+
+import (
+	"time"
+
+	"rackspur/job"
+)
+
+// Report is what a gate says of its executor.
+type Report struct {
+	Life     string
+	Service  string
+	Capacity job.Resources
+	Free     job.Resources
+	Queued   job.Resources
+	Labels   []string
+	Open     bool
+	Slowness float64
+	Suspect  bool
+}
+
+// RunState is what a gate says of a run.
+type RunState struct {
+	Name    job.RunName
+	Queued  bool
+	Running bool
+	// End is set if the run is over.
+	End        EndKind
+	Checkpoint string
+	Ran        time.Duration
+	Reason     string
+}
+
+// Frame is what a gate sends to an owner.
+type Frame struct {
+	Clock    Time
+	Received uint64
+	Report   Report
+	States   []RunState
+	// Inventory says that States holds all that concerns the owner.
+	Inventory bool
+	Adopted   []string
+}
+
+// tell puts a run's state into its owner's outbox.
+func (g *Gate) tell(r *run) {
+	o := g.owners[r.owner]
+	if o == nil || !o.open {
+		return
+	}
+	o.states = append(o.states, r)
+	o.poke()
+}
+
+// tellAll wakes the links of all owners, to send the report anew.
+func (g *Gate) tellAll() {
+	for _, o := range g.owners {
+		o.poke()
+	}
+}
+
+// Pending says whether there is more to send to an owner than a report.
+func (g *Gate) Pending(owner string) bool {
+	o := g.owners[owner]
+	return o != nil && (len(o.states) > 0 || o.inventory)
+}
+
+// Flush returns the frame to send to an owner now; ok is false if its link is
+// not the newest or the owner's life is over.
+func (g *Gate) Flush(now Time, owner string, link uint64) (f Frame, ok bool) {
+	o := g.owners[owner]
+	if o == nil || o.link != link {
+		return Frame{}, false
+	}
+	f = Frame{Clock: now, Received: o.received, Report: g.report(now)}
+	if o.inventory {
+		o.inventory = false
+		f.Inventory = true
+		f.Adopted = g.adoptedBy(owner)
+		for _, r := range g.runs {
+			if r.owner == owner || r.owner == "" {
+				f.States = append(f.States, r.state())
+			}
+		}
+		o.states = nil
+		return f, true
+	}
+	for _, r := range o.states {
+		f.States = append(f.States, r.state())
+	}
+	o.states = nil
+	return f, true
+}
+
+func (g *Gate) adoptedBy(owner string) []string {
+	var lives []string
+	for life, by := range g.adopted {
+		if by == owner {
+			lives = append(lives, life)
+		}
+	}
+	return lives
+}
+
+func (g *Gate) report(now Time) Report {
+	var queued job.Resources
+	for _, r := range g.queue.items {
+		queued = queued.Plus(r.need)
+	}
+	return Report{
+		Life: g.life, Service: g.service, Capacity: g.capacity, Free: g.capacity.Minus(g.used),
+		Queued: queued, Labels: g.labels, Open: g.Open(), Slowness: g.health.slowness,
+		Suspect: g.health.suspect && !g.health.mayStart(now),
+	}
+}
+
+func (r *run) state() RunState {
+	return RunState{
+		Name: r.RunName, Queued: r.phase == phaseQueued,
+		Running: r.phase == phaseRunning || r.phase == phaseStarting || r.phase == phaseUnsure,
+		End:     r.end, Checkpoint: r.checkpoint, Ran: r.ran, Reason: r.reason,
+	}
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -6,7 +6,7 @@
 	"io"
 	"net/http"
 
-	"rackspur/platform"
+	"rackspur/store"
 )
 
 // Paths by which tests and trials steer the stand-ins.
@@ -22,22 +22,22 @@
 // PlatformHandler serves a store over the platform's HTTP interface.
 func PlatformHandler(s *Store) http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathTable, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+store.PathTable, func(w http.ResponseWriter, r *http.Request) {
 		rows, err := s.List(r.Context(), r.URL.Query().Get("prefix"))
 		answer(w, rows, err)
 	})
-	mux.HandleFunc("GET "+platform.PathTable+"/{key}", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+store.PathTable+"/{key}", func(w http.ResponseWriter, r *http.Request) {
 		row, err := s.Get(r.Context(), r.PathValue("key"))
 		answer(w, row, err)
 	})
-	mux.HandleFunc("POST "+platform.PathCommit, func(w http.ResponseWriter, r *http.Request) {
-		var c platform.Commit
+	mux.HandleFunc("POST "+store.PathCommit, func(w http.ResponseWriter, r *http.Request) {
+		var c store.Commit
 		if !readJSON(w, r, &c) {
 			return
 		}
 		answer(w, struct{}{}, s.Commit(r.Context(), c))
 	})
-	mux.HandleFunc("GET "+platform.PathObjects+"/{key}", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+store.PathObjects+"/{key}", func(w http.ResponseWriter, r *http.Request) {
 		value, err := s.GetObject(r.Context(), r.PathValue("key"))
 		if err != nil {
 			answer(w, nil, err)
@@ -45,7 +45,7 @@
 		}
 		_, _ = w.Write(value)
 	})
-	mux.HandleFunc("PUT "+platform.PathObjects+"/{key}", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("PUT "+store.PathObjects+"/{key}", func(w http.ResponseWriter, r *http.Request) {
 		value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxObject))
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -53,7 +53,7 @@
 		}
 		answer(w, struct{}{}, s.PutObject(r.Context(), r.PathValue("key"), value))
 	})
-	mux.HandleFunc("GET "+platform.PathBoxes, func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET "+store.PathBoxes, func(w http.ResponseWriter, r *http.Request) {
 		boxes, err := s.ListBoxes(r.Context())
 		answer(w, boxes, err)
 	})
@@ -69,7 +69,7 @@
 		}
 	})
 	mux.HandleFunc("PUT "+PathAdminBoxes, func(w http.ResponseWriter, r *http.Request) {
-		var b platform.Box
+		var b store.Box
 		if readJSON(w, r, &b) {
 			s.SetBox(b)
 		}
@@ -99,11 +99,11 @@
 	case err == nil:
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(v)
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, store.ErrNotFound):
 		http.Error(w, "not found", http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, store.ErrConflict):
 		http.Error(w, "conflict", http.StatusConflict)
-	case errors.Is(err, platform.ErrUncertain):
+	case errors.Is(err, store.ErrUncertain):
 		panic(http.ErrAbortHandler)
 	default:
 		http.Error(w, "unavailable", http.StatusServiceUnavailable)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -12,7 +12,7 @@
 
 	"golang.org/x/time/rate"
 
-	"rackspur/platform"
+	"rackspur/store"
 )
 
 // What the platform's service carries, in calls a second.
@@ -33,12 +33,12 @@
 	LagMS int `json:"lag_ms"`
 }
 
-// Store is the platform's service in memory. It implements platform.Service.
+// Store is the platform's service in memory. It implements store.Service.
 type Store struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]store.Row
 	objects map[string][]byte
-	boxes   map[string]platform.Box
+	boxes   map[string]store.Box
 	// past holds the earlier states of the list of boxes, oldest first.
 	past   []boxList
 	faults PlatformFaults
@@ -55,15 +55,15 @@
 
 type boxList struct {
 	until time.Time
-	boxes []platform.Box
+	boxes []store.Box
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
 	return &Store{
-		rows:    map[string]platform.Row{},
+		rows:    map[string]store.Row{},
 		objects: map[string][]byte{},
-		boxes:   map[string]platform.Box{},
+		boxes:   map[string]store.Box{},
 		writes:  rate.NewLimiter(WritesPerSecond, WritesPerSecond),
 		reads:   rate.NewLimiter(ReadsPerSecond, ReadsPerSecond),
 	}
@@ -84,7 +84,7 @@
 }
 
 // SetBox adds or changes a box of the list.
-func (s *Store) SetBox(b platform.Box) {
+func (s *Store) SetBox(b store.Box) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.past = append(s.past, boxList{until: time.Now(), boxes: s.list()})
@@ -99,8 +99,8 @@
 	delete(s.boxes, name)
 }
 
-func (s *Store) list() []platform.Box {
-	boxes := make([]platform.Box, 0, len(s.boxes))
+func (s *Store) list() []store.Box {
+	boxes := make([]store.Box, 0, len(s.boxes))
 	for _, b := range s.boxes {
 		boxes = append(boxes, b)
 	}
@@ -117,11 +117,11 @@
 		select {
 		case <-time.After(time.Duration(f.SlowMS) * time.Millisecond):
 		case <-ctx.Done():
-			return platform.ErrUnavailable
+			return store.ErrUnavailable
 		}
 	}
 	if f.Down || !limit.Allow() {
-		return platform.ErrUnavailable
+		return store.ErrUnavailable
 	}
 	return nil
 }
@@ -136,28 +136,28 @@
 	return nil
 }
 
-// Get implements platform.Table.Get.
-func (s *Store) Get(ctx context.Context, key string) (platform.Row, error) {
+// Get implements store.Table.Get.
+func (s *Store) Get(ctx context.Context, key string) (store.Row, error) {
 	if err := s.read(ctx); err != nil {
-		return platform.Row{}, err
+		return store.Row{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	row, ok := s.rows[key]
 	if !ok {
-		return platform.Row{}, platform.ErrNotFound
+		return store.Row{}, store.ErrNotFound
 	}
 	return row, nil
 }
 
-// List implements platform.Table.List.
-func (s *Store) List(ctx context.Context, prefix string) ([]platform.Row, error) {
+// List implements store.Table.List.
+func (s *Store) List(ctx context.Context, prefix string) ([]store.Row, error) {
 	if err := s.read(ctx); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	rows := []platform.Row{}
+	rows := []store.Row{}
 	for key, row := range s.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
@@ -170,7 +170,7 @@
 // write runs a write and loses its answer if a fault says so.
 func (s *Store) write(ctx context.Context, effect func() error) error {
 	if err := s.begin(ctx, s.writes); err != nil {
-		return platform.ErrUncertain
+		return store.ErrUncertain
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -180,27 +180,27 @@
 	}
 	if s.faults.LoseAnswers > 0 {
 		s.faults.LoseAnswers--
-		return platform.ErrUncertain
+		return store.ErrUncertain
 	}
 	return nil
 }
 
-// Commit implements platform.Table.Commit.
-func (s *Store) Commit(ctx context.Context, c platform.Commit) error {
+// Commit implements store.Table.Commit.
+func (s *Store) Commit(ctx context.Context, c store.Commit) error {
 	return s.write(ctx, func() error {
 		for _, cond := range c.Conditions {
 			if s.rows[cond.Key].Version != cond.Version {
-				return platform.ErrConflict
+				return store.ErrConflict
 			}
 		}
 		for _, p := range c.Puts {
-			s.rows[p.Key] = platform.Row{Key: p.Key, Value: p.Value, Version: s.rows[p.Key].Version + 1}
+			s.rows[p.Key] = store.Row{Key: p.Key, Value: p.Value, Version: s.rows[p.Key].Version + 1}
 		}
 		return nil
 	})
 }
 
-// GetObject implements platform.Objects.GetObject.
+// GetObject implements store.Objects.GetObject.
 func (s *Store) GetObject(ctx context.Context, key string) ([]byte, error) {
 	if err := s.read(ctx); err != nil {
 		return nil, err
@@ -209,12 +209,12 @@
 	defer s.mu.Unlock()
 	value, ok := s.objects[key]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, store.ErrNotFound
 	}
 	return value, nil
 }
 
-// PutObject implements platform.Objects.PutObject.
+// PutObject implements store.Objects.PutObject.
 func (s *Store) PutObject(ctx context.Context, key string, value []byte) error {
 	return s.write(ctx, func() error {
 		s.objects[key] = value
@@ -222,8 +222,8 @@
 	})
 }
 
-// ListBoxes implements platform.Boxes.ListBoxes.
-func (s *Store) ListBoxes(ctx context.Context) ([]platform.Box, error) {
+// ListBoxes implements store.Boxes.ListBoxes.
+func (s *Store) ListBoxes(ctx context.Context) ([]store.Box, error) {
 	if err := s.read(ctx); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/job/job.go
@@ -0,0 +1,285 @@
+// Package job holds what a job is: its steps and tasks as callers hand them in,
+// the names of tasks and runs, and the record that the store keeps of it.
+package job
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of this package.
+var (
+	// ErrInvalid says that a submission can't be run as it stands.
+	ErrInvalid = eris.New("job: invalid submission")
+	// ErrRecord says that a stored record can't be read.
+	ErrRecord = eris.New("job: unreadable record")
+)
+
+// Bounds of a submission.
+const (
+	MaxSpecBytes = 4000
+	MaxSteps     = 100
+	MaxTasks     = 2000
+)
+
+// ID is the caller's name for a job.
+type ID string
+
+// State is what callers are told of a job.
+type State string
+
+// The states of a job.
+const (
+	StateQueued    State = "queued"
+	StateRunning   State = "running"
+	StateCompleted State = "completed"
+	StateFailed    State = "failed"
+	StateCancelled State = "cancelled"
+)
+
+// Final says whether a job in this state never changes again.
+func (s State) Final() bool {
+	return s == StateCompleted || s == StateFailed || s == StateCancelled
+}
+
+// TaskName names a task of a job: the task with this index of a step of the
+// time-th run of the job.
+type TaskName struct {
+	Job   ID
+	Time  int
+	Step  int
+	Index int
+}
+
+// RunName names one start of a task. Runs of a task rise from 1.
+type RunName struct {
+	TaskName
+	Run int
+}
+
+// Resources are what a task takes or an executor has. CPU is in thousandths of
+// a core, memory in MB.
+type Resources struct {
+	CPU    int `json:"cpu,omitempty"`
+	Memory int `json:"memory,omitempty"`
+	GPU    int `json:"gpu,omitempty"`
+}
+
+// Fits says whether need fits into r.
+func (r Resources) Fits(need Resources) bool {
+	return need.CPU <= r.CPU && need.Memory <= r.Memory && need.GPU <= r.GPU
+}
+
+// Plus returns the sum.
+func (r Resources) Plus(o Resources) Resources {
+	return Resources{CPU: r.CPU + o.CPU, Memory: r.Memory + o.Memory, GPU: r.GPU + o.GPU}
+}
+
+// Minus returns the difference.
+func (r Resources) Minus(o Resources) Resources {
+	return Resources{CPU: r.CPU - o.CPU, Memory: r.Memory - o.Memory, GPU: r.GPU - o.GPU}
+}
+
+// Step is a set of like tasks.
+type Step struct {
+	Count int `json:"count"`
+	// Need is what each task takes.
+	Need Resources `json:"need"`
+	// EstimateMS is the caller's rough guess of a task's run time.
+	EstimateMS int `json:"estimate_ms,omitempty"`
+	// After are the steps whose tasks must all be done before.
+	After []int `json:"after,omitempty"`
+	// Label is one that the executor must have.
+	Label string `json:"label,omitempty"`
+	// Rack is the rack that holds the data.
+	Rack string `json:"rack,omitempty"`
+	// Spread is the most tasks of the step on one executor; 0 for no bound.
+	Spread int `json:"spread,omitempty"`
+	// Checkpointing tasks can go on from where they were stopped.
+	Checkpointing bool `json:"checkpointing,omitempty"`
+}
+
+// Queue is what the configuration says of the jobs of one kind.
+type Queue struct {
+	Name    string `json:"name"`
+	Service string `json:"service"`
+	// Priority 0 comes first.
+	Priority int `json:"priority,omitempty"`
+	// Attempts is how many runs of a task may fail before its job has failed.
+	Attempts int `json:"attempts"`
+	// A job's objective is Stretch times its longest chain of work plus
+	// TargetLatencyMS.
+	Stretch         float64 `json:"stretch,omitempty"`
+	TargetLatencyMS int     `json:"target_latency_ms,omitempty"`
+	TimeoutMS       int     `json:"timeout_ms,omitempty"`
+}
+
+// Submission is a job as its caller hands it in.
+type Submission struct {
+	ID    ID     `json:"id"`
+	Queue Queue  `json:"queue"`
+	Spec  string `json:"spec"`
+	Steps []Step `json:"steps"`
+}
+
+// Check returns ErrInvalid with the reason if the submission can't be run.
+func (s *Submission) Check() error {
+	if len(s.Spec) > MaxSpecBytes {
+		return eris.Wrapf(ErrInvalid, "spec of %d bytes, at most %d", len(s.Spec), MaxSpecBytes)
+	}
+	if len(s.Steps) == 0 || len(s.Steps) > MaxSteps {
+		return eris.Wrapf(ErrInvalid, "%d steps, want 1 to %d", len(s.Steps), MaxSteps)
+	}
+	tasks := 0
+	for i := range s.Steps {
+		if err := s.Steps[i].check(i); err != nil {
+			return err
+		}
+		tasks += s.Steps[i].Count
+	}
+	if tasks > MaxTasks {
+		return eris.Wrapf(ErrInvalid, "%d tasks, at most %d", tasks, MaxTasks)
+	}
+	return nil
+}
+
+func (s *Step) check(i int) error {
+	if s.Count < 1 || s.Count > MaxTasks {
+		return eris.Wrapf(ErrInvalid, "step %d: %d tasks, want 1 to %d", i, s.Count, MaxTasks)
+	}
+	if s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.GPU < 0 || s.EstimateMS < 0 || s.Spread < 0 {
+		return eris.Wrapf(ErrInvalid, "step %d: a negative number", i)
+	}
+	for _, a := range s.After {
+		if a < 0 || a >= i {
+			return eris.Wrapf(ErrInvalid, "step %d: runs after step %d, which is not earlier", i, a)
+		}
+	}
+	return nil
+}
+
+// TaskCount returns the number of tasks.
+func (s *Submission) TaskCount() int {
+	n := 0
+	for i := range s.Steps {
+		n += s.Steps[i].Count
+	}
+	return n
+}
+
+// Record is what the store keeps of a job that has not ended.
+type Record struct {
+	Submission
+	// Owner is the incarnation that gives orders for the job.
+	Owner string `json:"owner"`
+	// Generation counts the owners; it sets the range of the run numbers.
+	Generation int `json:"generation"`
+	// Sequence counts the writes, so that each value is unlike any other.
+	Sequence uint64 `json:"sequence"`
+	// AcceptedMS is the time of acceptance on the acceptor's clock, in
+	// milliseconds since 1970; for operators only.
+	AcceptedMS int64 `json:"accepted_ms"`
+	// Done has the run that ended well of each task that is done, by the number
+	// of the task in the order of steps.
+	Done map[int]int `json:"done,omitempty"`
+	// Failed has the runs that ended failed, by task.
+	Failed map[int][]int `json:"failed,omitempty"`
+}
+
+// runsPerGeneration is the range of run numbers of one owner of a job.
+const runsPerGeneration = 1000
+
+// FirstRun returns the lowest run number of an owner's generation.
+func FirstRun(generation int) int { return generation*runsPerGeneration + 1 }
+
+// Encode returns the stored form.
+func (r *Record) Encode() []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		// A record holds nothing that can't be encoded.
+		panic(fmt.Sprintf("job: %v", err))
+	}
+	return b
+}
+
+// DecodeRecord reads a stored form.
+func DecodeRecord(b []byte) (*Record, error) {
+	r := new(Record)
+	if err := json.Unmarshal(b, r); err != nil {
+		return nil, eris.Wrap(ErrRecord, err.Error())
+	}
+	if err := r.Check(); err != nil {
+		return nil, eris.Wrap(ErrRecord, err.Error())
+	}
+	return r, nil
+}
+
+// IsDone says whether a task is done.
+func (r *Record) IsDone(task int) bool {
+	_, ok := r.Done[task]
+	return ok
+}
+
+// SetDone notes the run by which a task is done.
+func (r *Record) SetDone(task, run int) {
+	if r.Done == nil {
+		r.Done = map[int]int{}
+	}
+	r.Done[task] = run
+}
+
+// AddFailure notes a failed run of a task, once.
+func (r *Record) AddFailure(task, run int) {
+	if slices.Contains(r.Failed[task], run) {
+		return
+	}
+	if r.Failed == nil {
+		r.Failed = map[int][]int{}
+	}
+	r.Failed[task] = append(r.Failed[task], run)
+}
+
+// Final is what the store keeps of a job that has ended.
+type Final struct {
+	Queue string `json:"queue"`
+	State State  `json:"state"`
+	// EndedMS is the time of the end in milliseconds since 1970.
+	EndedMS int64 `json:"ended_ms"`
+	// Done is the record's, of the tasks that were done.
+	Done map[int]int `json:"done,omitempty"`
+	// Steps are the numbers of tasks of the steps.
+	Steps []int `json:"steps,omitempty"`
+	// Owner and Sequence make the value unlike any other.
+	Owner    string `json:"owner"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// Encode returns the stored form.
+func (f *Final) Encode() []byte {
+	b, err := json.Marshal(f)
+	if err != nil {
+		panic(fmt.Sprintf("job: %v", err))
+	}
+	return b
+}
+
+// DecodeFinal reads a stored form.
+func DecodeFinal(b []byte) (*Final, error) {
+	f := new(Final)
+	if err := json.Unmarshal(b, f); err != nil {
+		return nil, eris.Wrap(ErrRecord, err.Error())
+	}
+	if !f.State.Final() {
+		return nil, eris.Wrapf(ErrRecord, "state %q is not final", f.State)
+	}
+	return f, nil
+}
+
+// Expired says whether a final record may be removed.
+func (f *Final) Expired(now time.Time, keep time.Duration) bool {
+	return now.UnixMilli()-f.EndedMS > keep.Milliseconds()
+}
--- /dev/null
+++ b/member/life.go
@@ -0,0 +1,175 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"rackspur/rowstore"
+)
+
+// Times of a life.
+const (
+	// Lease is how long a life may give orders after it has renewed its row.
+	Lease = 1500 * time.Millisecond
+	// RenewPause is the time between two renewals.
+	RenewPause = 350 * time.Millisecond
+	// expiryMargin is added to the lease before others hold a life to be over.
+	expiryMargin = 100 * time.Millisecond
+)
+
+// lifeRow is the stored form of a life.
+type lifeRow struct {
+	Daemon
+	// Count makes each renewal unlike the one before.
+	Count uint64 `json:"count"`
+	// FencedBy is the life that takes over.
+	FencedBy string `json:"fenced_by,omitempty"`
+	// Released says that the life has ended by itself.
+	Released bool `json:"released,omitempty"`
+}
+
+func (r *lifeRow) encode() []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+// Life is the life of an owner in the store: a fence row in each part, which
+// every write of the life has as a condition, and a row with its lease.
+type Life struct {
+	store   rowstore.Store
+	parts   []string
+	daemon  Daemon
+	count   uint64
+	version uint64
+	fences  []rowstore.Condition
+}
+
+// NewLife returns a life of a daemon that has not begun.
+func NewLife(s rowstore.Store, parts []string, d Daemon) *Life {
+	return &Life{store: s, parts: parts, daemon: d}
+}
+
+func lifeKey(incarnation string) rowstore.Key {
+	return rowstore.Key{Table: tableLives, Part: membersPart, Name: incarnation}
+}
+
+func fenceKey(part, incarnation string) rowstore.Key {
+	return rowstore.Key{Table: tableFences, Part: part, Name: incarnation}
+}
+
+// Begin writes the rows of the life, and tries until they stand or the context
+// ends. It returns the time from which the lease counts.
+func (l *Life) Begin(ctx context.Context) (time.Time, error) {
+	for _, part := range append([]string{membersPart}, l.parts...) {
+		c, err := l.put(ctx, fenceKey(part, l.daemon.Incarnation), []byte("{}"))
+		if err != nil {
+			return time.Time{}, err
+		}
+		l.fences = append(l.fences, c)
+	}
+	row := lifeRow{Daemon: l.daemon}
+	sent := time.Now()
+	c, err := l.put(ctx, lifeKey(l.daemon.Incarnation), row.encode())
+	if err != nil {
+		return time.Time{}, err
+	}
+	l.version = c.Version
+	return sent, nil
+}
+
+// put writes a row that is not there, and tries until it stands.
+func (l *Life) put(ctx context.Context, key rowstore.Key, value []byte) (rowstore.Condition, error) {
+	for pause := retryPause; ctx.Err() == nil; pause = min(2*pause, mostPause) {
+		out, err := withTimeout(ctx, callTimeout, func(ctx context.Context) (rowstore.Outcome, error) {
+			return l.store.Transact(ctx, rowstore.Transaction{
+				Conditions: []rowstore.Condition{{Key: key}},
+				Puts:       []rowstore.Put{{Key: key, Value: value}},
+			})
+		})
+		if err == nil {
+			return rowstore.Condition{Key: key, Version: out.Version}, nil
+		}
+		if errors.Is(err, rowstore.ErrConflict) && len(out.Current) == 1 {
+			// An earlier try took effect: names of lives are not used twice.
+			return rowstore.Condition{Key: key, Version: out.Current[0].Version}, nil
+		}
+		sleep(ctx, pause)
+	}
+	return rowstore.Condition{}, ctx.Err()
+}
+
+// Fence returns the condition that each write of the life to a part must have.
+func (l *Life) Fence(part int) rowstore.Condition { return l.fences[part+1] }
+
+// Renew renews the lease once. It returns the time from which the lease counts,
+// or ErrFenced once the life is over.
+func (l *Life) Renew(ctx context.Context) (time.Time, error) {
+	l.count++
+	row := lifeRow{Daemon: l.daemon, Count: l.count}
+	return l.write(ctx, row)
+}
+
+// Release ends the life: others take over its jobs at once, and no write of it
+// takes effect any more.
+func (l *Life) Release(ctx context.Context) error {
+	for i, part := range l.parts {
+		if err := l.drop(ctx, part, l.fences[i+1]); err != nil {
+			return err
+		}
+	}
+	l.count++
+	_, err := l.write(ctx, lifeRow{Daemon: l.daemon, Count: l.count, Released: true})
+	return err
+}
+
+func (l *Life) drop(ctx context.Context, part string, fence rowstore.Condition) error {
+	_, err := withTimeout(ctx, callTimeout, func(ctx context.Context) (rowstore.Outcome, error) {
+		return l.store.Transact(ctx, rowstore.Transaction{
+			Conditions: []rowstore.Condition{fence},
+			Deletes:    []rowstore.Key{fenceKey(part, l.daemon.Incarnation)},
+		})
+	})
+	return err
+}
+
+func (l *Life) write(ctx context.Context, row lifeRow) (time.Time, error) {
+	sent := time.Now()
+	key := lifeKey(l.daemon.Incarnation)
+	out, err := withTimeout(ctx, callTimeout, func(ctx context.Context) (rowstore.Outcome, error) {
+		return l.store.Transact(ctx, rowstore.Transaction{
+			Conditions: []rowstore.Condition{l.fences[0], {Key: key, Version: l.version}},
+			Puts:       []rowstore.Put{{Key: key, Value: row.encode()}},
+		})
+	})
+	switch {
+	case err == nil:
+		l.version = out.Version
+		return sent, nil
+	case errors.Is(err, rowstore.ErrConflict):
+		return l.resolve(out)
+	}
+	return time.Time{}, err
+}
+
+// resolve handles a conflict: an earlier renewal without an answer may have
+// taken effect.
+func (l *Life) resolve(out rowstore.Outcome) (time.Time, error) {
+	fenced := true
+	for _, current := range out.Current {
+		if current.Key == l.fences[0].Key && current.Version == l.fences[0].Version {
+			fenced = false
+		}
+		if current.Key == lifeKey(l.daemon.Incarnation) {
+			l.version = current.Version
+		}
+	}
+	if fenced {
+		return time.Time{}, ErrFenced
+	}
+	return time.Time{}, rowstore.ErrConflict
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,184 @@
+// Package member keeps in the store which daemons there are and which of them
+// own jobs: a row for each daemon, and a life with a lease for each owner.
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"rackspur/rowstore"
+)
+
+// Tables of this package.
+const (
+	tableMembers = "members"
+	tableLives   = "lives"
+	tableFences  = "fences"
+)
+
+// membersPart is the part that the rows of the daemons stand in.
+const membersPart = "members"
+
+// ErrFenced says that a life is over: others may have taken its jobs.
+var ErrFenced = eris.New("member: life is fenced")
+
+// Role is what a daemon does.
+type Role string
+
+// The roles.
+const (
+	RoleEntry Role = "entry"
+	RoleAgent Role = "agent"
+)
+
+// Daemon is a process of ours.
+type Daemon struct {
+	Node        string `json:"node"`
+	Role        Role   `json:"role"`
+	Zone        string `json:"zone"`
+	Address     string `json:"address"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Times of this package.
+const (
+	callTimeout = 700 * time.Millisecond
+	retryPause  = 100 * time.Millisecond
+	mostPause   = time.Second
+	feedWait    = 20 * time.Second
+	feedMargin  = 2 * time.Second
+)
+
+// Register writes a daemon's row, and tries until it stands or the context ends.
+func Register(ctx context.Context, s rowstore.Store, d Daemon, log logr.Logger) {
+	value, err := json.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	key := rowstore.Key{Table: tableMembers, Part: membersPart, Name: d.Node}
+	for pause := retryPause; ctx.Err() == nil; pause = min(2*pause, mostPause) {
+		if err := register(ctx, s, key, value); err == nil {
+			log.Info("Registered.", "node", d.Node, "incarnation", d.Incarnation)
+			return
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func register(ctx context.Context, s rowstore.Store, key rowstore.Key, value []byte) error {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	row, ok, err := rowstore.ReadOne(callCtx, s, key)
+	if err != nil {
+		return err
+	}
+	if ok && string(row.Value) == string(value) {
+		return nil
+	}
+	_, err = s.Transact(callCtx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Key: key, Version: row.Version}},
+		Puts:       []rowstore.Put{{Key: key, Value: value}},
+	})
+	return err
+}
+
+// ReadDaemons reads the rows of all daemons.
+func ReadDaemons(ctx context.Context, s rowstore.Store) ([]Daemon, uint64, error) {
+	rows, version, err := rowstore.ReadAll(ctx, s, rowstore.Query{Table: tableMembers, Part: membersPart})
+	if err != nil {
+		return nil, 0, err
+	}
+	var all []Daemon
+	for _, row := range rows {
+		if d, ok := decodeDaemon(row); ok {
+			all = append(all, d)
+		}
+	}
+	return all, version, nil
+}
+
+func decodeDaemon(row rowstore.Row) (Daemon, bool) {
+	var d Daemon
+	if row.Gone || json.Unmarshal(row.Value, &d) != nil || d.Node == "" || d.Address == "" {
+		return Daemon{}, false
+	}
+	return d, true
+}
+
+// Follow calls found with each daemon that stands in the store or comes later,
+// until the context ends.
+func Follow(ctx context.Context, s rowstore.Store, found func(Daemon), log logr.Logger) {
+	FollowTable(ctx, s, tableMembers, log, func(ctx context.Context) (uint64, error) {
+		all, version, err := ReadDaemons(ctx, s)
+		for _, d := range all {
+			found(d)
+		}
+		return version, err
+	}, func(row rowstore.Row) {
+		if d, ok := decodeDaemon(row); ok {
+			found(d)
+		}
+	})
+}
+
+// FollowTable reads a table anew and then takes in its changes, until the
+// context ends. A forgotten history makes it read anew.
+func FollowTable(ctx context.Context, s rowstore.Store, table string, log logr.Logger, readAll func(context.Context) (uint64, error), change func(rowstore.Row)) {
+	fresh := false
+	var version uint64
+	pause := retryPause
+	for ctx.Err() == nil {
+		err := error(nil)
+		if !fresh {
+			version, err = withTimeout(ctx, callTimeout, readAll)
+			fresh = err == nil
+		}
+		if err == nil {
+			version, err = followOnce(ctx, s, table, version, change)
+		}
+		switch {
+		case err == nil:
+			pause = retryPause
+		case errors.Is(err, rowstore.ErrHistoryGone):
+			log.Info("History is gone; reading anew.", "table", table, "version", version)
+			fresh = false
+		default:
+			log.V(1).Info("Can't follow a table.", "table", table, "version", version, "error", err.Error())
+			sleep(ctx, pause)
+			pause = min(2*pause, mostPause)
+		}
+	}
+}
+
+func followOnce(ctx context.Context, s rowstore.Store, table string, version uint64, change func(rowstore.Row)) (uint64, error) {
+	callCtx, cancel := context.WithTimeout(ctx, feedWait+feedMargin)
+	defer cancel()
+	page, err := s.Changes(callCtx, table, version, feedWait)
+	if err != nil {
+		return version, err
+	}
+	for _, row := range page.Rows {
+		change(row)
+	}
+	return max(version, page.Version), nil
+}
+
+func withTimeout[A any](ctx context.Context, d time.Duration, f func(context.Context) (A, error)) (A, error) {
+	callCtx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	return f(callCtx)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/node/agent.go
@@ -0,0 +1,67 @@
+package node
+
+import (
+	"context"
+	"net"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"rackspur/gate"
+	"rackspur/member"
+	"rackspur/peer"
+	"rackspur/peer/peerpb"
+	"rackspur/rpc"
+)
+
+// Agent is an agent daemon: the gate beside an executor.
+type Agent struct {
+	options  Options
+	executor gate.Executor
+	listener net.Listener
+	log      logr.Logger
+	driver   *gate.Driver
+	seeds    *seeds
+	daemon   member.Daemon
+}
+
+// NewAgent returns an agent daemon that listens for other daemons. The context
+// ends its calls to the executor.
+func NewAgent(ctx context.Context, o Options, e gate.Executor) (*Agent, error) {
+	listener, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, eris.Wrap(ErrServe, err.Error())
+	}
+	incarnation := o.Node + "~" + uuid.NewString()[:8]
+	g := gate.New(gate.Options{Node: o.Node, Incarnation: incarnation, MaxHold: o.MaxHold, Contact: contact})
+	return &Agent{
+		options: o, executor: e, listener: listener, log: o.Log,
+		driver: gate.NewDriver(ctx, g, e, o.Log),
+		seeds:  newSeeds(o.Seeds, o.Listen, o.Metrics),
+		daemon: member.Daemon{Node: o.Node, Role: member.RoleAgent, Zone: o.Zone, Address: o.Listen, Incarnation: incarnation},
+	}, nil
+}
+
+// Driver returns the driver of the gate.
+func (a *Agent) Driver() *gate.Driver { return a.driver }
+
+// Run serves until the context ends.
+func (a *Agent) Run(ctx context.Context) error {
+	server := rpc.NewServer(a.options.Metrics)
+	peerpb.RegisterPeerServer(server, &peer.Server{
+		Node: a.options.Node, Gate: a.driver, Direct: a.options.Store, Metrics: a.options.Metrics, Log: a.log,
+	})
+	go func() { _ = server.Serve(a.listener) }()
+	defer server.Stop()
+	store := peer.NewRelayedStore(a.options.Store, a)
+	go member.Register(ctx, store, a.daemon, a.log)
+	a.driver.Run(ctx)
+	return nil
+}
+
+// Some implements peer.Peers.Some with the seeds.
+func (a *Agent) Some(n int) []peerpb.PeerClient { return a.seeds.some(n) }
+
+// Stop makes the gate take no more orders and waits until it is idle.
+func (a *Agent) Stop(ctx context.Context) { a.driver.Drain(ctx) }
--- /dev/null
+++ b/node/ask.go
@@ -0,0 +1,256 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+
+	"rackspur/job"
+	"rackspur/member"
+	"rackspur/observe"
+	"rackspur/owner"
+	"rackspur/peer/peerpb"
+	"rackspur/rowstore"
+	"rackspur/rpc"
+)
+
+// Errors of questions about jobs.
+var (
+	// ErrUnknownJob says that no such job exists.
+	ErrUnknownJob = eris.New("node: unknown job")
+	// ErrUnsure says that the state of a job can't be told now.
+	ErrUnsure = eris.New("node: state of the job can't be told now")
+)
+
+// endPatience is how long a question for a state waits for the end of a job.
+const endPatience = 40 * time.Millisecond
+
+// JobState returns the state of a job, whoever owns it.
+func (e *Entry) JobState(ctx context.Context, id job.ID) (job.State, error) {
+	if t := e.current.Load(); t != nil {
+		waitCtx, cancel := context.WithTimeout(ctx, endPatience)
+		state, ok := t.owner.AwaitEnd(waitCtx, id)
+		cancel()
+		if ok {
+			return state, nil
+		}
+	}
+	record, err := e.readRecord(ctx, id)
+	switch {
+	case err != nil:
+		return "", ErrUnsure
+	case record != nil:
+		return e.askState(ctx, record), nil
+	}
+	final, err := e.readFinal(ctx, id)
+	switch {
+	case err != nil:
+		return "", ErrUnsure
+	case final != nil:
+		return final.State, nil
+	}
+	return "", ErrUnknownJob
+}
+
+// askState asks the owner of a job that has not ended for its state.
+func (e *Entry) askState(ctx context.Context, r *job.Record) job.State {
+	a, err := e.ask(ctx, r.Owner, &peerpb.Question{Kind: peerpb.Question_STATE, Job: string(r.ID)})
+	if err != nil || !a.GetKnown() || a.GetState() == "" {
+		return job.StateRunning
+	}
+	return job.State(a.GetState())
+}
+
+// CancelJob cancels a job, whoever owns it. Nil says that it is durable.
+func (e *Entry) CancelJob(ctx context.Context, id job.ID) error {
+	result := make(chan bool, 1)
+	if e.Cancel(id, func(ok bool) { result <- ok }) {
+		select {
+		case ok := <-result:
+			if ok {
+				return nil
+			}
+		case <-ctx.Done():
+		}
+		return ErrUnsure
+	}
+	record, err := e.readRecord(ctx, id)
+	if err != nil {
+		return ErrUnsure
+	}
+	if record != nil {
+		a, err := e.ask(ctx, record.Owner, &peerpb.Question{Kind: peerpb.Question_CANCEL, Job: string(id)})
+		if err != nil || !a.GetKnown() || a.GetFailed() {
+			return ErrUnsure
+		}
+		return nil
+	}
+	final, err := e.readFinal(ctx, id)
+	switch {
+	case err != nil:
+		return ErrUnsure
+	case final == nil:
+		return ErrUnknownJob
+	}
+	return nil
+}
+
+// PendingJobs counts the jobs of a queue none of whose tasks has begun, at all
+// entry daemons that answer.
+func (e *Entry) PendingJobs(ctx context.Context, queue string) int {
+	total := e.Pending(queue)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for _, d := range e.known() {
+		if d.Role != member.RoleEntry || d.Node == e.options.Node {
+			continue
+		}
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			a, err := e.askDaemon(ctx, d, &peerpb.Question{Kind: peerpb.Question_PENDING, Queue: queue})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			total += int(a.GetPending())
+		}()
+	}
+	wait.Wait()
+	return total
+}
+
+func (e *Entry) readRecord(ctx context.Context, id job.ID) (*job.Record, error) {
+	row, ok, err := rowstore.ReadOne(ctx, e.store, owner.RowKey(owner.TableJobs, id, e.options.Parts))
+	if err != nil || !ok {
+		return nil, err
+	}
+	return job.DecodeRecord(row.Value)
+}
+
+func (e *Entry) readFinal(ctx context.Context, id job.ID) (*job.Final, error) {
+	row, ok, err := rowstore.ReadOne(ctx, e.store, owner.RowKey(owner.TableFinished, id, e.options.Parts))
+	if err != nil || !ok {
+		return nil, err
+	}
+	return job.DecodeFinal(row.Value)
+}
+
+// ask asks the daemon of a life.
+func (e *Entry) ask(ctx context.Context, incarnation string, q *peerpb.Question) (*peerpb.Answer, error) {
+	node, _, _ := strings.Cut(incarnation, "~")
+	e.mu.Lock()
+	d, ok := e.daemons[node]
+	e.mu.Unlock()
+	if !ok {
+		return nil, ErrUnsure
+	}
+	a, err := e.askDaemon(ctx, d, q)
+	if err == nil && a.GetIncarnation() != incarnation {
+		return nil, ErrUnsure
+	}
+	return a, err
+}
+
+func (e *Entry) askDaemon(ctx context.Context, d member.Daemon, q *peerpb.Question) (*peerpb.Answer, error) {
+	client, err := e.askClient(d.Address)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	a, err := client.Ask(ctx, q)
+	if err != nil {
+		e.dropAsk(d.Address)
+	}
+	return a, err
+}
+
+// askClient is a connection to another entry daemon.
+type askClient struct {
+	conn *grpc.ClientConn
+	peerpb.PeerClient
+}
+
+func (e *Entry) askClient(address string) (*askClient, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c := e.asks[address]; c != nil {
+		return c, nil
+	}
+	conn, err := rpc.Dial(address, e.options.Metrics)
+	if err != nil {
+		return nil, err
+	}
+	c := &askClient{conn: conn, PeerClient: peerpb.NewPeerClient(conn)}
+	e.asks[address] = c
+	return c, nil
+}
+
+// dropAsk closes a connection that has failed, so that the next question does
+// not wait for it.
+func (e *Entry) dropAsk(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if c := e.asks[address]; c != nil {
+		_ = c.conn.Close()
+		delete(e.asks, address)
+	}
+}
+
+// seeds are daemons that are asked while none is known.
+type seeds struct {
+	addresses []string
+	metrics   *observe.Metrics
+	mu        sync.Mutex
+	conns     map[string]*grpc.ClientConn
+}
+
+func newSeeds(addresses []string, self string, m *observe.Metrics) *seeds {
+	s := &seeds{metrics: m, conns: map[string]*grpc.ClientConn{}}
+	for _, a := range addresses {
+		if a != self {
+			s.addresses = append(s.addresses, a)
+		}
+	}
+	return s
+}
+
+func (s *seeds) some(n int) []peerpb.PeerClient {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var clients []peerpb.PeerClient
+	for _, i := range rand.Perm(len(s.addresses)) {
+		if len(clients) == n {
+			break
+		}
+		address := s.addresses[i]
+		conn := s.conns[address]
+		if conn == nil {
+			var err error
+			if conn, err = rpc.Dial(address, s.metrics); err != nil {
+				continue
+			}
+			s.conns[address] = conn
+		}
+		clients = append(clients, peerpb.NewPeerClient(conn))
+	}
+	return clients
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,244 @@
+// Package node puts the parts of a daemon together: an entry daemon owns jobs,
+// an agent daemon is the gate beside an executor.
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+
+	"rackspur/job"
+	"rackspur/member"
+	"rackspur/observe"
+	"rackspur/owner"
+	"rackspur/peer"
+	"rackspur/peer/peerpb"
+	"rackspur/route"
+	"rackspur/rowstore"
+	"rackspur/rpc"
+)
+
+// ErrServe says that a daemon's port can't be served.
+var ErrServe = eris.New("node: can't serve")
+
+// Options are what a daemon is made with.
+type Options struct {
+	Node string
+	Zone string
+	// Listen is the address for other daemons.
+	Listen string
+	// Seeds are addresses of a few other daemons, maybe stale.
+	Seeds []string
+	// Parts is the number of parts of the store that jobs are spread over.
+	Parts        int
+	MaxHold      time.Duration
+	KeepFinished time.Duration
+	Store        rowstore.Store
+	Metrics      *observe.Metrics
+	Log          logr.Logger
+}
+
+// contact is how long a gate lets runs go on without word from their owner.
+const contact = 1400 * time.Millisecond
+
+// Times of an entry daemon.
+const (
+	tickPause = 10 * time.Millisecond
+	pollPause = 400 * time.Millisecond
+	// commitDelay is how long the first of several writes waits for others.
+	commitDelay = time.Millisecond
+	askTimeout  = 400 * time.Millisecond
+	readTimeout = time.Second
+)
+
+// FollowConfiguration reads the configuration and follows its changes until
+// the context ends.
+type FollowConfiguration func(ctx context.Context, s rowstore.Store, found func(*route.Table), log logr.Logger)
+
+// Entry is an entry daemon.
+type Entry struct {
+	options Options
+	follow  FollowConfiguration
+	routes  route.Holder
+	log     logr.Logger
+	started time.Time
+	// store reaches the platform's store directly or through peers.
+	store    *peer.RelayedStore
+	listener net.Listener
+	seeds    *seeds
+	current  atomic.Pointer[term]
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	daemons map[string]member.Daemon
+	asks    map[string]*askClient
+}
+
+// NewEntry returns an entry daemon that listens for other daemons.
+func NewEntry(o Options, follow FollowConfiguration) (*Entry, error) {
+	listener, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, eris.Wrap(ErrServe, err.Error())
+	}
+	e := &Entry{
+		options: o, follow: follow, log: o.Log, started: time.Now(), listener: listener,
+		daemons: map[string]member.Daemon{}, asks: map[string]*askClient{},
+		seeds: newSeeds(o.Seeds, o.Listen, o.Metrics),
+	}
+	e.store = peer.NewRelayedStore(o.Store, e)
+	return e, nil
+}
+
+// Some implements peer.Peers.Some with linked agents, or seeds before there are any.
+func (e *Entry) Some(n int) []peerpb.PeerClient {
+	if t := e.current.Load(); t != nil {
+		if some := t.links.Some(n); len(some) > 0 {
+			return some
+		}
+	}
+	return e.seeds.some(n)
+}
+
+// Run serves until the context ends.
+func (e *Entry) Run(ctx context.Context) error {
+	server := rpc.NewServer(e.options.Metrics)
+	peerpb.RegisterPeerServer(server, &peer.Server{
+		Node: e.options.Node, Owner: e, Direct: e.options.Store, Metrics: e.options.Metrics, Log: e.log,
+	})
+	go func() { _ = server.Serve(e.listener) }()
+	defer server.Stop()
+	go e.follow(ctx, e.store, e.takeRoutes, e.log)
+	go member.Follow(ctx, e.store, e.found, e.log)
+	for ctx.Err() == nil {
+		e.runTerm(ctx)
+	}
+	return nil
+}
+
+// takeRoutes takes in a version of the configuration.
+func (e *Entry) takeRoutes(t *route.Table) {
+	if e.routes.Take(t) {
+		e.log.Info("Configuration in force.", "version", t.Version, "routes", len(t.Routes))
+	}
+}
+
+// Routes returns the configuration in force, or nil before the first.
+func (e *Entry) Routes() *route.Table { return e.routes.Current() }
+
+// found takes in a daemon of the membership.
+func (e *Entry) found(d member.Daemon) {
+	e.mu.Lock()
+	e.daemons[d.Node] = d
+	e.mu.Unlock()
+	if t := e.current.Load(); t != nil {
+		t.keep(d)
+	}
+}
+
+// known returns the daemons of the membership.
+func (e *Entry) known() []member.Daemon {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	all := make([]member.Daemon, 0, len(e.daemons))
+	for _, d := range e.daemons {
+		all = append(all, d)
+	}
+	return all
+}
+
+// runTerm runs one life of the owner until it is fenced or the context ends.
+func (e *Entry) runTerm(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	incarnation := e.options.Node + "~" + uuid.NewString()[:8]
+	t, err := e.newTerm(ctx, incarnation)
+	if err != nil {
+		return
+	}
+	e.current.Store(t)
+	for _, d := range e.known() {
+		t.keep(d)
+	}
+	e.log.Info("Life begun.", "incarnation", incarnation)
+	go member.Register(ctx, e.store, t.daemon, e.log)
+	t.run(ctx)
+}
+
+// Ready says whether the daemon should get new connections.
+func (e *Entry) Ready() bool {
+	t := e.current.Load()
+	return t != nil && !e.stopping.Load() && e.routes.Current() != nil && t.owner.Active() && t.links.Linked() > 0
+}
+
+// Submit hands in a job.
+func (e *Entry) Submit(ctx context.Context, s job.Submission) owner.SubmitResult {
+	t := e.current.Load()
+	if t == nil {
+		return owner.SubmitRefused
+	}
+	result := make(chan owner.SubmitResult, 1)
+	t.owner.Submit(s, func(r owner.SubmitResult) { result <- r })
+	select {
+	case r := <-result:
+		return r
+	case <-ctx.Done():
+		return t.owner.GiveUp(s.ID)
+	}
+}
+
+// Incarnation implements peer.Asked.Incarnation.
+func (e *Entry) Incarnation() string {
+	if t := e.current.Load(); t != nil {
+		return t.daemon.Incarnation
+	}
+	return ""
+}
+
+// State implements peer.Asked.State.
+func (e *Entry) State(id job.ID) (job.State, bool) {
+	t := e.current.Load()
+	if t == nil {
+		return "", false
+	}
+	return t.owner.State(id)
+}
+
+// Cancel implements peer.Asked.Cancel.
+func (e *Entry) Cancel(id job.ID, done func(ok bool)) bool {
+	t := e.current.Load()
+	return t != nil && t.owner.Cancel(id, done)
+}
+
+// Pending implements peer.Asked.Pending.
+func (e *Entry) Pending(queue string) int {
+	t := e.current.Load()
+	if t == nil {
+		return 0
+	}
+	return t.owner.Pending(queue)
+}
+
+// Stop makes the daemon unready, waits until its jobs have ended or the context
+// ends, and releases its life so that others take over the rest.
+func (e *Entry) Stop(ctx context.Context) {
+	e.stopping.Store(true)
+	t := e.current.Load()
+	if t == nil {
+		return
+	}
+	ticker := time.NewTicker(tickPause)
+	defer ticker.Stop()
+	for t.owner.Live() > 0 && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	t.release()
+}
--- /dev/null
+++ b/owner/adopt.go
@@ -0,0 +1,166 @@
+package owner
+
+import (
+	"rackspur/gate"
+	"rackspur/job"
+)
+
+// foundRun is a run that a gate told of while its job was being taken over.
+type foundRun struct {
+	gate  string
+	state gate.RunState
+}
+
+// Adopted is a job taken over from a life that is over, with the version of its
+// row under this owner.
+type Adopted struct {
+	Record  job.Record
+	Version uint64
+}
+
+// adoption is the take-over of the jobs of some lives.
+type adoption struct {
+	lives []string
+	// from is when the lives were surely over.
+	from Time
+	jobs []*liveJob
+	// asked are the gates that may have runs of these lives.
+	asked map[string]bool
+}
+
+// StartAdoption makes the gates tell of the runs of lives that are over. Gates
+// answer while the jobs are being read; Adopt then brings the jobs.
+func (o *Owner) StartAdoption(lives []string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.adopted = append(o.adopted, lives...)
+	for _, v := range o.gates {
+		v.adopt = append(v.adopt, lives...)
+		v.poke()
+	}
+}
+
+// Adopt takes over jobs of lives that are over.
+func (o *Owner) Adopt(lives []string, from Time, jobs []Adopted) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.options.Now()
+	a := &adoption{lives: lives, from: from, asked: map[string]bool{}}
+	for _, v := range o.gates {
+		a.asked[v.name] = true
+	}
+	for _, adopted := range jobs {
+		if o.jobs[adopted.Record.ID] != nil {
+			continue
+		}
+		j := newLiveJob(adopted.Record, now)
+		j.setUrgency()
+		j.version = adopted.Version
+		j.phase = jobAdopting
+		j.begun = true
+		o.jobs[adopted.Record.ID] = j
+		a.jobs = append(a.jobs, j)
+		o.stats.Adopted++
+	}
+	o.adoptions = append(o.adoptions, a)
+	// The gates tell anew of what they know, now that the jobs are known.
+	for _, v := range o.gates {
+		for _, life := range lives {
+			delete(v.adopted, life)
+		}
+		v.adopt = append(v.adopt, lives...)
+		v.poke()
+	}
+	o.checkAdoptions(now)
+}
+
+// checkAdoptions goes on with adoptions for which every gate has told of its
+// runs, or its runs are surely over.
+func (o *Owner) checkAdoptions(now Time) {
+	rest := o.adoptions[:0]
+	for _, a := range o.adoptions {
+		if !o.allTold(now, a) {
+			rest = append(rest, a)
+			continue
+		}
+		for _, j := range a.jobs {
+			if o.jobs[j.record.ID] == j {
+				o.resume(now, j)
+			}
+		}
+	}
+	o.adoptions = rest
+}
+
+func (o *Owner) allTold(now Time, a *adoption) bool {
+	if now-a.from > o.overAfter() {
+		return true
+	}
+	for name := range a.asked {
+		v := o.gates[name]
+		for _, life := range a.lives {
+			if v != nil && !v.adopted[life] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// resume goes on with a job that was taken over: of each task the newest run
+// counts, all others are discarded.
+func (o *Owner) resume(now Time, j *liveJob) {
+	if j.phase == jobAdopting {
+		j.phase = jobLive
+	}
+	found := j.found
+	j.found = nil
+	for _, f := range found {
+		t := j.find(f.state.Name.TaskName)
+		if t.phase != taskDone && f.state.Name.Run > t.newest {
+			t.newest = f.state.Name.Run
+		}
+	}
+	for _, f := range found {
+		t := j.find(f.state.Name.TaskName)
+		v := o.gates[f.gate]
+		if run, done := j.record.Done[t.index]; done && t.newest == 0 {
+			o.judgeDone(v, t, f.state, run)
+			continue
+		}
+		if f.state.Name.Run != t.newest {
+			o.onSuperseded(v, t, f.state)
+			continue
+		}
+		o.takeFound(now, v, t, f.state)
+	}
+	if j.left == 0 {
+		o.finish(now, j, job.StateCompleted)
+		return
+	}
+	if j.final == "" {
+		o.makeReady(now, j)
+		o.place(now)
+	}
+}
+
+// judgeDone answers for a run of a task whose end by another or this run is in
+// the record that was read.
+func (o *Owner) judgeDone(v *gateView, t *task, s gate.RunState, doneBy int) {
+	if s.Name.Run == doneBy && s.End != 0 {
+		v.judge(s.Name, gate.VerdictNote)
+		return
+	}
+	o.onSuperseded(v, t, s)
+}
+
+// takeFound takes over a run. Its number is below this owner's range, so that
+// later runs are above it.
+func (o *Owner) takeFound(now Time, v *gateView, t *task, s gate.RunState) {
+	if t.phase == taskBlocked {
+		t.run = s.Name.Run
+		t.gate = v.name
+		t.phase = taskPlaced
+	}
+	o.onCurrent(now, v, t, s)
+}
--- /dev/null
+++ b/owner/ends.go
@@ -0,0 +1,212 @@
+package owner
+
+import (
+	"rackspur/gate"
+	"rackspur/job"
+)
+
+// onState takes in what a gate says of a run.
+func (o *Owner) onState(now Time, v *gateView, s gate.RunState) {
+	j := o.jobs[s.Name.Job]
+	if j == nil {
+		o.onForeign(v, s)
+		return
+	}
+	t := j.find(s.Name.TaskName)
+	if t == nil {
+		v.judge(s.Name, gate.VerdictForeign)
+		return
+	}
+	if j.phase == jobAdopting {
+		j.found = append(j.found, foundRun{gate: v.name, state: s})
+		return
+	}
+	if s.Name.Run != t.run || (t.gate != v.name && t.phase != taskWaiting) {
+		o.onSuperseded(v, t, s)
+		return
+	}
+	o.onCurrent(now, v, t, s)
+}
+
+// onForeign answers for a run of a job that is not live here.
+func (o *Owner) onForeign(v *gateView, s gate.RunState) {
+	e := o.ended[s.Name.Job]
+	switch {
+	case s.End == gate.EndRejected || s.End == gate.EndLost:
+	case e == nil || e.runs == nil:
+		v.judge(s.Name, gate.VerdictForeign)
+		if s.End != 0 {
+			o.foreign[s.Name.Job] = append(o.foreign[s.Name.Job], endRef{gate: v.name, name: s.Name})
+		}
+	case s.End != 0 && (e.state != job.StateCompleted || e.runs[s.Name.TaskName] == s.Name.Run):
+		v.judge(s.Name, gate.VerdictNote)
+	default:
+		v.judge(s.Name, gate.VerdictDiscard)
+	}
+}
+
+// onSuperseded answers for a run that is not the newest of its task.
+func (o *Owner) onSuperseded(v *gateView, t *task, s gate.RunState) {
+	switch s.End {
+	case gate.EndRejected, gate.EndLost:
+	default:
+		o.stats.Discarded++
+		o.log.Info("Discarded a run.", "job", s.Name.Job, "task", t.index, "run", s.Name.Run, "newest", t.run, "gate", v.name, "end", s.End)
+		v.judge(s.Name, gate.VerdictDiscard)
+	}
+}
+
+// onCurrent takes in the state of the newest run of a task.
+func (o *Owner) onCurrent(now Time, v *gateView, t *task, s gate.RunState) {
+	j := t.job
+	switch {
+	case t.phase == taskDone:
+		if s.End != 0 {
+			o.noteWhenWritten(v, j, s.Name)
+		}
+		return
+	case s.End == 0:
+		o.onAlive(now, v, t, s)
+		return
+	}
+	if t.phase == taskWaiting {
+		o.waiting.remove(t)
+	}
+	if s.Checkpoint != "" {
+		t.checkpoint = s.Checkpoint
+	}
+	switch s.End {
+	case gate.EndDone:
+		o.onDone(now, v, t, s)
+	case gate.EndFailed:
+		o.onFailed(now, v, t, s)
+	default:
+		o.onBrokenOff(now, v, t, s)
+	}
+}
+
+// onAlive takes in that the newest run of a task is queued or runs.
+func (o *Owner) onAlive(now Time, v *gateView, t *task, s gate.RunState) {
+	if t.phase == taskWaiting {
+		// It was held to be over and has not been replaced.
+		o.waiting.remove(t)
+		t.gate = v.name
+		t.since = now
+	}
+	t.phase = taskPlaced
+	if s.Running {
+		t.phase = taskRunning
+		t.job.begun = true
+	}
+	v.claim(s.Name, t.step.Need)
+	if t.job.final != "" {
+		v.stop(s.Name)
+	}
+}
+
+func (o *Owner) onDone(now Time, v *gateView, t *task, s gate.RunState) {
+	j := t.job
+	t.phase = taskDone
+	t.gate = v.name
+	j.begun = true
+	j.left--
+	j.record.SetDone(t.index, s.Name.Run)
+	j.unwritten = append(j.unwritten, endRef{gate: v.name, name: s.Name})
+	if j.left == 0 {
+		o.finish(now, j, job.StateCompleted)
+		return
+	}
+	o.makeReady(now, j)
+	o.touch(now, j)
+}
+
+func (o *Owner) onFailed(now Time, v *gateView, t *task, s gate.RunState) {
+	j := t.job
+	o.stats.EndedFailed++
+	j.begun = true
+	j.record.AddFailure(t.index, s.Name.Run)
+	j.unwritten = append(j.unwritten, endRef{gate: v.name, name: s.Name})
+	t.avoidGate(v.name)
+	if len(j.record.Failed[t.index]) >= j.record.Queue.Attempts {
+		t.phase = taskBlocked
+		o.finish(now, j, job.StateFailed)
+		return
+	}
+	o.touch(now, j)
+	o.enqueue(now, t)
+}
+
+// onBrokenOff takes in a run that is over without a result.
+func (o *Owner) onBrokenOff(now Time, v *gateView, t *task, s gate.RunState) {
+	switch s.End {
+	case gate.EndRejected:
+		o.stats.Rejected++
+		t.avoidRejected(v, s)
+	case gate.EndLost:
+		o.stats.Lost++
+	default:
+		v.judge(s.Name, gate.VerdictNote)
+	}
+	o.enqueue(now, t)
+}
+
+// replace makes a task wait again whose run is over or never was.
+func (o *Owner) replace(now Time, t *task) {
+	o.enqueue(now, t)
+}
+
+func (t *task) avoidGate(name string) {
+	if t.avoid == nil {
+		t.avoid = map[string]bool{}
+	}
+	t.avoid[name] = true
+}
+
+// avoidRejected keeps a task from a gate whose executor turned it away.
+func (t *task) avoidRejected(v *gateView, s gate.RunState) {
+	if s.Reason == reasonTooLarge {
+		t.avoidGate(v.name)
+	}
+}
+
+// reasonTooLarge is a gate's reason for a run that its executor can never hold.
+const reasonTooLarge = "too large"
+
+// noteWhenWritten gives the verdict on an end that is in the record, at once
+// if the record is written.
+func (o *Owner) noteWhenWritten(v *gateView, j *liveJob, name job.RunName) {
+	for _, e := range j.unwritten {
+		if e.name == name {
+			return
+		}
+	}
+	for _, e := range j.inWrite {
+		if e.name == name {
+			return
+		}
+	}
+	v.judge(name, gate.VerdictNote)
+}
+
+func (v *gateView) judge(name job.RunName, kind gate.VerdictKind) {
+	v.verdicts = append(v.verdicts, gate.Verdict{Name: name, Kind: kind})
+	v.poke()
+}
+
+func (v *gateView) claim(name job.RunName, need job.Resources) {
+	v.verdicts = append(v.verdicts, gate.Verdict{Name: name, Kind: gate.VerdictClaim, Need: need})
+}
+
+func (v *gateView) stop(name job.RunName) {
+	v.stops = append(v.stops, name)
+	v.poke()
+}
+
+// note tells gates that ends are durable.
+func (o *Owner) note(ends []endRef) {
+	for _, e := range ends {
+		if v := o.gates[e.gate]; v != nil {
+			v.judge(e.name, gate.VerdictNote)
+		}
+	}
+}
--- /dev/null
+++ b/owner/foreign.go
@@ -0,0 +1,55 @@
+package owner
+
+import (
+	"rackspur/gate"
+	"rackspur/job"
+)
+
+// TakeForeign returns the jobs that this owner does not know and of which gates
+// have told ends, and forgets them. Their final records decide; see JudgeForeign.
+func (o *Owner) TakeForeign() []job.ID {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ids := make([]job.ID, 0, len(o.foreign))
+	for id := range o.foreign {
+		if o.jobs[id] == nil {
+			ids = append(ids, id)
+			continue
+		}
+		delete(o.foreign, id)
+	}
+	return ids
+}
+
+// JudgeForeign answers for the ends of a job that has ended elsewhere. A nil
+// record says that the job has not ended or is not known; its ends then wait
+// for their owner.
+func (o *Owner) JudgeForeign(id job.ID, f *job.Final) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	ends := o.foreign[id]
+	delete(o.foreign, id)
+	if f == nil {
+		return
+	}
+	for _, e := range ends {
+		v := o.gates[e.gate]
+		if v == nil {
+			continue
+		}
+		if f.State != job.StateCompleted || f.Done[taskNumber(f.Steps, e.name.TaskName)] == e.name.Run {
+			v.judge(e.name, gate.VerdictNote)
+			continue
+		}
+		v.judge(e.name, gate.VerdictDiscard)
+	}
+}
+
+// taskNumber returns the number of a task in the order of steps.
+func taskNumber(counts []int, name job.TaskName) int {
+	n := name.Index
+	for s := 0; s < name.Step && s < len(counts); s++ {
+		n += counts[s]
+	}
+	return n
+}
--- /dev/null
+++ b/owner/place.go
@@ -0,0 +1,168 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/job"
+)
+
+// Bounds of placing.
+const (
+	// queueShare is how much of an executor's room, in thousandths, may be queued
+	// at its gate, so that a run starts there without a message as another ends.
+	queueShare = 250
+	// slowFactor is how many times slower than the median an executor must be to
+	// be used last.
+	slowFactor = 2.0
+)
+
+// place sends waiting tasks to gates as far as there is room.
+func (o *Owner) place(now Time) {
+	if !o.active(now) || o.waiting.len() == 0 {
+		return
+	}
+	usable := o.usableGates()
+	var back []*task
+	misses := 0
+	for o.waiting.len() > 0 && len(usable) > 0 && misses < maxMisses {
+		t := o.waiting.pop()
+		v := o.choose(usable, t)
+		if v == nil {
+			back = append(back, t)
+			misses++
+			continue
+		}
+		o.send(now, v, t)
+	}
+	for _, t := range back {
+		o.waiting.push(t)
+	}
+}
+
+// maxMisses is how many tasks that find no room are looked at in one go.
+const maxMisses = 8
+
+func (o *Owner) usableGates() []*gateView {
+	var usable []*gateView
+	for _, v := range o.gates {
+		if v.linked && v.report.Open && !v.report.Suspect {
+			usable = append(usable, v)
+		}
+	}
+	slices.SortFunc(usable, func(a, b *gateView) int { return compare(a.name, b.name) })
+	return usable
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// choose returns the gate that a task goes to, or nil.
+func (o *Owner) choose(usable []*gateView, t *task) *gateView {
+	median := medianSlowness(usable)
+	var best *gateView
+	bestScore := 0.0
+	for _, v := range usable {
+		score, ok := o.score(v, t, median)
+		if ok && (best == nil || score > bestScore) {
+			best = v
+			bestScore = score
+		}
+	}
+	if best == nil && o.avoidsAll(usable, t) {
+		t.avoid = nil
+	}
+	return best
+}
+
+// score rates a gate for a task; higher is better.
+func (o *Owner) score(v *gateView, t *task, median float64) (float64, bool) {
+	capacity := v.report.Capacity
+	if t.avoid[v.name] || v.report.Service != t.job.record.Queue.Service || capacity.CPU == 0 || !capacity.Fits(t.step.Need) {
+		return 0, false
+	}
+	if t.step.Label != "" && !slices.Contains(v.report.Labels, t.step.Label) {
+		return 0, false
+	}
+	if t.step.Spread > 0 && o.onGate(v, t) >= t.step.Spread {
+		return 0, false
+	}
+	free := v.free()
+	room := free.Plus(job.Resources{CPU: capacity.CPU * queueShare / 1000, Memory: capacity.Memory, GPU: capacity.GPU})
+	if !room.Fits(t.step.Need) {
+		return 0, false
+	}
+	score := float64(free.CPU-t.step.Need.CPU)/float64(capacity.CPU) + o.random.Float64()*0.02
+	if median > 0 && v.report.Slowness > slowFactor*median {
+		score -= 1
+	}
+	if t.step.Rack != "" && !slices.Contains(v.report.Labels, t.step.Rack) {
+		score -= 0.5
+	}
+	return score, true
+}
+
+// onGate counts the tasks of a task's step that are on a gate.
+func (o *Owner) onGate(v *gateView, t *task) int {
+	n := 0
+	for _, other := range t.job.tasks {
+		if other.step == t.step && other.gate == v.name && (other.phase == taskPlaced || other.phase == taskRunning) {
+			n++
+		}
+	}
+	return n
+}
+
+// avoidsAll says whether a task avoids every gate that it could use.
+func (o *Owner) avoidsAll(usable []*gateView, t *task) bool {
+	for _, v := range usable {
+		if !t.avoid[v.name] {
+			return false
+		}
+	}
+	return true
+}
+
+func medianSlowness(usable []*gateView) float64 {
+	var all []float64
+	for _, v := range usable {
+		if v.report.Slowness > 0 {
+			all = append(all, v.report.Slowness)
+		}
+	}
+	if len(all) == 0 {
+		return 0
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
+// send orders a run of a task at a gate.
+func (o *Owner) send(now Time, v *gateView, t *task) {
+	t.run = max(t.run+1, job.FirstRun(t.job.record.Generation))
+	t.phase = taskPlaced
+	t.gate = v.name
+	t.since = now
+	o.stats.Placed++
+	v.starts = append(v.starts, gate.Order{
+		Name: t.runName(), Spec: t.job.record.Spec, Need: t.step.Need,
+		Estimate:   time.Duration(t.step.EstimateMS) * time.Millisecond,
+		Rank:       o.rank(now, v, t),
+		Checkpoint: t.checkpoint,
+	})
+	v.poke()
+}
+
+// rank translates a job's urgency to the gate's clock, in microseconds.
+func (o *Owner) rank(now Time, v *gateView, t *task) int64 {
+	gateNow := v.clock + (now - v.heard)
+	return (gateNow + t.job.urgency - now).Microseconds()
+}
--- /dev/null
+++ b/owner/write.go
@@ -0,0 +1,159 @@
+package owner
+
+import (
+	"rackspur/job"
+	"rackspur/rowstore"
+)
+
+// touch marks a record as changed; it is written after a short time.
+func (o *Owner) touch(now Time, j *liveJob) {
+	if !j.dirty {
+		j.dirty = true
+		j.dirtySince = now
+	}
+}
+
+// writeProgress writes the records that have changed for long enough.
+func (o *Owner) writeProgress(now Time) {
+	for _, j := range o.jobs {
+		if j.dirty && !j.writing && j.phase == jobLive && now-j.dirtySince >= progressDelay {
+			o.writeRecord(j)
+		}
+	}
+}
+
+func (o *Owner) writeRecord(j *liveJob) {
+	j.writing = true
+	j.dirty = false
+	j.inWrite = j.unwritten
+	j.unwritten = nil
+	j.record.Sequence++
+	key := o.key(TableJobs, j.record.ID)
+	o.writer.Add(o.part(j.record.ID), &rowstore.Write{
+		Transaction: rowstore.Transaction{
+			Conditions: []rowstore.Condition{{Key: key, Version: j.version}},
+			Puts:       []rowstore.Put{{Key: key, Value: j.record.Encode()}},
+		},
+		Done: func(out rowstore.Outcome, err error) { o.wroteRecord(j, out, err) },
+	})
+}
+
+func (o *Owner) wroteRecord(j *liveJob, out rowstore.Outcome, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	j.writing = false
+	if err != nil {
+		o.lostJob(j, err)
+		return
+	}
+	j.version = out.Version
+	o.note(j.inWrite)
+	j.inWrite = nil
+	if j.phase == jobEnding {
+		o.writeFinal(j)
+	}
+}
+
+// lostJob drops a job whose row another life has changed.
+func (o *Owner) lostJob(j *liveJob, err error) {
+	o.log.Info("Lost a job to another owner.", "job", j.record.ID, "error", err.Error())
+	delete(o.jobs, j.record.ID)
+	for _, t := range j.tasks {
+		o.waiting.remove(t)
+	}
+	j.tellWaiters()
+}
+
+// finish ends a job in a state once that is durable. Until then no task of it
+// starts any more.
+func (o *Owner) finish(now Time, j *liveJob, state job.State) {
+	if j.final != "" {
+		return
+	}
+	j.final = state
+	j.phase = jobEnding
+	for _, t := range j.tasks {
+		o.waiting.remove(t)
+	}
+	if !j.writing {
+		o.writeFinal(j)
+	}
+}
+
+func (o *Owner) writeFinal(j *liveJob) {
+	j.writing = true
+	j.inWrite = append(j.inWrite, j.unwritten...)
+	j.unwritten = nil
+	id := j.record.ID
+	live, finished := o.key(TableJobs, id), o.key(TableFinished, id)
+	final := job.Final{
+		Queue: j.record.Queue.Name, State: j.final, EndedMS: o.options.WallClock().UnixMilli(),
+		Done:  j.record.Done,
+		Steps: j.stepCounts(),
+		Owner: o.options.Incarnation, Sequence: j.record.Sequence + 1,
+	}
+	o.writer.Add(o.part(id), &rowstore.Write{
+		Transaction: rowstore.Transaction{
+			Conditions: []rowstore.Condition{{Key: live, Version: j.version}, {Key: finished}},
+			Puts:       []rowstore.Put{{Key: finished, Value: final.Encode()}},
+			Deletes:    []rowstore.Key{live},
+		},
+		Done: func(_ rowstore.Outcome, err error) { o.wroteFinal(j, err) },
+	})
+}
+
+func (o *Owner) wroteFinal(j *liveJob, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	now := o.options.Now()
+	j.writing = false
+	if err != nil {
+		o.lostJob(j, err)
+		return
+	}
+	o.countEnd(now, j)
+	e := &endedJob{state: j.final, queue: j.record.Queue.Name, at: now, runs: map[job.TaskName]int{}}
+	for _, t := range j.tasks {
+		if run, ok := j.record.Done[t.index]; ok {
+			e.runs[t.name] = run
+		}
+	}
+	o.ended[j.record.ID] = e
+	delete(o.jobs, j.record.ID)
+	o.note(j.inWrite)
+	o.note(j.unwritten)
+	for _, t := range j.tasks {
+		o.stopEverywhere(t)
+	}
+	for _, f := range j.found {
+		o.onForeign(o.gates[f.gate], f.state)
+	}
+	j.tellWaiters()
+}
+
+// stopEverywhere stops the run of a task of a job that has ended.
+func (o *Owner) stopEverywhere(t *task) {
+	if t.phase != taskPlaced && t.phase != taskRunning {
+		return
+	}
+	if v := o.gates[t.gate]; v != nil {
+		v.stop(t.runName())
+	}
+}
+
+func (o *Owner) countEnd(now Time, j *liveJob) {
+	switch j.final {
+	case job.StateCompleted:
+		o.stats.Completed++
+	case job.StateFailed:
+		o.stats.Failed++
+	case job.StateCancelled:
+		o.stats.Cancelled++
+	}
+	switch {
+	case now > j.lateBy:
+		o.stats.VeryLate++
+	case now > j.objective:
+		o.stats.Late++
+	}
+}
--- /dev/null
+++ b/peer/links.go
@@ -0,0 +1,220 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
+
+	"rackspur/gate"
+	"rackspur/member"
+	"rackspur/observe"
+	"rackspur/peer/peerpb"
+	"rackspur/rpc"
+)
+
+// Times of the links that an owner keeps.
+const (
+	firstFrameTimeout = 700 * time.Millisecond
+	leastBackoff      = 50 * time.Millisecond
+	mostBackoff       = 500 * time.Millisecond
+	// relayedFor is how long a link through a peer is kept before the direct way
+	// is tried again.
+	relayedFor = 5 * time.Second
+)
+
+// Owner is the owner whose links are kept.
+type Owner interface {
+	Active() bool
+	LinkUp(gate string, link uint64, wake func())
+	LinkDown(gate string, link uint64)
+	Flush(gate string, link uint64) (gate.OwnerFrame, bool)
+	OnFrame(gate string, link uint64, f gate.Frame)
+}
+
+// Links keeps a link to each gate.
+type Links struct {
+	incarnation string
+	owner       Owner
+	metrics     *observe.Metrics
+	log         logr.Logger
+	counter     atomic.Uint64
+
+	mu      sync.Mutex
+	daemons map[string]member.Daemon
+	// up has the connections of the links that have brought a frame.
+	up map[string]*grpc.ClientConn
+}
+
+// NewLinks returns links of an owner's life.
+func NewLinks(incarnation string, o Owner, m *observe.Metrics, log logr.Logger) *Links {
+	return &Links{incarnation: incarnation, owner: o, metrics: m, log: log, daemons: map[string]member.Daemon{}, up: map[string]*grpc.ClientConn{}}
+}
+
+// Keep keeps a link to a daemon's gate until the context ends; a daemon that is
+// known already only changes its address.
+func (l *Links) Keep(ctx context.Context, d member.Daemon) {
+	l.mu.Lock()
+	_, known := l.daemons[d.Node]
+	l.daemons[d.Node] = d
+	l.mu.Unlock()
+	if !known {
+		go l.keep(ctx, d.Node)
+	}
+}
+
+func (l *Links) daemon(node string) member.Daemon {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.daemons[node]
+}
+
+// Some implements Peers.Some with the daemons that are linked.
+func (l *Links) Some(n int) []peerpb.PeerClient {
+	l.mu.Lock()
+	conns := make([]*grpc.ClientConn, 0, len(l.up))
+	for _, c := range l.up {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	var clients []peerpb.PeerClient
+	for _, c := range shuffled(conns, n) {
+		clients = append(clients, peerpb.NewPeerClient(c))
+	}
+	return clients
+}
+
+// relayFor returns the address of a linked daemon other than the target, or "".
+func (l *Links) relayFor(node string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var addresses []string
+	for name := range l.up {
+		if name != node {
+			addresses = append(addresses, l.daemons[name].Address)
+		}
+	}
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[rand.IntN(len(addresses))]
+}
+
+// keep makes links to a gate, one after the other; after a failure it tries
+// through a peer and directly by turns.
+func (l *Links) keep(ctx context.Context, node string) {
+	backoff := leastBackoff
+	for try := 0; ctx.Err() == nil; try++ {
+		if !l.owner.Active() {
+			sleep(ctx, leastBackoff)
+			continue
+		}
+		d := l.daemon(node)
+		relay := ""
+		if try%2 == 1 {
+			relay = l.relayFor(node)
+		}
+		if l.link(ctx, d, relay) {
+			l.log.Info("Lost the link to a gate.", "gate", node, "relay", relay)
+			backoff = leastBackoff
+			try = 1
+			continue
+		}
+		sleep(ctx, backoff)
+		backoff = min(2*backoff, mostBackoff)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	await(ctx, nil, d)
+}
+
+// link keeps one link until it fails; worked says whether it has brought a frame.
+func (l *Links) link(ctx context.Context, d member.Daemon, relay string) (worked bool) {
+	address := d.Address
+	if relay != "" {
+		address = relay
+	}
+	conn, err := rpc.Dial(address, l.metrics)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	streamCtx := ctx
+	if relay != "" {
+		streamCtx = metadata.AppendToOutgoingContext(ctx, targetHeader, d.Address)
+		stop := time.AfterFunc(relayedFor, cancel)
+		defer stop.Stop()
+	}
+	watchdog := time.AfterFunc(firstFrameTimeout, cancel)
+	defer watchdog.Stop()
+	stream, err := peerpb.NewPeerClient(conn).Link(streamCtx)
+	if err != nil {
+		return false
+	}
+	number := l.counter.Add(1)
+	hello := &peerpb.OwnerHello{Incarnation: l.incarnation, Link: number, Gate: d.Node}
+	if stream.Send(&peerpb.OwnerFrame{Hello: hello}) != nil {
+		return false
+	}
+	return l.serve(ctx, cancel, stream, d.Node, number, conn, watchdog)
+}
+
+func (l *Links) serve(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[peerpb.OwnerFrame, peerpb.GateFrame], node string, number uint64, conn *grpc.ClientConn, watchdog *time.Timer) (worked bool) {
+	wake := make(chan struct{}, 1)
+	l.owner.LinkUp(node, number, poker(wake))
+	defer l.owner.LinkDown(node, number)
+	defer l.setUp(node, nil)
+	for {
+		f, err := stream.Recv()
+		if err != nil {
+			return worked
+		}
+		watchdog.Reset(frameTimeout)
+		l.owner.OnFrame(node, number, fromGateFrame(f))
+		if !worked {
+			worked = true
+			l.setUp(node, conn)
+			go l.sendOrders(ctx, cancel, stream, node, number, wake)
+		}
+	}
+}
+
+func (l *Links) setUp(node string, conn *grpc.ClientConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if conn == nil {
+		delete(l.up, node)
+		return
+	}
+	l.up[node] = conn
+}
+
+// sendOrders sends frames whenever there is something to send, and heartbeats.
+func (l *Links) sendOrders(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[peerpb.OwnerFrame, peerpb.GateFrame], node string, number uint64, wake <-chan struct{}) {
+	defer cancel()
+	for ctx.Err() == nil {
+		f, ok := l.owner.Flush(node, number)
+		if !ok {
+			return
+		}
+		if stream.Send(toOwnerFrame(f)) != nil {
+			return
+		}
+		await(ctx, wake, heartbeat)
+	}
+}
+
+// Linked returns the number of gates that are linked.
+func (l *Links) Linked() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.up)
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,241 @@
+// Package peer carries the messages between our own processes: the links from
+// owners to gates, calls to the store that a peer passes on, and questions to
+// other owners. A link may go through a peer where the direct way is cut.
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"rackspur/gate"
+	"rackspur/job"
+	"rackspur/observe"
+	"rackspur/peer/peerpb"
+	"rackspur/rowstore"
+	"rackspur/rpc"
+)
+
+// targetHeader names the address that a link is meant for, if it is not the
+// process called.
+const targetHeader = "rackspur-target"
+
+// ErrLink says that a link can't be served or has ended.
+var ErrLink = eris.New("peer: link")
+
+// Times of links.
+const (
+	// heartbeat is the longest time between two frames in each direction.
+	heartbeat = 250 * time.Millisecond
+	// reportPause is the shortest time between two frames that hold a report only.
+	reportPause = 30 * time.Millisecond
+	// frameTimeout is how long a link may be without a frame.
+	frameTimeout = 900 * time.Millisecond
+)
+
+// Gate is the gate of a process.
+type Gate interface {
+	Connect(owner string, link uint64, wake func()) bool
+	Disconnect(owner string, link uint64)
+	Frame(owner string, link uint64, f gate.OwnerFrame) bool
+	Flush(owner string, link uint64) (gate.Frame, bool)
+	Pending(owner string) bool
+}
+
+// Asked answers questions of other owners.
+type Asked interface {
+	Incarnation() string
+	State(id job.ID) (job.State, bool)
+	Cancel(id job.ID, done func(ok bool)) bool
+	Pending(queue string) int
+}
+
+// Server serves the other processes.
+type Server struct {
+	peerpb.UnimplementedPeerServer
+	// Node is the name of this process's machine.
+	Node string
+	// Gate is nil where no gate is served.
+	Gate Gate
+	// Owner is nil where no owner is served.
+	Owner Asked
+	// Direct is the direct way to the store.
+	// Direct is the direct way to the store.
+	Direct  rowstore.Store
+	Metrics *observe.Metrics
+	Log     logr.Logger
+}
+
+// Link implements peerpb.PeerServer.Link.
+func (s *Server) Link(stream grpc.BidiStreamingServer[peerpb.OwnerFrame, peerpb.GateFrame]) error {
+	if md, ok := metadata.FromIncomingContext(stream.Context()); ok {
+		if target := md.Get(targetHeader); len(target) == 1 {
+			return s.passOn(stream, target[0])
+		}
+	}
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	hello := first.GetHello()
+	if s.Gate == nil || hello == nil || hello.GetGate() != s.Node {
+		return status.Error(codes.FailedPrecondition, "not the gate that is meant")
+	}
+	return s.serveLink(stream, hello)
+}
+
+func (s *Server) serveLink(stream grpc.BidiStreamingServer[peerpb.OwnerFrame, peerpb.GateFrame], hello *peerpb.OwnerHello) error {
+	owner, link := hello.GetIncarnation(), hello.GetLink()
+	wake := make(chan struct{}, 1)
+	if !s.Gate.Connect(owner, link, poker(wake)) {
+		return status.Error(codes.Aborted, "the link is not the newest")
+	}
+	defer s.Gate.Disconnect(owner, link)
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() {
+		defer cancel()
+		failed <- s.sendReports(ctx, stream, owner, link, wake)
+	}()
+	for {
+		f, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if !s.Gate.Frame(owner, link, fromOwnerFrame(f)) {
+			return status.Error(codes.Aborted, "the link is not the newest")
+		}
+		select {
+		case err := <-failed:
+			return err
+		default:
+		}
+	}
+}
+
+// sendReports sends frames whenever there is something to tell, and heartbeats.
+func (s *Server) sendReports(ctx context.Context, stream grpc.BidiStreamingServer[peerpb.OwnerFrame, peerpb.GateFrame], owner string, link uint64, wake <-chan struct{}) error {
+	sent := time.Time{}
+	for {
+		f, ok := s.Gate.Flush(owner, link)
+		if !ok {
+			return ErrLink
+		}
+		if err := stream.Send(toGateFrame(f)); err != nil {
+			return err
+		}
+		sent = time.Now()
+		await(ctx, wake, heartbeat)
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if !s.Gate.Pending(owner) {
+			awaitPending(ctx, wake, reportPause-time.Since(sent), func() bool { return s.Gate.Pending(owner) })
+		}
+	}
+}
+
+// awaitPending waits for a time, or until something is pending.
+func awaitPending(ctx context.Context, wake <-chan struct{}, d time.Duration, pending func() bool) {
+	end := time.Now().Add(d)
+	for {
+		left := time.Until(end)
+		if left <= 0 || ctx.Err() != nil || pending() {
+			return
+		}
+		await(ctx, wake, left)
+	}
+}
+
+// await waits for a wake-up, a time, or the end of the context.
+func await(ctx context.Context, wake <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-wake:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// poker returns a function that wakes a waiting loop and never blocks.
+func poker(wake chan<- struct{}) func() {
+	return func() {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// passOn connects a link to the process that it is meant for.
+func (s *Server) passOn(stream grpc.BidiStreamingServer[peerpb.OwnerFrame, peerpb.GateFrame], target string) error {
+	conn, err := rpc.Dial(target, s.Metrics)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
+	onward, err := peerpb.NewPeerClient(conn).Link(ctx)
+	if err != nil {
+		return err
+	}
+	go func() {
+		defer cancel()
+		for {
+			f, err := stream.Recv()
+			if err != nil || onward.Send(f) != nil {
+				return
+			}
+		}
+	}()
+	for {
+		f, err := onward.Recv()
+		if err != nil {
+			return err
+		}
+		if err := stream.Send(f); err != nil {
+			return err
+		}
+	}
+}
+
+// Ask implements peerpb.PeerServer.Ask.
+func (s *Server) Ask(ctx context.Context, q *peerpb.Question) (*peerpb.Answer, error) {
+	if s.Owner == nil {
+		return nil, status.Error(codes.FailedPrecondition, "no owner here")
+	}
+	a := &peerpb.Answer{Incarnation: s.Owner.Incarnation()}
+	switch q.GetKind() {
+	case peerpb.Question_STATE:
+		state, ok := s.Owner.State(job.ID(q.GetJob()))
+		a.Known, a.State = ok, string(state)
+	case peerpb.Question_CANCEL:
+		s.cancel(ctx, q, a)
+	case peerpb.Question_PENDING:
+		a.Pending = uint32(s.Owner.Pending(q.GetQueue()))
+	}
+	return a, nil
+}
+
+func (s *Server) cancel(ctx context.Context, q *peerpb.Question, a *peerpb.Answer) {
+	result := make(chan bool, 1)
+	a.Known = s.Owner.Cancel(job.ID(q.GetJob()), func(ok bool) { result <- ok })
+	if !a.Known {
+		return
+	}
+	select {
+	case ok := <-result:
+		a.Failed = !ok
+	case <-ctx.Done():
+		a.Failed = true
+	}
+}
--- /dev/null
+++ b/peer/store.go
@@ -0,0 +1,242 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"rackspur/peer/peerpb"
+	"rackspur/rowstore"
+)
+
+// Kinds of calls to the store.
+const (
+	callTransact = "transact"
+	callRead     = "read"
+	callChanges  = "changes"
+)
+
+// storeErrors are the errors of a store by their name on the wire.
+var storeErrors = map[string]error{
+	"not-done":     rowstore.ErrNotDone,
+	"uncertain":    rowstore.ErrUncertain,
+	"conflict":     rowstore.ErrConflict,
+	"history-gone": rowstore.ErrHistoryGone,
+	"invalid":      rowstore.ErrInvalid,
+}
+
+func errorName(err error) string {
+	for name, e := range storeErrors {
+		if errors.Is(err, e) {
+			return name
+		}
+	}
+	return "uncertain"
+}
+
+// changesCall is the body of a call for changes.
+type changesCall struct {
+	Table  string `json:"table"`
+	After  uint64 `json:"after"`
+	WaitMS int64  `json:"wait_ms"`
+}
+
+// Store implements peerpb.PeerServer.Store.
+func (s *Server) Store(ctx context.Context, c *peerpb.StoreCall) (*peerpb.StoreAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(c.GetTimeoutMs())*time.Millisecond)
+	defer cancel()
+	var answer any
+	var err error
+	switch c.GetKind() {
+	case callTransact:
+		var t rowstore.Transaction
+		if json.Unmarshal(c.GetBody(), &t) != nil {
+			return nil, status.Error(codes.InvalidArgument, "unreadable transaction")
+		}
+		answer, err = s.Direct.Transact(ctx, t)
+	case callRead:
+		var q rowstore.Query
+		if json.Unmarshal(c.GetBody(), &q) != nil {
+			return nil, status.Error(codes.InvalidArgument, "unreadable query")
+		}
+		answer, err = s.Direct.Read(ctx, q)
+	case callChanges:
+		var q changesCall
+		if json.Unmarshal(c.GetBody(), &q) != nil {
+			return nil, status.Error(codes.InvalidArgument, "unreadable call")
+		}
+		answer, err = s.Direct.Changes(ctx, q.Table, q.After, time.Duration(q.WaitMS)*time.Millisecond)
+	default:
+		return nil, status.Error(codes.InvalidArgument, "unknown call")
+	}
+	return storeAnswer(answer, err)
+}
+
+func storeAnswer(answer any, err error) (*peerpb.StoreAnswer, error) {
+	out := &peerpb.StoreAnswer{}
+	if err != nil {
+		out.Error = errorName(err)
+	}
+	body, err := json.Marshal(answer)
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	out.Body = body
+	return out, nil
+}
+
+// Peers gives connections to other processes.
+type Peers interface {
+	// Some returns clients of other processes, at most n, in random order.
+	Some(n int) []peerpb.PeerClient
+}
+
+// Times of the way through peers.
+const (
+	// directPause is how long after a failure the direct way is not tried first.
+	directPause = time.Second
+	// relayMargin is added to the time that a peer is given for a call.
+	relayMargin = 50 * time.Millisecond
+	// relayPeers is how many peers are asked at most.
+	relayPeers = 2
+	// leastRelay is the shortest time left for which a peer is asked.
+	leastRelay = 30 * time.Millisecond
+)
+
+// RelayedStore reaches the store directly, or through peers while the direct
+// way is closed. Calls keep their conditions, so it does not matter who makes them.
+type RelayedStore struct {
+	direct rowstore.Store
+	peers  Peers
+
+	mu sync.Mutex
+	// closedSince is the time of the newest failure of the direct way.
+	closedSince time.Time
+}
+
+// NewRelayedStore returns a store with a direct way and peers.
+func NewRelayedStore(direct rowstore.Store, peers Peers) *RelayedStore {
+	return &RelayedStore{direct: direct, peers: peers}
+}
+
+func (r *RelayedStore) directFirst() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.closedSince) > directPause
+}
+
+func (r *RelayedStore) noteDirect(err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errors.Is(err, rowstore.ErrNotDone) || errors.Is(err, rowstore.ErrUncertain) {
+		r.closedSince = time.Now()
+		return
+	}
+	r.closedSince = time.Time{}
+}
+
+// Transact implements rowstore.Store.Transact.
+func (r *RelayedStore) Transact(ctx context.Context, t rowstore.Transaction) (rowstore.Outcome, error) {
+	return reach(ctx, r, callTransact, t, func(ctx context.Context) (rowstore.Outcome, error) {
+		return r.direct.Transact(ctx, t)
+	})
+}
+
+// Read implements rowstore.Store.Read.
+func (r *RelayedStore) Read(ctx context.Context, q rowstore.Query) (rowstore.Page, error) {
+	return reach(ctx, r, callRead, q, func(ctx context.Context) (rowstore.Page, error) {
+		return r.direct.Read(ctx, q)
+	})
+}
+
+// Changes implements rowstore.Store.Changes.
+func (r *RelayedStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (rowstore.Page, error) {
+	call := changesCall{Table: table, After: after, WaitMS: wait.Milliseconds()}
+	return reach(ctx, r, callChanges, call, func(ctx context.Context) (rowstore.Page, error) {
+		return r.direct.Changes(ctx, table, after, wait)
+	})
+}
+
+// reach makes a call directly, then through peers as long as nothing was done.
+// A call that may have been done is not made again here: its maker decides.
+func reach[A any](ctx context.Context, r *RelayedStore, kind string, body any, direct func(context.Context) (A, error)) (A, error) {
+	var answer A
+	err := rowstore.ErrNotDone
+	tried := false
+	if r.directFirst() {
+		tried = true
+		answer, err = direct(ctx)
+		r.noteDirect(err)
+	}
+	if !errors.Is(err, rowstore.ErrNotDone) {
+		return answer, err
+	}
+	for _, p := range r.peers.Some(relayPeers) {
+		a, peerErr := throughPeer[A](ctx, p, kind, body)
+		if !errors.Is(peerErr, rowstore.ErrNotDone) {
+			return a, peerErr
+		}
+	}
+	if !tried && ctx.Err() == nil {
+		answer, err = direct(ctx)
+		r.noteDirect(err)
+	}
+	return answer, err
+}
+
+// throughPeer makes a call through a peer.
+func throughPeer[A any](ctx context.Context, p peerpb.PeerClient, kind string, body any) (A, error) {
+	var answer A
+	left := mostRelay
+	if deadline, ok := ctx.Deadline(); ok {
+		left = time.Until(deadline) - relayMargin
+	}
+	if left < leastRelay {
+		return answer, rowstore.ErrNotDone
+	}
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		return answer, rowstore.ErrInvalid
+	}
+	out, err := p.Store(ctx, &peerpb.StoreCall{Kind: kind, Body: encoded, TimeoutMs: uint32(left.Milliseconds())})
+	if err != nil {
+		if status.Code(err) == codes.Unavailable || status.Code(err) == codes.InvalidArgument {
+			return answer, notSent(err)
+		}
+		return answer, rowstore.ErrUncertain
+	}
+	if json.Unmarshal(out.GetBody(), &answer) != nil {
+		return answer, rowstore.ErrUncertain
+	}
+	if name := out.GetError(); name != "" {
+		if e, ok := storeErrors[name]; ok {
+			return answer, e
+		}
+		return answer, rowstore.ErrUncertain
+	}
+	return answer, nil
+}
+
+// mostRelay is the time for a call without a deadline.
+const mostRelay = 31 * time.Second
+
+// notSent tells an error of a call that surely did not reach the peer's handler
+// from one that may have: a broken connection is the latter.
+func notSent(err error) error {
+	if status.Code(err) == codes.InvalidArgument {
+		return rowstore.ErrInvalid
+	}
+	return rowstore.ErrUncertain
+}
+
+// shuffled returns the items in random order, at most n.
+func shuffled[T any](items []T, n int) []T {
+	rand.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
+	return items[:min(n, len(items))]
+}
--- /dev/null
+++ b/rowstore/rowstore.go
@@ -0,0 +1,136 @@
+// Package rowstore is what rackspur needs of a transactional store of rows: the
+// interface, a group committer, and a client that reaches the store through
+// peers when the direct way is closed.
+//
+// A row stands in a table and a part. Each transaction takes the next value of
+// one counter as the version of the rows that it writes.
+package rowstore
+
+import (
+	"context"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Errors of a store.
+var (
+	// ErrNotDone says that the call had no effect and never will have one.
+	ErrNotDone = eris.New("rowstore: not done")
+	// ErrUncertain says that no answer came: a write may have taken effect, or
+	// may do so later if its conditions still hold.
+	ErrUncertain = eris.New("rowstore: outcome unknown")
+	// ErrConflict says that a condition did not hold; nothing was written.
+	ErrConflict = eris.New("rowstore: conflict")
+	// ErrHistoryGone says that the changes asked for are no longer kept.
+	ErrHistoryGone = eris.New("rowstore: history gone")
+	// ErrInvalid says that the store took the call for wrong; nothing was written.
+	ErrInvalid = eris.New("rowstore: invalid call")
+)
+
+// Key names a row.
+type Key struct {
+	Table string `json:"table"`
+	Part  string `json:"part"`
+	Name  string `json:"name"`
+}
+
+// Row is a row as it stands.
+type Row struct {
+	Key
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"version"`
+	// Gone marks a row that was deleted; it occurs in changes only.
+	Gone bool `json:"gone,omitempty"`
+}
+
+// Condition holds if the row has the version; 0 means that it does not exist.
+type Condition struct {
+	Key
+	Version uint64 `json:"version"`
+}
+
+// Put writes a row.
+type Put struct {
+	Key
+	Value []byte `json:"value"`
+}
+
+// Transaction is all or nothing: the writes happen if every condition holds.
+type Transaction struct {
+	Conditions []Condition `json:"conditions,omitempty"`
+	Puts       []Put       `json:"puts,omitempty"`
+	Deletes    []Key       `json:"deletes,omitempty"`
+}
+
+// Entries is the number of entries that count against the limit of a transaction.
+func (t *Transaction) Entries() int {
+	return len(t.Conditions) + len(t.Puts) + len(t.Deletes)
+}
+
+// Outcome is the answer to a transaction.
+type Outcome struct {
+	// Version is the newest version of the store, that of the rows written.
+	Version uint64 `json:"version"`
+	// Current are the rows of the conditions as they stand, given with
+	// ErrConflict; a row that does not exist is missing or has version 0.
+	Current []Row `json:"current,omitempty"`
+}
+
+// Query selects rows of one part of a table in the order of their names.
+type Query struct {
+	Table string `json:"table"`
+	Part  string `json:"part"`
+	// From is the first name, Until the first name left out ("" for none).
+	From  string `json:"from,omitempty"`
+	Until string `json:"until,omitempty"`
+	Limit int    `json:"limit,omitempty"`
+}
+
+// Page is the answer to a query.
+type Page struct {
+	Rows    []Row  `json:"rows,omitempty"`
+	More    bool   `json:"more,omitempty"`
+	Version uint64 `json:"version"`
+}
+
+// Store is a transactional store of rows.
+type Store interface {
+	// Transact returns ErrConflict, ErrNotDone, ErrUncertain, ErrInvalid or nil.
+	Transact(ctx context.Context, t Transaction) (Outcome, error)
+	// Read returns rows as of one moment.
+	Read(ctx context.Context, q Query) (Page, error)
+	// Changes waits until rows of a table have changed after a version, at most
+	// as long as given, and returns them. It returns ErrHistoryGone if the
+	// changes are no longer kept.
+	Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error)
+}
+
+// ReadOne returns a row; ok says whether it exists.
+func ReadOne(ctx context.Context, s Store, k Key) (row Row, ok bool, err error) {
+	page, err := s.Read(ctx, Query{Table: k.Table, Part: k.Part, From: k.Name, Until: k.Name + "\x00", Limit: 1})
+	if err != nil || len(page.Rows) == 0 || page.Rows[0].Name != k.Name {
+		return Row{}, false, err
+	}
+	return page.Rows[0], true, nil
+}
+
+// ReadAll returns all rows that a query selects, page by page.
+func ReadAll(ctx context.Context, s Store, q Query) ([]Row, uint64, error) {
+	var rows []Row
+	var version uint64
+	for {
+		page, err := s.Read(ctx, q)
+		if err != nil {
+			return nil, 0, err
+		}
+		if version == 0 {
+			version = page.Version
+		}
+		rows = append(rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return rows, version, nil
+		}
+		q.From = page.Rows[len(page.Rows)-1].Name + "\x00"
+	}
+}
--- a/platform/contract_test.go
+++ b/store/contract_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -8,12 +8,12 @@
 	"time"
 
 	"rackspur/internal/standin"
-	"rackspur/platform"
+	"rackspur/store"
 )
 
 // service is one implementation under the contract, with its faults.
 type service struct {
-	platform.Service
+	store.Service
 	store *standin.Store
 }
 
@@ -27,14 +27,14 @@
 		s := standin.NewStore()
 		srv := httptest.NewServer(standin.PlatformHandler(s))
 		t.Cleanup(srv.Close)
-		return service{Service: platform.NewClient(srv.URL, platform.WithTimeout(time.Second)), store: s}
+		return service{Service: store.NewClient(srv.URL, store.WithTimeout(time.Second)), store: s}
 	},
 }
 
-func put(key, value string, version uint64) platform.Commit {
-	return platform.Commit{
-		Conditions: []platform.Condition{{Key: key, Version: version}},
-		Puts:       []platform.Put{{Key: key, Value: []byte(value)}},
+func put(key, value string, version uint64) store.Commit {
+	return store.Commit{
+		Conditions: []store.Condition{{Key: key, Version: version}},
+		Puts:       []store.Put{{Key: key, Value: []byte(value)}},
 	}
 }
 
@@ -45,7 +45,7 @@
 }{
 	{"01 a missing row is not found", func(ctx context.Context, t *testing.T, s service) {
 		_, err := s.Get(ctx, "a/b")
-		want(t, err, platform.ErrNotFound)
+		want(t, err, store.ErrNotFound)
 	}},
 	{"02 a row that was put is read with version 1", func(ctx context.Context, t *testing.T, s service) {
 		want(t, s.Commit(ctx, put("a/b", "x", 0)), nil)
@@ -58,16 +58,16 @@
 	{"03 a condition that fails writes nothing", func(ctx context.Context, t *testing.T, s service) {
 		want(t, s.Commit(ctx, put("a", "x", 0)), nil)
 		tx := put("a", "y", 0)
-		tx.Puts = append(tx.Puts, platform.Put{Key: "b", Value: []byte("y")})
-		want(t, s.Commit(ctx, tx), platform.ErrConflict)
+		tx.Puts = append(tx.Puts, store.Put{Key: "b", Value: []byte("y")})
+		want(t, s.Commit(ctx, tx), store.ErrConflict)
 		_, err := s.Get(ctx, "b")
-		want(t, err, platform.ErrNotFound)
+		want(t, err, store.ErrNotFound)
 	}},
 	{"04 versions grow by one", func(ctx context.Context, t *testing.T, s service) {
 		for v := range uint64(3) {
 			want(t, s.Commit(ctx, put("a", "x", v)), nil)
 		}
-		want(t, s.Commit(ctx, put("a", "x", 2)), platform.ErrConflict)
+		want(t, s.Commit(ctx, put("a", "x", 2)), store.ErrConflict)
 	}},
 	{"05 rows are listed by prefix in order", func(ctx context.Context, t *testing.T, s service) {
 		for _, key := range []string{"p/2", "q/1", "p/1"} {
@@ -81,7 +81,7 @@
 	}},
 	{"06 objects", func(ctx context.Context, t *testing.T, s service) {
 		_, err := s.GetObject(ctx, "o/1")
-		want(t, err, platform.ErrNotFound)
+		want(t, err, store.ErrNotFound)
 		want(t, s.PutObject(ctx, "o/1", []byte{0, 1, 2}), nil)
 		b, err := s.GetObject(ctx, "o/1")
 		want(t, err, nil)
@@ -92,15 +92,15 @@
 	{"07 down: reads are unavailable, writes uncertain", func(ctx context.Context, t *testing.T, s service) {
 		s.store.SetFaults(standin.PlatformFaults{Down: true})
 		_, err := s.Get(ctx, "a")
-		want(t, err, platform.ErrUnavailable)
+		want(t, err, store.ErrUnavailable)
 		_, err = s.ListBoxes(ctx)
-		want(t, err, platform.ErrUnavailable)
-		want(t, s.Commit(ctx, put("a", "x", 0)), platform.ErrUncertain)
-		want(t, s.PutObject(ctx, "a", nil), platform.ErrUncertain)
+		want(t, err, store.ErrUnavailable)
+		want(t, s.Commit(ctx, put("a", "x", 0)), store.ErrUncertain)
+		want(t, s.PutObject(ctx, "a", nil), store.ErrUncertain)
 	}},
 	{"08 a lost answer is uncertain and the write took effect", func(ctx context.Context, t *testing.T, s service) {
 		s.store.SetFaults(standin.PlatformFaults{LoseAnswers: 1})
-		want(t, s.Commit(ctx, put("a", "x", 0)), platform.ErrUncertain)
+		want(t, s.Commit(ctx, put("a", "x", 0)), store.ErrUncertain)
 		_, err := s.Get(ctx, "a")
 		want(t, err, nil)
 	}},
@@ -109,12 +109,12 @@
 		ctx, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
 		defer cancel()
 		_, err := s.Get(ctx, "a")
-		want(t, err, platform.ErrUnavailable)
-		want(t, s.Commit(ctx, put("a", "x", 0)), platform.ErrUncertain)
+		want(t, err, store.ErrUnavailable)
+		want(t, s.Commit(ctx, put("a", "x", 0)), store.ErrUncertain)
 	}},
 	{"10 the list of boxes lags", func(ctx context.Context, t *testing.T, s service) {
 		s.store.SetFaults(standin.PlatformFaults{LagMS: 3_600_000})
-		s.store.SetBox(platform.Box{Name: "x", State: platform.BoxLive})
+		s.store.SetBox(store.Box{Name: "x", State: store.BoxLive})
 		boxes, err := s.ListBoxes(ctx)
 		want(t, err, nil)
 		if len(boxes) != 0 {
--- a/platform/platform.go
+++ b/store/platform.go
@@ -1,9 +1,9 @@
-// Package platform speaks to the platform's service: a table service with
+// Package store speaks to the platform's service: a table service with
 // transactions, an object store, and a lagging list of boxes.
 //
 // The interfaces are met by Client over HTTP and, in this repository's tests
 // and trials, by the stand-in's store. One contract test runs against both.
-package platform
+package store
 
 import (
 	"context"
@@ -14,15 +14,15 @@
 // Errors of this package.
 var (
 	// ErrUnavailable says that the service gave no answer; a read had no effect.
-	ErrUnavailable = eris.New("platform: unavailable")
+	ErrUnavailable = eris.New("store: unavailable")
 	// ErrUncertain says that a write may have taken effect though no answer came.
-	ErrUncertain = eris.New("platform: outcome of the write unknown")
+	ErrUncertain = eris.New("store: outcome of the write unknown")
 	// ErrConflict says that a condition of a commit did not hold; nothing was written.
-	ErrConflict = eris.New("platform: conflict")
+	ErrConflict = eris.New("store: conflict")
 	// ErrNotFound says that the key does not exist.
-	ErrNotFound = eris.New("platform: not found")
+	ErrNotFound = eris.New("store: not found")
 	// ErrRefused says that the service took the request for wrong.
-	ErrRefused = eris.New("platform: request refused")
+	ErrRefused = eris.New("store: request refused")
 )
 
 // Row is a row of the table service.
--- a/test/cluster_test.go
+++ b/test/cluster_test.go
@@ -19,7 +19,7 @@
 	"rackspur/entry"
 	"rackspur/id"
 	"rackspur/internal/standin"
-	"rackspur/platform"
+	"rackspur/store"
 )
 
 // shape says how large a cluster is and where proxies stand.
@@ -102,7 +102,7 @@
 	address := freeAddresses(c.t, 1)[0]
 	p := start(c.t, "platform", "standin", "platform", "--listen", address)
 	c.platform = &node{process: p, address: address, url: "http://" + address, direct: "http://" + address}
-	waitFor(c.t, "platform answers", func() bool { return answers(c.platform.url + platform.PathBoxes) })
+	waitFor(c.t, "platform answers", func() bool { return answers(c.platform.url + store.PathBoxes) })
 }
 
 // domains are the failure domains of the test cluster.
@@ -132,7 +132,7 @@
 		"--platform", c.platform.url, "--verbosity", "1"}, s.agentArgs...)
 	a := start(c.t, name, args...)
 	c.agents = append(c.agents, &node{process: a, name: name, address: public, ops: "http://" + ops, proxy: p})
-	c.setBox(platform.Box{Name: name, Role: platform.RoleAgent, Address: public, Domain: domains[i%len(domains)], State: platform.BoxLive})
+	c.setBox(store.Box{Name: name, Role: store.RoleAgent, Address: public, Domain: domains[i%len(domains)], State: store.BoxLive})
 }
 
 func (c *cluster) startEntry(i int, s shape) {
@@ -144,7 +144,7 @@
 		"--platform", c.platform.url, "--poll", "100ms", "--stop-delay", "100ms", "--verbosity", "1"}, s.entryArgs...)
 	e := start(c.t, name, args...)
 	c.entries = append(c.entries, &node{process: e, name: name, address: public, url: "http://" + public, direct: "http://" + own, ops: "http://" + ops, proxy: p})
-	c.setBox(platform.Box{Name: name, Role: platform.RoleEntry, Address: public, State: platform.BoxLive})
+	c.setBox(store.Box{Name: name, Role: store.RoleEntry, Address: public, State: store.BoxLive})
 }
 
 // awaitLinks waits until an entry box is ready with n agents that can be homes.
@@ -201,7 +201,7 @@
 	}
 }
 
-func (c *cluster) setBox(b platform.Box) {
+func (c *cluster) setBox(b store.Box) {
 	c.t.Helper()
 	c.put(c.platform.url+standin.PathAdminBoxes, b)
 }
--- a/test/config_test.go
+++ b/test/config_test.go
@@ -12,7 +12,7 @@
 
 	"rackspur/config"
 	"rackspur/internal/standin"
-	"rackspur/platform"
+	"rackspur/store"
 )
 
 // inForceBound is what "within seconds" may be at most.
@@ -28,7 +28,7 @@
 }
 
 func (c *cluster) store() *config.Store {
-	return config.NewStore(platform.NewClient(c.platform.url))
+	return config.NewStore(store.NewClient(c.platform.url))
 }
 
 // awaitVersion waits until a version is in force in every process.
--- a/test/leaving_test.go
+++ b/test/leaving_test.go
@@ -10,7 +10,7 @@
 	"rackspur/api"
 	"rackspur/caller"
 	"rackspur/internal/standin"
-	"rackspur/platform"
+	"rackspur/store"
 )
 
 // leavingBound is what "a few seconds" may be at most.
@@ -90,11 +90,11 @@
 		cause func(t *testing.T, c *cluster)
 	}{
 		{"1 platform's list", func(_ *testing.T, c *cluster) {
-			c.setBox(platform.Box{Name: c.agents[0].name, Role: platform.RoleAgent, Address: c.agents[0].address, State: platform.BoxLeaving})
+			c.setBox(store.Box{Name: c.agents[0].name, Role: store.RoleAgent, Address: c.agents[0].address, State: store.BoxLeaving})
 		}},
 		{"2 platform's list, one second late", func(_ *testing.T, c *cluster) {
 			c.platformFaults(standin.PlatformFaults{LagMS: 1000})
-			c.setBox(platform.Box{Name: c.agents[0].name, Role: platform.RoleAgent, Address: c.agents[0].address, State: platform.BoxLeaving})
+			c.setBox(store.Box{Name: c.agents[0].name, Role: store.RoleAgent, Address: c.agents[0].address, State: store.BoxLeaving})
 		}},
 		{"3 operator", func(t *testing.T, c *cluster) { drain(t, c, 0) }},
 		{"4 operator, store down", func(t *testing.T, c *cluster) {
