Best-effort jobs: answered at their end, not kept

Change: such jobs live in the owner's memory only; ends are noted at once; the gates stop their runs a second after their owner's last word.

--- a/gate/contact.go
+++ b/gate/contact.go
@@ -14,6 +14,9 @@
 	if o := g.owners[r.owner]; o == nil {
 		return now-r.found > g.options.Contact
 	}
+	if r.bestEffort {
+		return now-g.contactOf(r.owner) > g.options.BestEffortContact
+	}
 	return g.silent(now, r.owner)
 }
 
@@ -29,6 +32,11 @@
 			g.queue.remove(r)
 			g.reject(r, "owner silent")
 		case phaseEnded:
+			if r.bestEffort {
+				g.abandon(r)
+				g.advanceSeen()
+				continue
+			}
 			g.judgeOrphan(now, r)
 		default:
 			if !r.stop {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -26,8 +26,8 @@
 	MaxHold time.Duration
 	// Contact is how long runs go on without word from their owner.
 	Contact time.Duration
-	// StopTime is how long a stop may take at the executor.
-	StopTime time.Duration
+	// BestEffortContact is the same for runs of jobs that are not kept.
+	BestEffortContact time.Duration
 }
 
 // Times of a gate.
@@ -65,6 +65,7 @@
 	checkpoint string
 	estimate   time.Duration
 	rank       int64
+	bestEffort bool
 	order      uint64
 
 	phase   phase
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -15,6 +15,8 @@
 	Estimate   time.Duration
 	Rank       int64
 	Checkpoint string
+	// BestEffort: the run is of a job that is not kept.
+	BestEffort bool
 }
 
 // VerdictKind says what becomes of a run.
@@ -133,8 +135,12 @@
 		g.adopted[life] = owner
 		delete(g.owners, life)
 		for _, r := range g.runs {
-			if r.owner == life {
-				r.owner = owner
+			if r.owner != life {
+				continue
+			}
+			r.owner = owner
+			if r.bestEffort {
+				g.abandon(r)
 			}
 		}
 	}
@@ -142,6 +148,20 @@
 	g.owners[owner].poke()
 }
 
+// abandon ends a run whose job is gone with its owner.
+func (g *Gate) abandon(r *run) {
+	switch r.phase {
+	case phaseQueued:
+		g.queue.remove(r)
+		g.reject(r, "owner gone")
+	case phaseEnded:
+		r.noted = true
+		g.removeIfNoted(r)
+	default:
+		r.stop = true
+	}
+}
+
 func (g *Gate) accept(now Time, owner string, o Order, stale bool) {
 	if g.runs[o.Name] != nil {
 		return
@@ -149,7 +169,7 @@
 	g.orders++
 	r := &run{
 		RunName: o.Name, owner: owner, spec: o.Spec, need: o.Need, checkpoint: o.Checkpoint,
-		estimate: o.Estimate, rank: o.Rank, order: g.orders,
+		estimate: o.Estimate, rank: o.Rank, order: g.orders, bestEffort: o.BestEffort,
 	}
 	g.runs[o.Name] = r
 	switch {
--- a/job/job.go
+++ b/job/job.go
@@ -124,6 +124,8 @@
 	Queue Queue  `json:"queue"`
 	Spec  string `json:"spec"`
 	Steps []Step `json:"steps"`
+	// BestEffort jobs are not kept: their caller waits for the end.
+	BestEffort bool `json:"best_effort,omitempty"`
 }
 
 // Check returns ErrInvalid with the reason if the submission can't be run.
--- a/node/agent.go
+++ b/node/agent.go
@@ -34,7 +34,7 @@
 		return nil, eris.Wrap(ErrServe, err.Error())
 	}
 	incarnation := o.Node + "~" + uuid.NewString()[:8]
-	g := gate.New(gate.Options{Node: o.Node, Incarnation: incarnation, MaxHold: o.MaxHold, Contact: contact})
+	g := gate.New(gate.Options{Node: o.Node, Incarnation: incarnation, MaxHold: o.MaxHold, Contact: contact, BestEffortContact: bestEffortContact})
 	return &Agent{
 		options: o, executor: e, listener: listener, log: o.Log,
 		driver: gate.NewDriver(ctx, g, e, o.Log),
--- a/node/entry.go
+++ b/node/entry.go
@@ -47,6 +47,10 @@
 // contact is how long a gate lets runs go on without word from their owner.
 const contact = 1400 * time.Millisecond
 
+// bestEffortContact is the same for runs of jobs that are not kept. It is below
+// the time after which callers hand in such a job again.
+const bestEffortContact = time.Second
+
 // Times of an entry daemon.
 const (
 	tickPause = 10 * time.Millisecond
@@ -55,6 +59,8 @@
 	commitDelay = time.Millisecond
 	askTimeout  = 400 * time.Millisecond
 	readTimeout = time.Second
+	// defaultPatience is how long a caller waits that names no deadline.
+	defaultPatience = 30 * time.Second
 )
 
 // FollowConfiguration reads the configuration and follows its changes until
@@ -192,6 +198,28 @@
 	}
 }
 
+// RunBestEffort runs a job that is not kept and waits for its end. The end of
+// the context says that the caller has left or its deadline has come.
+func (e *Entry) RunBestEffort(ctx context.Context, s job.Submission) owner.BestEffortResult {
+	t := e.current.Load()
+	if t == nil {
+		return owner.BestEffortResult{Refused: true}
+	}
+	result := make(chan owner.BestEffortResult, 1)
+	patience := defaultPatience
+	if deadline, ok := ctx.Deadline(); ok {
+		patience = time.Until(deadline)
+	}
+	ticket := t.owner.RunBestEffort(s, patience, func(r owner.BestEffortResult) { result <- r })
+	select {
+	case r := <-result:
+		return r
+	case <-ctx.Done():
+		t.owner.Leave(s.ID, ticket)
+		return <-result
+	}
+}
+
 // Incarnation implements peer.Asked.Incarnation.
 func (e *Entry) Incarnation() string {
 	if t := e.current.Load(); t != nil {
--- a/node/term.go
+++ b/node/term.go
@@ -320,12 +320,24 @@
 	for t.ctx.Err() == nil {
 		for _, id := range t.owner.TakeForeign() {
 			ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
-			f, err := t.entry.readFinal(ctx, id)
+			t.judgeForeign(ctx, id)
 			cancel()
-			if err == nil {
-				t.owner.JudgeForeign(id, f)
-			}
 		}
 		sleep(t.ctx, pollPause)
 	}
 }
+
+func (t *term) judgeForeign(ctx context.Context, id job.ID) {
+	record, err := t.entry.readRecord(ctx, id)
+	if err != nil {
+		return
+	}
+	if record != nil {
+		t.owner.JudgeForeign(id, false, nil)
+		return
+	}
+	final, err := t.entry.readFinal(ctx, id)
+	if err == nil {
+		t.owner.JudgeForeign(id, true, final)
+	}
+}
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -31,8 +31,13 @@
 // onForeign answers for a run of a job that is not live here.
 func (o *Owner) onForeign(v *gateView, s gate.RunState) {
 	e := o.ended[s.Name.Job]
+	_, dropped := o.dropped[s.Name.Job]
 	switch {
 	case s.End == gate.EndRejected || s.End == gate.EndLost:
+	case dropped && s.End == 0:
+		v.stop(s.Name)
+	case dropped || (e != nil && e.bestEffort && s.End != 0):
+		v.judge(s.Name, gate.VerdictNote)
 	case e == nil || e.runs == nil:
 		v.judge(s.Name, gate.VerdictForeign)
 		if s.End != 0 {
@@ -47,8 +52,10 @@
 
 // onSuperseded answers for a run that is not the newest of its task.
 func (o *Owner) onSuperseded(v *gateView, t *task, s gate.RunState) {
-	switch s.End {
-	case gate.EndRejected, gate.EndLost:
+	switch {
+	case s.End == gate.EndRejected || s.End == gate.EndLost:
+	case t.job.record.BestEffort && s.End != 0:
+		v.judge(s.Name, gate.VerdictNote)
 	default:
 		o.stats.Discarded++
 		o.log.Info("Discarded a run.", "job", s.Name.Job, "task", t.index, "run", s.Name.Run, "newest", t.run, "gate", v.name, "end", s.End)
@@ -111,7 +118,7 @@
 	j.begun = true
 	j.left--
 	j.record.SetDone(t.index, s.Name.Run)
-	j.unwritten = append(j.unwritten, endRef{gate: v.name, name: s.Name})
+	o.keepEnd(v, j, s.Name)
 	if j.left == 0 {
 		o.finish(now, j, job.StateCompleted)
 		return
@@ -120,12 +127,22 @@
 	o.touch(now, j)
 }
 
+// keepEnd has an end noted once the job's record with it is written, or at once
+// if the job is not kept.
+func (o *Owner) keepEnd(v *gateView, j *liveJob, name job.RunName) {
+	if j.record.BestEffort {
+		v.judge(name, gate.VerdictNote)
+		return
+	}
+	j.unwritten = append(j.unwritten, endRef{gate: v.name, name: name})
+}
+
 func (o *Owner) onFailed(now Time, v *gateView, t *task, s gate.RunState) {
 	j := t.job
 	o.stats.EndedFailed++
 	j.begun = true
 	j.record.AddFailure(t.index, s.Name.Run)
-	j.unwritten = append(j.unwritten, endRef{gate: v.name, name: s.Name})
+	o.keepEnd(v, j, s.Name)
 	t.avoidGate(v.name)
 	if len(j.record.Failed[t.index]) >= j.record.Queue.Attempts {
 		t.phase = taskBlocked
--- a/owner/foreign.go
+++ b/owner/foreign.go
@@ -21,15 +21,15 @@
 	return ids
 }
 
-// JudgeForeign answers for the ends of a job that has ended elsewhere. A nil
-// record says that the job has not ended or is not known; its ends then wait
-// for their owner.
-func (o *Owner) JudgeForeign(id job.ID, f *job.Final) {
+// JudgeForeign answers for the ends of a job that this owner does not know. If
+// the job is not over its ends wait for their owner. A job without a final
+// record was not kept: its ends do not matter.
+func (o *Owner) JudgeForeign(id job.ID, over bool, f *job.Final) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	ends := o.foreign[id]
 	delete(o.foreign, id)
-	if f == nil {
+	if !over {
 		return
 	}
 	for _, e := range ends {
@@ -37,7 +37,7 @@
 		if v == nil {
 			continue
 		}
-		if f.State != job.StateCompleted || f.Done[taskNumber(f.Steps, e.name.TaskName)] == e.name.Run {
+		if f == nil || f.State != job.StateCompleted || f.Done[taskNumber(f.Steps, e.name.TaskName)] == e.name.Run {
 			v.judge(e.name, gate.VerdictNote)
 			continue
 		}
--- a/owner/live.go
+++ b/owner/live.go
@@ -74,10 +74,16 @@
 	// objective is when the job should have ended; lateBy when its worth is gone.
 	objective Time
 	lateBy    Time
+	// deadline is when the last caller of a job that is not kept leaves.
+	deadline Time
 	// urgency orders tasks: the lower the earlier.
 	urgency  Time
 	insert   *rowstore.Write
 	accepted []func(SubmitResult)
+	// callers wait for the end of a job that is not kept.
+	callers []caller
+	// placed says that a task was sent to a gate, so that it may have started.
+	placed bool
 
 	// dirtySince is when the record changed first since its last write.
 	dirtySince Time
@@ -96,9 +102,10 @@
 
 // endedJob is what is remembered of a job that has ended.
 type endedJob struct {
-	state job.State
-	queue string
-	at    Time
+	state      job.State
+	queue      string
+	bestEffort bool
+	at         Time
 	// runs has the run that counted for each task by its index.
 	runs map[job.TaskName]int
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -74,9 +74,11 @@
 	options Options
 	writer  Writer
 
-	mu      sync.Mutex
-	jobs    map[job.ID]*liveJob
-	ended   map[job.ID]*endedJob
+	mu    sync.Mutex
+	jobs  map[job.ID]*liveJob
+	ended map[job.ID]*endedJob
+	// dropped are jobs that were not kept and not brought to an end.
+	dropped map[job.ID]Time
 	gates   map[string]*gateView
 	waiting taskQueue
 	random  *rand.Rand
@@ -98,9 +100,9 @@
 
 // Stats are counters of an owner.
 type Stats struct {
-	Accepted, Refused, Completed, Failed, Cancelled  int64
-	Placed, Rejected, EndedFailed, Lost, Adopted     int64
-	Late, VeryLate, PresumedOver, Discarded, Stalled int64
+	Accepted, Refused, Completed, Failed, Cancelled           int64
+	Placed, Rejected, EndedFailed, Lost, Adopted              int64
+	Late, VeryLate, Dropped, PresumedOver, Discarded, Stalled int64
 }
 
 // New returns an owner without jobs.
@@ -110,6 +112,7 @@
 		writer:  w,
 		jobs:    map[job.ID]*liveJob{},
 		ended:   map[job.ID]*endedJob{},
+		dropped: map[job.ID]Time{},
 		gates:   map[string]*gateView{},
 		foreign: map[job.ID][]endRef{},
 		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
@@ -137,6 +140,7 @@
 	o.over = true
 	for _, j := range o.jobs {
 		j.tellWaiters()
+		j.tellCallers(j.undone())
 	}
 }
 
@@ -177,6 +181,7 @@
 	o.presumeSilentGates(now)
 	o.checkAdoptions(now)
 	o.writeProgress(now)
+	o.giveUpHopeless(now)
 	o.place(now)
 	o.forgetEnded(now)
 }
@@ -191,6 +196,10 @@
 		if now-e.at > rememberEnded {
 			e.runs = nil
 		}
+		if e.bestEffort && now-e.at > rememberEnded {
+			delete(o.ended, id)
+			continue
+		}
 		if now-e.at > o.options.KeepFinished {
 			delete(o.ended, id)
 			o.writer.Add(o.part(id), &rowstore.Write{
--- a/owner/place.go
+++ b/owner/place.go
@@ -149,6 +149,7 @@
 func (o *Owner) send(now Time, v *gateView, t *task) {
 	t.run = max(t.run+1, job.FirstRun(t.job.record.Generation))
 	t.phase = taskPlaced
+	t.job.placed = true
 	t.gate = v.name
 	t.since = now
 	o.stats.Placed++
@@ -156,7 +157,7 @@
 		Name: t.runName(), Spec: t.job.record.Spec, Need: t.step.Need,
 		Estimate:   time.Duration(t.step.EstimateMS) * time.Millisecond,
 		Rank:       o.rank(now, v, t),
-		Checkpoint: t.checkpoint,
+		Checkpoint: t.checkpoint, BestEffort: t.job.record.BestEffort,
 	})
 	v.poke()
 }
--- a/owner/write.go
+++ b/owner/write.go
@@ -7,7 +7,7 @@
 
 // touch marks a record as changed; it is written after a short time.
 func (o *Owner) touch(now Time, j *liveJob) {
-	if !j.dirty {
+	if !j.dirty && !j.record.BestEffort {
 		j.dirty = true
 		j.dirtySince = now
 	}
@@ -75,7 +75,10 @@
 	for _, t := range j.tasks {
 		o.waiting.remove(t)
 	}
-	if !j.writing {
+	switch {
+	case j.record.BestEffort:
+		o.conclude(now, j)
+	case !j.writing:
 		o.writeFinal(j)
 	}
 }
@@ -111,8 +114,13 @@
 		o.lostJob(j, err)
 		return
 	}
+	o.conclude(now, j)
+}
+
+// conclude takes in that the end of a job holds.
+func (o *Owner) conclude(now Time, j *liveJob) {
 	o.countEnd(now, j)
-	e := &endedJob{state: j.final, queue: j.record.Queue.Name, at: now, runs: map[job.TaskName]int{}}
+	e := &endedJob{state: j.final, queue: j.record.Queue.Name, at: now, bestEffort: j.record.BestEffort, runs: map[job.TaskName]int{}}
 	for _, t := range j.tasks {
 		if run, ok := j.record.Done[t.index]; ok {
 			e.runs[t.name] = run
@@ -129,6 +137,7 @@
 		o.onForeign(o.gates[f.gate], f.state)
 	}
 	j.tellWaiters()
+	j.tellCallers(BestEffortResult{State: j.final})
 }
 
 // stopEverywhere stops the run of a task of a job that has ended.
