An inventory that crosses a start does not make it run twice

A gate that is asked to adopt runs tells its inventory in the middle of a link; a start sent but not yet received was taken for lost and placed again. Change: starts that the gate's frame does not cover are left alone.

--- /dev/null
+++ b/owner/owner_test.go
@@ -0,0 +1,106 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rackspur/gate"
+	"rackspur/job"
+	"rackspur/rowstore"
+)
+
+// fakeWriter keeps the writes of an owner until a test decides them.
+type fakeWriter struct {
+	writes  []*rowstore.Write
+	failing time.Duration
+}
+
+func (w *fakeWriter) Add(_ int, write *rowstore.Write)           { w.writes = append(w.writes, write) }
+func (w *fakeWriter) Withdraw(_ int, write *rowstore.Write) bool { return false }
+func (w *fakeWriter) FailingFor(int) time.Duration               { return w.failing }
+
+// take returns the writes so far and forgets them.
+func (w *fakeWriter) take() []*rowstore.Write {
+	all := w.writes
+	w.writes = nil
+	return all
+}
+
+// bench is an owner with a clock that a test sets.
+type bench struct {
+	t      *testing.T
+	owner  *Owner
+	writer *fakeWriter
+	now    Time
+	link   uint64
+}
+
+const testService = "engine"
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, writer: &fakeWriter{}, now: time.Second}
+	b.owner = New(Options{
+		Incarnation: "entry~1", Parts: 1, Contact: 1400 * time.Millisecond, MaxHold: time.Second,
+		KeepFinished: 2 * time.Minute, Log: logr.Discard(),
+		Now:       func() Time { return b.now },
+		WallClock: func() time.Time { return time.Unix(1700000000, 0) },
+	}, b.writer)
+	b.owner.Renewed(time.Hour)
+	return b
+}
+
+func testReport() gate.Report {
+	room := job.Resources{CPU: 16000, Memory: 32768}
+	return gate.Report{Life: "i-1", Service: testService, Capacity: room, Free: room, Open: true}
+}
+
+// connect brings a link to a gate up, with an empty inventory.
+func (b *bench) connect(name string) uint64 {
+	b.link++
+	b.owner.AddGate(name, "zone-a")
+	b.owner.LinkUp(name, b.link, nil)
+	b.owner.OnFrame(name, b.link, gate.Frame{Clock: b.now, Report: testReport(), Inventory: true})
+	return b.link
+}
+
+// flush returns what the owner sends to a gate.
+func (b *bench) flush(name string, link uint64) gate.OwnerFrame {
+	b.t.Helper()
+	f, ok := b.owner.Flush(name, link)
+	if !ok {
+		b.t.Fatalf("no frame for %s", name)
+	}
+	return f
+}
+
+func testSubmission(id job.ID, tasks int) job.Submission {
+	return job.Submission{
+		ID: id, Spec: "spec", BestEffort: true,
+		Queue: job.Queue{Name: "checks", Service: testService, Attempts: 2, Stretch: 1.6, TargetLatencyMS: 60},
+		Steps: []job.Step{{Count: tasks, Need: job.Resources{CPU: 1600, Memory: 64}, EstimateMS: 100}},
+	}
+}
+
+// A gate that was asked to adopt runs tells its inventory in the middle of a
+// link, while starts may be on their way to it. These are not lost: a second
+// run beside them would run at the same time.
+func TestInventoryCrossesStart(t *testing.T) {
+	b := newBench(t)
+	link := b.connect("gate-1")
+	b.owner.RunBestEffort(testSubmission("0000000000000001", 1), time.Minute, func(BestEffortResult) {})
+	f := b.flush("gate-1", link)
+	if len(f.Starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(f.Starts))
+	}
+	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: f.Sequence - 1, Report: testReport(), Inventory: true})
+	if again := b.flush("gate-1", link); len(again.Starts) != 0 {
+		t.Errorf("started again as run %d while the start was on its way", again.Starts[0].Name.Run)
+	}
+	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: f.Sequence, Report: testReport(), Inventory: true})
+	again := b.flush("gate-1", link)
+	if len(again.Starts) != 1 || again.Starts[0].Name.Run != f.Starts[0].Name.Run+1 {
+		t.Errorf("a run that the gate does not know was not replaced: %+v", again.Starts)
+	}
+}
--- a/owner/view.go
+++ b/owner/view.go
@@ -34,6 +34,7 @@
 // sentOrder is a start that the gate's report does not cover yet.
 type sentOrder struct {
 	sequence uint64
+	name     job.RunName
 	need     job.Resources
 }
 
@@ -115,7 +116,7 @@
 	v.sequence++
 	f = gate.OwnerFrame{Echo: v.clock, Sequence: v.sequence, Starts: v.starts, Stops: v.stops, Verdicts: v.verdicts, Adopt: v.adopt}
 	for _, s := range v.starts {
-		v.inFlight = append(v.inFlight, sentOrder{sequence: v.sequence, need: s.Need})
+		v.inFlight = append(v.inFlight, sentOrder{sequence: v.sequence, name: s.Name, need: s.Need})
 	}
 	v.starts = nil
 	v.stops = nil
@@ -188,15 +189,21 @@
 	for _, j := range o.jobs {
 		for _, t := range j.tasks {
 			placed := t.phase == taskPlaced || t.phase == taskRunning
-			if placed && t.gate == v.name && !known[t.runName()] && !v.waitsToSend(t) {
+			if placed && t.gate == v.name && !known[t.runName()] && !v.onItsWay(t) {
 				o.replace(now, t)
 			}
 		}
 	}
 }
 
-// waitsToSend says whether a task's start was not sent over the link yet.
-func (v *gateView) waitsToSend(t *task) bool {
+// onItsWay says whether the gate had not received a task's start over this link
+// when it sent its newest frame.
+func (v *gateView) onItsWay(t *task) bool {
+	for _, s := range v.inFlight {
+		if s.name == t.runName() {
+			return true
+		}
+	}
 	for _, s := range v.starts {
 		if s.Name == t.runName() {
 			return true
