Admission, late jobs behind others, and best-effort jobs without the store

Change: gates have two contact times for each owner, with and without its lease; a job that can't start in time behind the owner's waiting work is refused at once; one that can't be in time any more goes behind those that can; one that lost its worth while tasks wait is given up; SIGHUP reads the settings anew. Proof: TestBestEffortWithoutLease, TestLateJobsWait, TestRefusedWhileUntried, TestAdmission (the last found that equals in urgency did not count as ahead).

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -56,7 +56,10 @@
 			if err != nil {
 				return exitWith(ExitUsage, "%v", err)
 			}
-			return run(ctx, s, platformOptions(s, c.logger(os.Stdout)))
+			o := platformOptions(s, c.logger(os.Stdout))
+			stop := platform.Reload(s, o.Log)
+			defer stop()
+			return run(ctx, s, o)
 		})
 	})
 	return cmd
--- a/gate/contact.go
+++ b/gate/contact.go
@@ -1,23 +1,24 @@
 package gate
 
-// silent says whether an owner has had no word of the gate for too long.
-func (g *Gate) silent(now Time, owner string) bool {
-	o := g.owners[owner]
-	return o == nil || now-o.contact > g.options.Contact
+// silent says whether the owner of a run has had no word of the gate for too long.
+func (g *Gate) silent(now Time, r *run) bool {
+	o := g.owners[r.owner]
+	switch {
+	case o == nil:
+		return true
+	case r.bestEffort:
+		return now-o.contact > g.options.BestEffortContact
+	}
+	return now-o.keptContact > g.options.Contact
 }
 
-// overdue says whether a run has no owner in contact.
+// overdue says whether a run has no owner in contact; a run that was found
+// waits for one.
 func (g *Gate) overdue(now Time, r *run) bool {
-	if r.owner == "" {
-		return now-r.found > g.options.Contact
-	}
-	if o := g.owners[r.owner]; o == nil {
+	if g.owners[r.owner] == nil {
 		return now-r.found > g.options.Contact
 	}
-	if r.bestEffort {
-		return now-g.contactOf(r.owner) > g.options.BestEffortContact
-	}
-	return g.silent(now, r.owner)
+	return g.silent(now, r)
 }
 
 // Tick looks at times: silent owners, stops to send again, runs that stand still.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -99,10 +99,12 @@
 
 // ownerState is what the gate knows of an owner's life.
 type ownerState struct {
-	// contact is the newest time at which the owner surely heard of the gate.
-	contact  Time
-	link     uint64
-	received uint64
+	// contact is the newest time at which the owner surely heard of the gate,
+	// keptContact the same with the owner's lease in the store holding.
+	contact     Time
+	keptContact Time
+	link        uint64
+	received    uint64
 	// open says whether a link is up.
 	open      bool
 	states    []*run
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -44,8 +44,12 @@
 
 // OwnerFrame is what an owner sends.
 type OwnerFrame struct {
-	// Echo is the newest time of the gate that the owner has received.
-	Echo     Time
+	// Echo is the newest time of the gate that the owner has received; runs of
+	// jobs that are not kept go by it.
+	Echo Time
+	// KeptEcho is the same while the owner's lease in the store holds; runs of
+	// jobs that are kept go by it.
+	KeptEcho Time
 	Sequence uint64
 	Starts   []Order
 	Stops    []job.RunName
@@ -62,7 +66,7 @@
 	}
 	o := g.owners[owner]
 	if o == nil {
-		o = &ownerState{contact: now}
+		o = &ownerState{contact: now, keptContact: now}
 		g.owners[owner] = o
 	}
 	if link <= o.link {
@@ -106,6 +110,7 @@
 		return Actions{}, false
 	}
 	o.contact = max(o.contact, min(f.Echo, now))
+	o.keptContact = max(o.keptContact, min(f.KeptEcho, now))
 	o.received = f.Sequence
 	g.adopt(owner, f.Adopt)
 	for _, v := range f.Verdicts {
@@ -115,9 +120,8 @@
 	for _, name := range f.Stops {
 		g.stopOrder(owner, name)
 	}
-	stale := now-o.contact > g.options.Contact
 	for _, order := range f.Starts {
-		g.accept(now, owner, order, stale)
+		g.accept(now, owner, order)
 	}
 	before := g.seen
 	g.advanceSeen()
@@ -162,7 +166,7 @@
 	}
 }
 
-func (g *Gate) accept(now Time, owner string, o Order, stale bool) {
+func (g *Gate) accept(now Time, owner string, o Order) {
 	if g.runs[o.Name] != nil {
 		return
 	}
@@ -173,7 +177,7 @@
 	}
 	g.runs[o.Name] = r
 	switch {
-	case stale:
+	case g.silent(now, r):
 		g.reject(r, "stale order")
 	case !g.Open():
 		g.reject(r, "closed")
@@ -259,7 +263,7 @@
 		if r == nil {
 			return a
 		}
-		if g.silent(now, r.owner) {
+		if g.silent(now, r) {
 			g.queue.pop()
 			g.reject(r, "owner silent")
 			continue
--- a/node/entry.go
+++ b/node/entry.go
@@ -144,9 +144,21 @@
 	e.mu.Unlock()
 	if t := e.current.Load(); t != nil {
 		t.keep(d)
+		t.owner.SetEntries(e.entries())
 	}
 }
 
+// entries returns the number of entry daemons of the membership.
+func (e *Entry) entries() int {
+	n := 0
+	for _, d := range e.known() {
+		if d.Role == member.RoleEntry {
+			n++
+		}
+	}
+	return n
+}
+
 // known returns the daemons of the membership.
 func (e *Entry) known() []member.Daemon {
 	e.mu.Lock()
@@ -163,15 +175,12 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	incarnation := e.options.Node + "~" + uuid.NewString()[:8]
-	t, err := e.newTerm(ctx, incarnation)
-	if err != nil {
-		return
-	}
+	t := e.newTerm(ctx, incarnation)
 	e.current.Store(t)
 	for _, d := range e.known() {
 		t.keep(d)
 	}
-	e.log.Info("Life begun.", "incarnation", incarnation)
+	t.owner.SetEntries(e.entries())
 	go member.Register(ctx, e.store, t.daemon, e.log)
 	t.run(ctx)
 }
@@ -179,7 +188,7 @@
 // Ready says whether the daemon should get new connections.
 func (e *Entry) Ready() bool {
 	t := e.current.Load()
-	return t != nil && !e.stopping.Load() && e.routes.Current() != nil && t.owner.Active() && t.links.Linked() > 0
+	return t != nil && !e.stopping.Load() && e.routes.Current() != nil && t.owner.Alive() && t.links.Linked() > 0
 }
 
 // Submit hands in a job.
--- a/node/term.go
+++ b/node/term.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -17,12 +18,13 @@
 
 // term is one life of an entry daemon's owner.
 type term struct {
-	entry   *Entry
-	daemon  member.Daemon
-	life    *member.Life
-	owner   *owner.Owner
-	links   *peer.Links
-	writers []*rowstore.Committer
+	entry  *Entry
+	daemon member.Daemon
+	life   *member.Life
+	owner  *owner.Owner
+	links  *peer.Links
+	// writers are there once the life stands in the store.
+	writers atomic.Pointer[[]*rowstore.Committer]
 	watcher *member.Watcher
 	log     logr.Logger
 	ctx     context.Context
@@ -35,7 +37,7 @@
 	taking   map[string]bool
 }
 
-func (e *Entry) newTerm(ctx context.Context, incarnation string) (*term, error) {
+func (e *Entry) newTerm(ctx context.Context, incarnation string) *term {
 	daemon := member.Daemon{Node: e.options.Node, Role: member.RoleEntry, Zone: e.options.Zone, Address: e.options.Listen, Incarnation: incarnation}
 	var parts []string
 	for i := range e.options.Parts {
@@ -47,13 +49,6 @@
 		watcher: member.NewWatcher(e.store, parts, daemon, e.started),
 	}
 	t.ctx, t.end = context.WithCancel(ctx)
-	sent, err := t.life.Begin(ctx)
-	if err != nil {
-		return nil, err
-	}
-	for i := range e.options.Parts {
-		t.writers = append(t.writers, rowstore.NewCommitter(e.store, t.life.Fence(i), commitDelay, t.fenced))
-	}
 	t.owner = owner.New(owner.Options{
 		Incarnation: incarnation, Parts: e.options.Parts, Contact: contact, MaxHold: e.options.MaxHold,
 		KeepFinished: e.options.KeepFinished, Log: e.log,
@@ -61,18 +56,40 @@
 		WallClock: time.Now,
 	}, t)
 	t.links = peer.NewLinks(incarnation, t.owner, e.options.Metrics, e.log)
-	t.renewed(sent)
-	return t, nil
+	return t
 }
 
-// Add implements owner.Writer.Add.
-func (t *term) Add(part int, w *rowstore.Write) { t.writers[part].Add(w) }
+// Add implements owner.Writer.Add. Nothing is written before the life stands in
+// the store, since its lease does not hold before.
+func (t *term) Add(part int, w *rowstore.Write) { (*t.writers.Load())[part].Add(w) }
 
 // Withdraw implements owner.Writer.Withdraw.
-func (t *term) Withdraw(part int, w *rowstore.Write) bool { return t.writers[part].Withdraw(w) }
+func (t *term) Withdraw(part int, w *rowstore.Write) bool {
+	return (*t.writers.Load())[part].Withdraw(w)
+}
 
 // FailingFor implements owner.Writer.FailingFor.
-func (t *term) FailingFor(part int) time.Duration { return t.writers[part].FailingFor(time.Now()) }
+func (t *term) FailingFor(part int) time.Duration {
+	return (*t.writers.Load())[part].FailingFor(time.Now())
+}
+
+// begin writes the life into the store; jobs that are kept are taken from then on.
+func (t *term) begin() bool {
+	sent, err := t.life.Begin(t.ctx)
+	if err != nil {
+		return false
+	}
+	var writers []*rowstore.Committer
+	for i := range t.entry.options.Parts {
+		w := rowstore.NewCommitter(t.entry.store, t.life.Fence(i), commitDelay, t.fenced)
+		writers = append(writers, w)
+		go w.Run(t.ctx)
+	}
+	t.writers.Store(&writers)
+	t.renewed(sent)
+	t.log.Info("Life begun.", "incarnation", t.daemon.Incarnation)
+	return true
+}
 
 // keep keeps a link to a daemon if it has a gate.
 func (t *term) keep(d member.Daemon) {
@@ -99,12 +116,7 @@
 // run serves the life until it ends.
 func (t *term) run(ctx context.Context) {
 	defer t.end()
-	for _, w := range t.writers {
-		go w.Run(t.ctx)
-	}
-	go t.renew()
-	go t.watch()
-	go t.answerForeign()
+	go t.serveKept()
 	ticker := time.NewTicker(tickPause)
 	defer ticker.Stop()
 	for {
@@ -119,6 +131,17 @@
 	}
 }
 
+// serveKept does what jobs that are kept need: the life in the store, its lease,
+// the take-over of the jobs of other lives.
+func (t *term) serveKept() {
+	if !t.begin() {
+		return
+	}
+	go t.renew()
+	go t.watch()
+	t.answerForeign()
+}
+
 // renew renews the lease until the life ends.
 func (t *term) renew() {
 	for {
@@ -153,6 +176,10 @@
 	defer t.renewMu.Unlock()
 	t.released = true
 	t.owner.End()
+	if t.writers.Load() == nil {
+		t.end()
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if err := t.life.Release(ctx); err != nil {
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -1,16 +1,170 @@
 package owner
 
 import (
+	"time"
+
 	"rackspur/job"
 )
 
-// admits says whether there is hope for a new job: with no gate to run it, or a
-// backlog that it can't get through in time, it is refused at once.
-func (o *Owner) admits(_ Time, _ *job.Submission) bool {
-	return true
+// Bounds of admission.
+const (
+	// hopeShare is the part of its objective by which a job of which nothing was
+	// placed may be behind before it is refused.
+	hopeShare = 0.25
+	// admitSlack is added to the slack of a new job when the backlog is judged.
+	admitSlack = 20 * time.Millisecond
+)
+
+// admits says whether a new job can start in time. With room free it can;
+// otherwise the work that is waiting ahead of it has to be done before.
+func (o *Owner) admits(now Time, j *liveJob) bool {
+	capacity, room := o.roomFor(j)
+	if capacity == 0 {
+		return false
+	}
+	if room >= j.need() {
+		return true
+	}
+	ahead := o.workAhead(j)
+	wait := time.Duration(ahead / float64(capacity) * float64(o.entries) * float64(time.Second))
+	return now+wait <= j.startBy+admitSlack
+}
+
+// roomFor returns the capacity of the gates that a job may use and the room
+// that is free on them, in thousandths of a core.
+func (o *Owner) roomFor(j *liveJob) (capacity, room int) {
+	for _, v := range o.usableGates() {
+		if v.report.Service != j.record.Queue.Service {
+			continue
+		}
+		capacity += v.report.Capacity.CPU
+		room += max(0, v.free().CPU)
+	}
+	return capacity, room
+}
+
+// need returns what all tasks of the job take together, in thousandths of a core.
+func (j *liveJob) need() int {
+	total := 0
+	for i := range j.record.Steps {
+		total += j.record.Steps[i].Count * j.record.Steps[i].Need.CPU
+	}
+	return total
 }
 
-// setUrgency sets the time by which a job's tasks are ordered: its objective.
+// workAhead returns the work of this owner's waiting tasks that come before a
+// job's, in thousandths of core-seconds.
+func (o *Owner) workAhead(j *liveJob) float64 {
+	ahead := 0.0
+	for _, t := range o.waiting.items {
+		if !j.before(t.job) {
+			ahead += float64(t.step.Need.CPU) * float64(t.step.EstimateMS) / 1000
+		}
+	}
+	return ahead
+}
+
+// before says whether a job's tasks are to start before another's: those that
+// can still be in time first, then the more urgent.
+func (j *liveJob) before(other *liveJob) bool {
+	if j.late != other.late {
+		return !j.late
+	}
+	return j.urgency < other.urgency
+}
+
+// setUrgency sets the times by which a job's tasks are ordered.
 func (j *liveJob) setUrgency() {
-	j.urgency = j.objective
+	j.startBy = j.objective - j.chain()
+	j.urgency = j.startBy
+}
+
+// reviewWaiting looks at the jobs with waiting tasks: one that can't be in time
+// any more goes behind those that can. One that is not kept and of which nothing
+// was placed is refused before it has waited long.
+func (o *Owner) reviewWaiting(now Time) {
+	var late, refused []*liveJob
+	seen := map[*liveJob]bool{}
+	for _, t := range o.waiting.items {
+		j := t.job
+		if seen[j] {
+			continue
+		}
+		seen[j] = true
+		switch {
+		case j.record.BestEffort && !j.placed && now > j.startBy+j.hope():
+			refused = append(refused, j)
+		case !j.late && now > j.startBy:
+			late = append(late, j)
+		}
+	}
+	for _, j := range refused {
+		o.stats.Refused++
+		o.drop(j)
+	}
+	for _, j := range late {
+		o.markLate(j)
+	}
+}
+
+func (j *liveJob) hope() time.Duration {
+	return time.Duration(hopeShare * float64(j.objective-j.arrived))
+}
+
+// markLate puts a job's waiting tasks behind those of jobs that can be in time.
+func (o *Owner) markLate(j *liveJob) {
+	var waiting []*task
+	for _, t := range j.tasks {
+		if t.position >= 0 {
+			waiting = append(waiting, t)
+			o.waiting.remove(t)
+		}
+	}
+	j.late = true
+	for _, t := range waiting {
+		o.waiting.push(t)
+	}
+}
+
+// giveUpHopeless gives its final answer at once to each job that is not kept
+// and can't end before its caller leaves, or has lost its worth while tasks of
+// it wait.
+func (o *Owner) giveUpHopeless(now Time) {
+	for _, j := range o.jobs {
+		if !j.record.BestEffort || j.phase != jobLive {
+			continue
+		}
+		if now >= j.deadline || (now >= j.lateBy && j.waits()) {
+			o.drop(j)
+		}
+	}
+	for id, at := range o.dropped {
+		if now-at > rememberEnded {
+			delete(o.dropped, id)
+		}
+	}
+}
+
+// waits says whether tasks of the job wait for a gate.
+func (j *liveJob) waits() bool {
+	for _, t := range j.tasks {
+		if t.position >= 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// SetEntries takes in how many owners share the executors.
+func (o *Owner) SetEntries(n int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.entries = max(1, n)
+}
+
+// admitsSubmission says whether a job that is kept is let in.
+func (o *Owner) admitsSubmission(now Time, s *job.Submission) bool {
+	j := newLiveJob(job.Record{Submission: *s}, now)
+	j.setUrgency()
+	return o.admits(now, j)
 }
--- /dev/null
+++ b/owner/admission_test.go
@@ -0,0 +1,120 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/job"
+)
+
+// fill takes all room of a gate.
+func (b *bench) fill(name string, link uint64) {
+	r := testReport()
+	r.Free = job.Resources{}
+	r.Queued = job.Resources{CPU: r.Capacity.CPU}
+	b.owner.OnFrame(name, link, gate.Frame{Clock: b.now, Report: r})
+}
+
+// submit hands in a best-effort job and returns its result, nil while it has none.
+func (b *bench) submit(id int, tasks int) *BestEffortResult {
+	result := new(*BestEffortResult)
+	b.owner.RunBestEffort(testSubmission(job.ID(fmt.Sprintf("%016x", id)), tasks), time.Minute, func(r BestEffortResult) { *result = &r })
+	if *result != nil {
+		return *result
+	}
+	return nil
+}
+
+func TestAdmission(t *testing.T) {
+	b := newBench(t)
+	if r := b.submit(1, 1); r == nil || !r.Refused {
+		t.Error("taken though there is no gate")
+	}
+	link := b.connect("gate-1")
+	if r := b.submit(2, 1); r != nil {
+		t.Errorf("answered %+v though there is room", *r)
+	}
+	b.fill("gate-1", link)
+	taken := 0
+	for i := range 200 {
+		if r := b.submit(100+i, 8); r == nil {
+			taken++
+		}
+	}
+	if taken == 0 || taken == 200 {
+		t.Errorf("%d of 200 jobs taken with a full gate, want those that can start in time", taken)
+	}
+}
+
+// A job of which nothing was placed is refused, truly, before it has waited long.
+func TestRefusedWhileUntried(t *testing.T) {
+	b := newBench(t)
+	link := b.connect("gate-1")
+	b.fill("gate-1", link)
+	var got *BestEffortResult
+	s := testSubmission("00000000000000aa", 8)
+	b.owner.RunBestEffort(s, time.Minute, func(r BestEffortResult) { got = &r })
+	if got != nil {
+		t.Fatalf("answered %+v at once", *got)
+	}
+	objective := 220 * time.Millisecond
+	for b.now < time.Second+2*objective && got == nil {
+		b.now += 10 * time.Millisecond
+		b.owner.Tick()
+	}
+	if got == nil || !got.Refused || got.State != "" {
+		t.Fatalf("answer %+v, want refused", got)
+	}
+	if waited := b.now - time.Second; waited > objective {
+		t.Errorf("refused after %v", waited)
+	}
+	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Report: testReport()})
+	if f := b.flush("gate-1", link); len(f.Starts) != 0 {
+		t.Error("started after it was refused")
+	}
+}
+
+// Jobs that are not kept need no lease in the store: they go on in its outage.
+func TestBestEffortWithoutLease(t *testing.T) {
+	b := newBench(t)
+	b.owner.validUntil = 0
+	link := b.connect("gate-1")
+	if r := b.submit(1, 1); r != nil {
+		t.Fatalf("answered %+v", *r)
+	}
+	f := b.flush("gate-1", link)
+	if len(f.Starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(f.Starts))
+	}
+	if f.Echo == 0 || f.KeptEcho != 0 {
+		t.Errorf("echo %v, kept echo %v; want only the first", f.Echo, f.KeptEcho)
+	}
+	refused := false
+	kept := testSubmission("00000000000000bb", 1)
+	kept.BestEffort = false
+	b.owner.Submit(kept, func(r SubmitResult) { refused = r == SubmitRefused })
+	if !refused {
+		t.Error("a job that is kept was taken without a lease")
+	}
+}
+
+// Jobs that can't be in time come after those that can.
+func TestLateJobsWait(t *testing.T) {
+	b := newBench(t)
+	link := b.connect("gate-1")
+	b.fill("gate-1", link)
+	b.submit(1, 8)
+	j := b.owner.jobs["0000000000000001"]
+	j.placed = true
+	b.now = j.startBy + time.Millisecond
+	b.owner.Tick()
+	if !j.late {
+		t.Fatal("not marked late")
+	}
+	b.submit(2, 8)
+	if first := b.owner.waiting.items[0].job; first == j {
+		t.Error("a late job comes first")
+	}
+}
--- a/owner/besteffort.go
+++ b/owner/besteffort.go
@@ -37,13 +37,13 @@
 		j.callers = append(j.callers, c)
 		return c.ticket
 	}
-	if !o.active(now) || !o.admits(now, &s) {
+	j := newLiveJob(job.Record{Submission: s, Owner: o.options.Incarnation}, now)
+	j.setUrgency()
+	if o.over || !o.admits(now, j) {
 		o.stats.Refused++
 		result(BestEffortResult{Refused: true})
 		return c.ticket
 	}
-	j := newLiveJob(job.Record{Submission: s, Owner: o.options.Incarnation}, now)
-	j.setUrgency()
 	j.phase = jobLive
 	j.deadline = now + patience
 	j.callers = append(j.callers, c)
@@ -99,18 +99,3 @@
 	j.tellCallers(j.undone())
 	j.tellWaiters()
 }
-
-// giveUpHopeless gives its final answer at once to each job that is not kept
-// and can't end before its caller leaves.
-func (o *Owner) giveUpHopeless(now Time) {
-	for _, j := range o.jobs {
-		if j.record.BestEffort && j.phase == jobLive && now >= j.deadline {
-			o.drop(j)
-		}
-	}
-	for id, at := range o.dropped {
-		if now-at > rememberEnded {
-			delete(o.dropped, id)
-		}
-	}
-}
--- a/owner/live.go
+++ b/owner/live.go
@@ -76,6 +76,10 @@
 	lateBy    Time
 	// deadline is when the last caller of a job that is not kept leaves.
 	deadline Time
+	// startBy is when the last tasks should start for the job to be in time.
+	startBy Time
+	// late is set once the job can't be in time any more.
+	late bool
 	// urgency orders tasks: the lower the earlier.
 	urgency  Time
 	insert   *rowstore.Write
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -83,6 +83,8 @@
 	waiting taskQueue
 	random  *rand.Rand
 	order   uint64
+	// entries is how many owners share the executors.
+	entries int
 	// valid says until when the owner's lease holds.
 	validUntil Time
 	over       bool
@@ -109,6 +111,7 @@
 func New(o Options, w Writer) *Owner {
 	return &Owner{
 		options: o,
+		entries: 1,
 		writer:  w,
 		jobs:    map[job.ID]*liveJob{},
 		ended:   map[job.ID]*endedJob{},
@@ -144,18 +147,25 @@
 	}
 }
 
-// active says whether the owner may give orders.
+// active says whether the owner may give orders for jobs that are kept.
 func (o *Owner) active(now Time) bool {
 	return !o.over && now < o.validUntil
 }
 
-// Active says whether the owner may give orders.
+// Active says whether the owner may give orders for jobs that are kept.
 func (o *Owner) Active() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.active(o.options.Now())
 }
 
+// Alive says whether the owner's life goes on.
+func (o *Owner) Alive() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.over
+}
+
 // Live returns the number of jobs that have not ended.
 func (o *Owner) Live() int {
 	o.mu.Lock()
@@ -175,13 +185,14 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.options.Now()
-	if !o.active(now) {
+	if o.over {
 		return
 	}
 	o.presumeSilentGates(now)
 	o.checkAdoptions(now)
 	o.writeProgress(now)
 	o.giveUpHopeless(now)
+	o.reviewWaiting(now)
 	o.place(now)
 	o.forgetEnded(now)
 }
--- a/owner/place.go
+++ b/owner/place.go
@@ -16,11 +16,13 @@
 	// slowFactor is how many times slower than the median an executor must be to
 	// be used last.
 	slowFactor = 2.0
+	// lateRank puts the runs of late jobs behind all others at a gate.
+	lateRank = time.Minute
 )
 
 // place sends waiting tasks to gates as far as there is room.
 func (o *Owner) place(now Time) {
-	if !o.active(now) || o.waiting.len() == 0 {
+	if o.over || o.waiting.len() == 0 {
 		return
 	}
 	usable := o.usableGates()
@@ -28,6 +30,10 @@
 	misses := 0
 	for o.waiting.len() > 0 && len(usable) > 0 && misses < maxMisses {
 		t := o.waiting.pop()
+		if !t.job.record.BestEffort && !o.active(now) {
+			back = append(back, t)
+			continue
+		}
 		v := o.choose(usable, t)
 		if v == nil {
 			back = append(back, t)
@@ -165,5 +171,9 @@
 // rank translates a job's urgency to the gate's clock, in microseconds.
 func (o *Owner) rank(now Time, v *gateView, t *task) int64 {
 	gateNow := v.clock + (now - v.heard)
-	return (gateNow + t.job.urgency - now).Microseconds()
+	rank := gateNow + t.job.urgency - now
+	if t.job.late {
+		rank += lateRank
+	}
+	return rank.Microseconds()
 }
--- a/owner/queue.go
+++ b/owner/queue.go
@@ -27,11 +27,11 @@
 
 // Less implements sort.Interface.Less.
 func (h taskHeap) Less(i, j int) bool {
-	a, b := h[i].job.urgency, h[j].job.urgency
-	if a != b {
-		return a < b
+	a, b := h[i].job, h[j].job
+	if a.late == b.late && a.urgency == b.urgency {
+		return h[i].order < h[j].order
 	}
-	return h[i].order < h[j].order
+	return a.before(b)
 }
 
 // Swap implements sort.Interface.Swap.
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -65,7 +65,7 @@
 	if o.writer.FailingFor(o.part(s.ID)) > storeDownAfter {
 		return false
 	}
-	return o.admits(now, s)
+	return o.admitsSubmission(now, s)
 }
 
 // insert writes the row of a new job on the condition that it is not there.
--- a/owner/view.go
+++ b/owner/view.go
@@ -104,17 +104,25 @@
 	}
 }
 
-// Flush returns the frame to send to a gate now; ok is false while the owner
-// may not give orders or the link is not the newest.
+// keptEcho is the echo for runs of jobs that are kept.
+func (o *Owner) keptEcho(v *gateView) gate.Time {
+	if !o.active(o.options.Now()) {
+		return 0
+	}
+	return v.clock
+}
+
+// Flush returns the frame to send to a gate now; ok is false once the owner's
+// life is over or if the link is not the newest.
 func (o *Owner) Flush(name string, link uint64) (f gate.OwnerFrame, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	v := o.gates[name]
-	if v == nil || v.link != link || !o.active(o.options.Now()) {
+	if v == nil || v.link != link || o.over {
 		return gate.OwnerFrame{}, false
 	}
 	v.sequence++
-	f = gate.OwnerFrame{Echo: v.clock, Sequence: v.sequence, Starts: v.starts, Stops: v.stops, Verdicts: v.verdicts, Adopt: v.adopt}
+	f = gate.OwnerFrame{Echo: v.clock, KeptEcho: o.keptEcho(v), Sequence: v.sequence, Starts: v.starts, Stops: v.stops, Verdicts: v.verdicts, Adopt: v.adopt}
 	for _, s := range v.starts {
 		v.inFlight = append(v.inFlight, sentOrder{sequence: v.sequence, name: s.Name, need: s.Need})
 	}
@@ -143,7 +151,7 @@
 	defer o.mu.Unlock()
 	now := o.options.Now()
 	v := o.gates[name]
-	if v == nil || v.link != link {
+	if v == nil || v.link != link || o.over {
 		return
 	}
 	v.linked = true
@@ -157,11 +165,6 @@
 	for _, life := range f.Adopted {
 		v.adopted[life] = true
 	}
-	if !o.active(now) {
-		// What the frame tells is asked for again with the next link.
-		v.staleInventory()
-		return
-	}
 	for _, s := range f.States {
 		o.onState(now, v, s)
 	}
@@ -172,13 +175,6 @@
 	o.place(now)
 }
 
-// staleInventory makes the link be made anew, so that nothing told while the
-// owner was not active gets lost.
-func (v *gateView) staleInventory() {
-	v.link = 0
-	v.poke()
-}
-
 // reconcile compares an inventory with what the owner believes to be placed on
 // the gate: a run that the gate does not know has never started.
 func (o *Owner) reconcile(now Time, v *gateView, states []gate.RunState) {
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -28,7 +28,7 @@
 }
 
 func toOwnerFrame(f gate.OwnerFrame) *peerpb.OwnerFrame {
-	out := &peerpb.OwnerFrame{Echo: uint64(f.Echo.Microseconds()), Sequence: f.Sequence, Adopt: f.Adopt}
+	out := &peerpb.OwnerFrame{Echo: uint64(f.Echo.Microseconds()), KeptEcho: uint64(f.KeptEcho.Microseconds()), Sequence: f.Sequence, Adopt: f.Adopt}
 	for _, s := range f.Starts {
 		out.Starts = append(out.Starts, &peerpb.StartOrder{
 			Name: toRunName(s.Name), Spec: s.Spec, Need: toResources(s.Need),
@@ -45,7 +45,7 @@
 }
 
 func fromOwnerFrame(f *peerpb.OwnerFrame) gate.OwnerFrame {
-	out := gate.OwnerFrame{Echo: time.Duration(f.GetEcho()) * time.Microsecond, Sequence: f.GetSequence(), Adopt: f.GetAdopt()}
+	out := gate.OwnerFrame{Echo: time.Duration(f.GetEcho()) * time.Microsecond, KeptEcho: time.Duration(f.GetKeptEcho()) * time.Microsecond, Sequence: f.GetSequence(), Adopt: f.GetAdopt()}
 	for _, s := range f.GetStarts() {
 		out.Starts = append(out.Starts, gate.Order{
 			Name: fromRunName(s.GetName()), Spec: s.GetSpec(), Need: fromResources(s.GetNeed()),
--- a/peer/links.go
+++ b/peer/links.go
@@ -30,7 +30,7 @@
 
 // Owner is the owner whose links are kept.
 type Owner interface {
-	Active() bool
+	Alive() bool
 	LinkUp(gate string, link uint64, wake func())
 	LinkDown(gate string, link uint64)
 	Flush(gate string, link uint64) (gate.OwnerFrame, bool)
@@ -110,7 +110,7 @@
 func (l *Links) keep(ctx context.Context, node string) {
 	backoff := leastBackoff
 	for try := 0; ctx.Err() == nil; try++ {
-		if !l.owner.Active() {
+		if !l.owner.Alive() {
 			sleep(ctx, leastBackoff)
 			continue
 		}
