Closed gates give their queue back; failures of replaced runs count

Proof: TestClosedGateGivesQueueBack failed in three of four cases before. A line now tells of tasks that stand still.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -257,16 +257,22 @@
 	}
 	g.newLife(now, "")
 	g.pastLives[life] = true
+	g.rejectQueue("executor left")
 	g.tellAll()
 }
 
 // Leave makes the gate take no more orders.
 func (g *Gate) Leave() {
 	g.leaving = true
+	g.rejectQueue("leaving")
+	g.tellAll()
+}
+
+// rejectQueue gives all waiting runs back to their owners.
+func (g *Gate) rejectQueue(reason string) {
 	for _, r := range g.queue.takeAll() {
-		g.reject(r, "leaving")
+		g.reject(r, reason)
 	}
-	g.tellAll()
 }
 
 // Idle says whether nothing is queued, runs, or waits for its end to be noted.
--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,129 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"rackspur/job"
+)
+
+// bench is a gate with an executor's answers made by a test.
+type bench struct {
+	t    *testing.T
+	gate *Gate
+	now  Time
+	// clock is the executor's clock when the gate's was zero.
+	clock int64
+}
+
+const (
+	testOwner = "entry-1~a"
+	testLife  = "i-1"
+)
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, now: time.Second, clock: 100000}
+	b.gate = New(Options{Node: "gate-1", MaxHold: time.Second, Contact: 1400 * time.Millisecond, BestEffortContact: time.Second})
+	b.heartbeat(testLife, false)
+	b.hold(HoldAnswer{})
+	b.hold(HoldAnswer{})
+	b.gate.Connect(b.now, testOwner, 1, func() {})
+	return b
+}
+
+func (b *bench) executorClock() int64 { return b.clock + b.now.Milliseconds() }
+
+func (b *bench) heartbeat(life string, draining bool) {
+	b.gate.OnHeartbeat(b.now, Heartbeat{
+		Life: life, Service: "engine", Capacity: job.Resources{CPU: 16000, Memory: 32768},
+		Draining: draining, ClockMS: b.executorClock(), Sequence: b.now.Milliseconds(),
+	})
+}
+
+// hold makes the hold that is due and answers it.
+func (b *bench) hold(lists HoldAnswer) (Hold, Actions) {
+	h := b.gate.NextHold(b.now, 0)
+	b.now += time.Millisecond
+	return h, b.gate.OnHold(b.now, h, Answer{ClockMS: b.executorClock(), Life: b.gate.life}, lists, nil)
+}
+
+func testRun(id job.ID, index, run int) job.RunName {
+	return job.RunName{TaskName: job.TaskName{Job: id, Index: index}, Run: run}
+}
+
+// order sends starts of the owner and returns what the gate does.
+func (b *bench) order(kept bool, names ...job.RunName) Actions {
+	b.t.Helper()
+	f := OwnerFrame{Echo: b.now, KeptEcho: b.now, Sequence: 1}
+	for _, n := range names {
+		f.Starts = append(f.Starts, Order{Name: n, Spec: "s", Need: job.Resources{CPU: 1600, Memory: 64}, Estimate: 100 * time.Millisecond, BestEffort: !kept})
+	}
+	a, ok := b.gate.OnFrame(b.now, testOwner, 1, f)
+	if !ok {
+		b.t.Fatal("frame not taken")
+	}
+	return a
+}
+
+// verdict gives the owner's word on a run.
+func (b *bench) verdict(name job.RunName, kind VerdictKind) Actions {
+	a, _ := b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, KeptEcho: b.now, Verdicts: []Verdict{{Name: name, Kind: kind}}})
+	return a
+}
+
+// started answers all starts well.
+func (b *bench) started(a Actions) {
+	for _, c := range a.Starts {
+		b.gate.OnStart(b.now, a.Life, c, Answer{ClockMS: b.executorClock()}, nil)
+	}
+}
+
+// states returns what the gate tells its owner now, by run.
+func (b *bench) states() map[job.RunName]RunState {
+	f, ok := b.gate.Flush(b.now, testOwner, 1)
+	if !ok {
+		b.t.Fatal("no frame")
+	}
+	m := map[job.RunName]RunState{}
+	for _, s := range f.States {
+		m[s.Name] = s
+	}
+	return m
+}
+
+// fillWith starts as many runs as fit and returns their names.
+func (b *bench) fillWith(id job.ID) []job.RunName {
+	var names []job.RunName
+	for i := range 10 {
+		names = append(names, testRun(id, i, 1))
+	}
+	b.started(b.order(true, names...))
+	return names
+}
+
+// Runs that wait at a gate which closes go back to their owner; they would wait
+// for ever otherwise.
+func TestClosedGateGivesQueueBack(t *testing.T) {
+	waiting := testRun("bb", 0, 1)
+	closings := map[string]func(b *bench){
+		"draining":   func(b *bench) { b.heartbeat(testLife, true) },
+		"deregister": func(b *bench) { b.gate.OnDeregister(b.now, testLife) },
+		"leaving":    func(b *bench) { b.gate.Leave() },
+		"lapsing": func(b *bench) {
+			b.gate.lapsing = true
+			b.gate.Tick(b.now)
+		},
+	}
+	for name, closeGate := range closings {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			b.fillWith("aa")
+			b.order(true, waiting)
+			b.states()
+			closeGate(b)
+			if s := b.states()[waiting]; s.End != EndRejected {
+				t.Errorf("state %+v, want rejected", s)
+			}
+		})
+	}
+}
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -88,6 +88,7 @@
 	case errors.Is(err, ErrOtherLife):
 		if g.life != "" {
 			g.newLife(now, "")
+			g.rejectQueue("executor left")
 			g.tellAll()
 		}
 	}
@@ -227,9 +228,7 @@
 	g.tell(r)
 	g.tellAll()
 	if g.health.suspect {
-		for _, waiting := range g.queue.takeAll() {
-			g.reject(waiting, "suspect")
-		}
+		g.rejectQueue("suspect")
 	}
 }
 
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -256,6 +256,7 @@
 func (g *Gate) startFromQueue(now Time, a Actions) Actions {
 	a.Life = g.life
 	if !g.Open() || g.life == "" {
+		g.rejectQueue("closed")
 		return a
 	}
 	for {
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -56,6 +56,8 @@
 	case s.End == gate.EndRejected || s.End == gate.EndLost:
 	case t.job.record.BestEffort && s.End != 0:
 		v.judge(s.Name, gate.VerdictNote)
+	case s.End == gate.EndFailed:
+		o.countFailure(v, t, s.Name)
 	default:
 		o.stats.Discarded++
 		o.log.Info("Discarded a run.", "job", s.Name.Job, "task", t.index, "run", s.Name.Run, "newest", t.run, "gate", v.name, "end", s.End)
@@ -63,6 +65,14 @@
 	}
 }
 
+// countFailure counts the failure of a run that was replaced already: it has
+// used up an attempt all the same.
+func (o *Owner) countFailure(v *gateView, t *task, name job.RunName) {
+	t.job.record.AddFailure(t.index, name.Run)
+	o.keepEnd(v, t.job, name)
+	o.touch(o.options.Now(), t.job)
+}
+
 // onCurrent takes in the state of the newest run of a task.
 func (o *Owner) onCurrent(now Time, v *gateView, t *task, s gate.RunState) {
 	j := t.job
--- a/owner/live.go
+++ b/owner/live.go
@@ -102,6 +102,8 @@
 	waiters []chan struct{}
 	// found are runs that gates have told of while the job is being taken over.
 	found []foundRun
+	// stallTold says that a line has told of a task that stands still.
+	stallTold bool
 }
 
 // endedJob is what is remembered of a job that has ended.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -203,6 +203,7 @@
 		return
 	}
 	o.swept = now
+	o.tellStalled(now)
 	for id, e := range o.ended {
 		if now-e.at > rememberEnded {
 			e.runs = nil
