A claim tells the owner of an end in between

Found by a line that tells why runs stand still at a gate, which stays. Ruled out: lost verdicts (inventories repeat them), the leak of room (used fits). Proof: TestClaimTellsEnd failed before.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -138,16 +138,36 @@
 func (d *Driver) tick(ctx context.Context) {
 	t := time.NewTicker(tickPause)
 	defer t.Stop()
+	var told time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 			d.do(func(now Time, g *Gate) Actions { return g.Tick(now) })
+			d.tellStall(&told)
 		}
 	}
 }
 
+// stallPause is the time between two lines about runs that stand still.
+const stallPause = 2 * time.Second
+
+func (d *Driver) tellStall(told *time.Time) {
+	if time.Since(*told) < stallPause {
+		return
+	}
+	*told = time.Now()
+	d.mu.Lock()
+	s, ok := d.gate.Stalled(d.now())
+	d.mu.Unlock()
+	if ok {
+		d.log.Info("Runs stand still in the queue.", "waiting", s.Waiting, "runs", s.Runs, "listed", s.Listed, "seen", s.Seen,
+			"usedCPU", s.Used.CPU, "capacityCPU", s.Capacity.CPU, "suspect", s.Suspect, "lapsing", s.Lapsing, "oldest", s.Oldest.String(),
+			"nextJob", s.Next.Name.Job, "nextIndex", s.Next.Name.Index, "nextRun", s.Next.Name.Run, "nextEnd", int(s.Next.End), "nextOwner", s.NextOwner, "nextNoted", s.NextNoted)
+	}
+}
+
 // Heartbeat takes in an executor's word; it returns false if it is of an earlier life.
 func (d *Driver) Heartbeat(b Heartbeat) (ok bool) {
 	d.do(func(now Time, g *Gate) (a Actions) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -69,6 +69,7 @@
 	order      uint64
 
 	phase   phase
+	arrived Time
 	started Time
 	// runningSince is when the gate learnt that the run runs.
 	runningSince Time
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -127,3 +127,24 @@
 		})
 	}
 }
+
+// A run that a restarted gate found may end before its owner has claimed it. The
+// owner is told of the end with the claim; nobody else would note it ever.
+func TestClaimTellsEnd(t *testing.T) {
+	b := newBench(t)
+	found := testRun("aa", 0, 1)
+	b.hold(HoldAnswer{Running: []Running{{Name: found, Percent: 10}}})
+	if s := b.states()[found]; !s.Running {
+		t.Fatalf("state %+v, want running", s)
+	}
+	b.hold(HoldAnswer{Finished: []Ended{{Number: 1, Name: found, Kind: EndDone}}})
+	b.states()
+	b.verdict(found, VerdictClaim)
+	if s := b.states()[found]; s.End != EndDone {
+		t.Errorf("state %+v after the claim, want done", s)
+	}
+	b.verdict(found, VerdictNote)
+	if b.gate.seen != 1 {
+		t.Errorf("noted up to %d, want 1", b.gate.seen)
+	}
+}
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -173,7 +173,7 @@
 	g.orders++
 	r := &run{
 		RunName: o.Name, owner: owner, spec: o.Spec, need: o.Need, checkpoint: o.Checkpoint,
-		estimate: o.Estimate, rank: o.Rank, order: g.orders, bestEffort: o.BestEffort,
+		estimate: o.Estimate, rank: o.Rank, order: g.orders, arrived: now, bestEffort: o.BestEffort,
 	}
 	g.runs[o.Name] = r
 	switch {
@@ -216,6 +216,8 @@
 	if r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning {
 		g.used = g.used.Plus(need)
 	}
+	// It may have ended since the owner was told of it.
+	g.tell(r)
 }
 
 // discard makes sure that a run counts for nothing: it is stopped if it is not
--- a/gate/report.go
+++ b/gate/report.go
@@ -92,6 +92,41 @@
 	return f, true
 }
 
+// Stall describes why runs wait although the gate is open; ok is false if none
+// has waited for long.
+type Stall struct {
+	Waiting, Runs, Listed int
+	Used, Capacity        job.Resources
+	Suspect, Lapsing      bool
+	Seen                  int64
+	Oldest                time.Duration
+	// Next is the end that has to be noted next, NextOwner its owner.
+	Next      RunState
+	NextOwner string
+	NextNoted bool
+}
+
+// stallAfter is how long a run must wait to count as standing still.
+const stallAfter = 3 * time.Second
+
+// Stalled returns a description if runs have waited for long.
+func (g *Gate) Stalled(now Time) (s Stall, ok bool) {
+	first := g.queue.first()
+	if first == nil || now-first.arrived < stallAfter {
+		return Stall{}, false
+	}
+	s = Stall{
+		Waiting: len(g.queue.items), Runs: len(g.runs), Listed: len(g.listed), Used: g.used, Capacity: g.capacity,
+		Suspect: g.health.suspect, Lapsing: g.lapsing, Seen: g.seen, Oldest: now - first.arrived,
+	}
+	if next := g.listed[g.seen+1]; next != nil {
+		s.Next = next.state()
+		s.NextOwner = next.owner
+		s.NextNoted = next.noted
+	}
+	return s, true
+}
+
 func (g *Gate) adoptedBy(owner string) []string {
 	var lives []string
 	for life, by := range g.adopted {
