Take-over keeps found runs; a failed job starts nothing more

Proof: TestAdoptKeepsRuns, TestFailedJobStartsNothing failed before. go test ./... green (test/ 47 s).

--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -110,9 +110,6 @@
 // resume goes on with a job that was taken over: of each task the newest run
 // counts, all others are discarded.
 func (o *Owner) resume(now Time, j *liveJob) {
-	if j.phase == jobAdopting {
-		j.phase = jobLive
-	}
 	found := j.found
 	j.found = nil
 	for _, f := range found {
@@ -134,6 +131,9 @@
 		}
 		o.takeFound(now, v, t, f.state)
 	}
+	if j.phase == jobAdopting {
+		j.phase = jobLive
+	}
 	if j.left == 0 {
 		o.finish(now, j, job.StateCompleted)
 		return
--- /dev/null
+++ b/owner/adopt_test.go
@@ -0,0 +1,113 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/job"
+	"rackspur/rowstore"
+)
+
+const deadLife = "entry~0"
+
+// adoptJob takes over a job of four tasks of a dead life; the gate tells of runs.
+func (b *bench) adoptJob(record job.Record, states []gate.RunState) uint64 {
+	link := b.connect("gate-1")
+	b.owner.StartAdoption([]string{deadLife})
+	record.Owner = "entry~1"
+	record.Generation = 1
+	b.owner.Adopt([]string{deadLife}, b.now, []Adopted{{Record: record, Version: 7}})
+	b.owner.OnFrame("gate-1", link, gate.Frame{
+		Clock: b.now, Received: 10, Report: testReport(), Inventory: true, Adopted: []string{deadLife}, States: states,
+	})
+	return link
+}
+
+func keptRecord(tasks int) job.Record {
+	s := testSubmission("00000000000000cc", tasks)
+	s.BestEffort = false
+	return job.Record{Submission: s}
+}
+
+func runOf(index, run int) job.RunName {
+	return job.RunName{TaskName: job.TaskName{Job: "00000000000000cc", Index: index}, Run: run}
+}
+
+// Of a job that is taken over, the runs that gates tell of go on; only tasks
+// that no gate knows start anew, in the range of the new owner.
+func TestAdoptKeepsRuns(t *testing.T) {
+	b := newBench(t)
+	link := b.adoptJob(keptRecord(4), []gate.RunState{
+		{Name: runOf(0, 1), End: gate.EndDone},
+		{Name: runOf(1, 1), Running: true},
+		{Name: runOf(2, 1), Running: true},
+	})
+	f := b.flush("gate-1", link)
+	if len(f.Starts) != 1 || f.Starts[0].Name != runOf(3, job.FirstRun(1)) {
+		t.Fatalf("starts %+v, want only task 3", f.Starts)
+	}
+	for _, i := range []int{1, 2} {
+		b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: f.Sequence, Report: testReport(), States: []gate.RunState{{Name: runOf(i, 1), End: gate.EndDone}}})
+	}
+	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: f.Sequence, Report: testReport(), States: []gate.RunState{{Name: runOf(3, job.FirstRun(1)), End: gate.EndDone}}})
+	if j := b.owner.jobs["00000000000000cc"]; j == nil || j.final != job.StateCompleted {
+		t.Fatalf("job %+v, want its completion on the way", j)
+	}
+}
+
+// Failures that were counted before count on; the one that the dead owner did
+// not write is counted once.
+func TestAdoptCountsFailures(t *testing.T) {
+	b := newBench(t)
+	r := keptRecord(1)
+	r.AddFailure(0, 1)
+	b.adoptJob(r, []gate.RunState{{Name: runOf(0, 1), End: gate.EndFailed}, {Name: runOf(0, 2), End: gate.EndFailed}})
+	if j := b.owner.jobs["00000000000000cc"]; j == nil || j.final != job.StateFailed {
+		t.Fatalf("job %+v, want it failed after two attempts", j)
+	}
+}
+
+// Nothing starts anew while a gate that may have runs has not told of them and
+// their lease may hold.
+func TestAdoptWaitsForSilentGate(t *testing.T) {
+	b := newBench(t)
+	b.owner.AddGate("gate-2", "zone-b")
+	link := b.adoptJob(keptRecord(1), nil)
+	if f := b.flush("gate-1", link); len(f.Starts) != 0 {
+		t.Fatal("started while a gate is silent")
+	}
+	b.now += b.owner.overAfter() + time.Millisecond
+	b.owner.Tick()
+	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: 10, Report: testReport()})
+	if f := b.flush("gate-1", link); len(f.Starts) != 1 {
+		t.Errorf("%d starts after the lease is over, want 1", len(f.Starts))
+	}
+}
+
+// Once a job is to end as failed no task of it starts any more, also when others
+// of its tasks still end.
+func TestFailedJobStartsNothing(t *testing.T) {
+	b := newBench(t)
+	link := b.connect("gate-1")
+	second := b.connect("gate-2")
+	s := testSubmission("00000000000000cc", 2)
+	s.BestEffort = false
+	s.Queue.Attempts = 1
+	b.owner.Submit(s, func(SubmitResult) {})
+	b.writer.take()[0].Done(rowstore.Outcome{Version: 5}, nil)
+	links := map[string]uint64{"gate-1": link, "gate-2": second}
+	end := func(index int, kind gate.EndKind) {
+		name := b.owner.jobs["00000000000000cc"].tasks[index].gate
+		b.owner.OnFrame(name, links[name], gate.Frame{Clock: b.now, Received: 10, Report: testReport(), States: []gate.RunState{{Name: runOf(index, 1), End: kind}}})
+	}
+	b.flush("gate-1", link)
+	b.flush("gate-2", second)
+	end(0, gate.EndFailed)
+	end(1, gate.EndDone)
+	for name, l := range links {
+		if f := b.flush(name, l); len(f.Starts) != 0 {
+			t.Errorf("%s starts %+v after the job has failed", name, f.Starts)
+		}
+	}
+}
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -56,7 +56,7 @@
 	case s.End == gate.EndRejected || s.End == gate.EndLost:
 	case t.job.record.BestEffort && s.End != 0:
 		v.judge(s.Name, gate.VerdictNote)
-	case s.End == gate.EndFailed:
+	case s.End == gate.EndFailed && t.mayCount(s.Name.Run):
 		o.countFailure(v, t, s.Name)
 	default:
 		o.stats.Discarded++
@@ -65,6 +65,18 @@
 	}
 }
 
+// mayCount says whether the failure of a run that was replaced can count: not if
+// the newest run would then have started after the last attempt.
+func (t *task) mayCount(run int) bool {
+	earlier := 1
+	for _, failed := range t.job.record.Failed[t.index] {
+		if failed != t.run && failed != run {
+			earlier++
+		}
+	}
+	return earlier < t.job.record.Queue.Attempts
+}
+
 // countFailure counts the failure of a run that was replaced already: it has
 // used up an attempt all the same.
 func (o *Owner) countFailure(v *gateView, t *task, name job.RunName) {
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -134,8 +134,12 @@
 	return SubmitUnknown
 }
 
-// makeReady puts the tasks that may start into the queue.
+// makeReady puts the tasks that may start into the queue. While a job is being
+// taken over any of its tasks may turn out to run.
 func (o *Owner) makeReady(now Time, j *liveJob) {
+	if j.phase == jobAdopting {
+		return
+	}
 	for _, t := range j.tasks {
 		if t.phase == taskBlocked && t.ready() {
 			o.enqueue(now, t)
@@ -143,8 +147,12 @@
 	}
 }
 
-// enqueue makes a task wait for a gate.
+// enqueue makes a task wait for a gate, unless its job is to end.
 func (o *Owner) enqueue(now Time, t *task) {
+	if t.job.final != "" {
+		t.phase = taskBlocked
+		return
+	}
 	t.phase = taskWaiting
 	t.gate = ""
 	t.since = now
