--- a/gate/gate.go
+++ b/gate/gate.go
@@ -135,6 +135,9 @@
 	grantedMS int64
 	// held is when the executor last answered a hold.
 	held Time
+	// surveyed is set once the executor has listed what an earlier process of
+	// this gate has left there.
+	surveyed bool
 
 	runs    map[job.RunName]*run
 	used    job.Resources
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -148,3 +148,19 @@
 		t.Errorf("noted up to %d, want 1", b.gate.seen)
 	}
 }
+
+// A gate that has just started tells no inventory before its executor has listed
+// what runs: its owners would start anew what runs already.
+func TestNoLinkBeforeSurvey(t *testing.T) {
+	g := New(Options{Node: "gate-1", MaxHold: time.Second, Contact: time.Second, BestEffortContact: time.Second})
+	if g.Connect(time.Millisecond, testOwner, 1, func() {}) {
+		t.Error("link taken before the executor was looked at")
+	}
+	if !g.Connect(1200*time.Millisecond, testOwner, 2, func() {}) {
+		t.Error("link not taken though all leases are over")
+	}
+	b := newBench(t)
+	if !b.gate.Connect(b.now, "other", 1, func() {}) {
+		t.Error("link not taken after the executor has listed its runs")
+	}
+}
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -36,6 +36,12 @@
 	return h
 }
 
+// knowsRuns says whether the gate knows all that runs on its executor: it was
+// listed, or the lease that an earlier process gave is surely over.
+func (g *Gate) knowsRuns(now Time) bool {
+	return g.surveyed || now > g.options.MaxHold*103/100+lapseMargin
+}
+
 // unanswered says whether holds have gone without an answer for so long that
 // the lease is not extended any more, so that it is known when it is over.
 func (g *Gate) unanswered(now Time) bool {
@@ -71,6 +77,7 @@
 	}
 	g.takeFinished(now, lists.Finished)
 	g.takeRunning(now, h, lists)
+	g.surveyed = true
 	g.finishLapse(a)
 	g.advanceSeen()
 	return g.startFromQueue(now, Actions{})
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -58,10 +58,11 @@
 }
 
 // Connect takes in a new link of an owner. It returns false if the link is
-// older than one known, or the owner's life is over. Wake is called whenever
+// older than one known, the owner's life is over, or the gate does not know yet
+// what runs on its executor. Wake is called whenever
 // there is something to send.
 func (g *Gate) Connect(now Time, owner string, link uint64, wake func()) bool {
-	if _, over := g.adopted[owner]; over {
+	if _, over := g.adopted[owner]; over || !g.knowsRuns(now) {
 		return false
 	}
 	o := g.owners[owner]
--- /dev/null
+++ b/internal/standin/executor.go
@@ -0,0 +1,271 @@
+package standin
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/job"
+)
+
+// Executor is an executor in memory that works as the users' platform says: it
+// leases what runs, obeys the highest fencing token only, and lists ends until
+// they are noted. It keeps a journal of starts and ends for checkers.
+type Executor struct {
+	// Life is the executor's id.
+	Life string
+	// Capacity is its room.
+	Capacity job.Resources
+	// MaxHold is the longest lease.
+	MaxHold time.Duration
+	// Work returns how long a run takes and how it ends.
+	Work func(job.RunName) (time.Duration, gate.EndKind)
+
+	mu      sync.Mutex
+	started time.Time
+	fence   uint64
+	until   int64
+	seen    int64
+	ends    []gate.Ended
+	running map[job.TaskName]*executorRun
+	highest map[job.TaskName]int
+	changed chan struct{}
+	journal []Span
+	down    bool
+	// lapsed is when the lease was last seen to be over.
+	lapsed time.Time
+}
+
+type executorRun struct {
+	name    job.RunName
+	need    job.Resources
+	started time.Time
+	lasts   time.Duration
+	end     gate.EndKind
+	span    int
+}
+
+// Span is a run as the executor saw it; End is zero while it runs.
+type Span struct {
+	Name    job.RunName
+	Life    string
+	Started time.Time
+	Ended   time.Time
+	End     gate.EndKind
+	// Number is the end's; Noted says that it was taken note of while the lease
+	// had held since the end.
+	Number int64
+	Noted  bool
+}
+
+// NewExecutor returns an executor that runs nothing.
+func NewExecutor(life string, capacity job.Resources, work func(job.RunName) (time.Duration, gate.EndKind)) *Executor {
+	return &Executor{
+		Life: life, Capacity: capacity, MaxHold: time.Second, Work: work, started: time.Now(),
+		running: map[job.TaskName]*executorRun{}, highest: map[job.TaskName]int{}, changed: make(chan struct{}),
+	}
+}
+
+// SetDown makes the executor answer nothing, or answer again.
+func (e *Executor) SetDown(down bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down = down
+}
+
+// Journal returns all runs so far.
+func (e *Executor) Journal() []Span {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.advance(time.Now())
+	return append([]Span(nil), e.journal...)
+}
+
+func (e *Executor) clock(now time.Time) int64 {
+	// Clocks of executors do not start at zero.
+	return 1000 + now.Sub(e.started).Milliseconds()
+}
+
+// advance ends what has run long enough, or everything once the lease is over.
+func (e *Executor) advance(now time.Time) {
+	lapsed := e.clock(now) > e.until
+	if lapsed {
+		e.lapsed = now
+	}
+	for _, r := range e.running {
+		switch {
+		case now.Sub(r.started) >= r.lasts:
+			e.finish(now, r, r.end)
+		case lapsed:
+			e.finish(now, r, gate.EndLapsed)
+		}
+	}
+}
+
+func (e *Executor) finish(now time.Time, r *executorRun, how gate.EndKind) {
+	delete(e.running, r.name.TaskName)
+	e.highest[r.name.TaskName] = max(e.highest[r.name.TaskName], r.name.Run)
+	number := e.seen + int64(len(e.ends)) + 1
+	e.ends = append(e.ends, gate.Ended{Number: number, Name: r.name, Kind: how})
+	e.journal[r.span].End = how
+	e.journal[r.span].Ended = now
+	e.journal[r.span].Number = number
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// check takes in the fencing token; the lock is held.
+func (e *Executor) check(life string, fence uint64) error {
+	if e.down {
+		return gate.ErrUnanswered
+	}
+	if life != "" && life != e.Life {
+		return gate.ErrOtherLife
+	}
+	if fence < e.fence {
+		return gate.ErrFenced
+	}
+	e.fence = fence
+	return nil
+}
+
+func (e *Executor) extend(now time.Time, until int64) {
+	e.until = max(e.until, min(until, e.clock(now)+e.MaxHold.Milliseconds()))
+}
+
+// Start implements gate.Executor.Start.
+func (e *Executor) Start(_ context.Context, life string, c gate.StartCall) (gate.Answer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.advance(now)
+	a := gate.Answer{ClockMS: e.clock(now), Life: e.Life}
+	if err := e.check(life, c.Fence); err != nil {
+		return a, err
+	}
+	e.extend(now, c.UntilMS)
+	switch {
+	case e.clock(now) > c.UntilMS:
+		return a, gate.ErrLate
+	case e.running[c.Name.TaskName] != nil && e.running[c.Name.TaskName].name == c.Name:
+		return a, nil
+	case c.Name.Run <= e.highest[c.Name.TaskName]:
+		return a, gate.ErrOldRun
+	case !e.free().Fits(c.Need):
+		return a, gate.ErrNoRoom
+	}
+	lasts, how := e.Work(c.Name)
+	e.journal = append(e.journal, Span{Name: c.Name, Life: e.Life, Started: now})
+	e.running[c.Name.TaskName] = &executorRun{name: c.Name, need: c.Need, started: now, lasts: lasts, end: how, span: len(e.journal) - 1}
+	return a, nil
+}
+
+func (e *Executor) free() job.Resources {
+	free := e.Capacity
+	for _, r := range e.running {
+		free = free.Minus(r.need)
+	}
+	return free
+}
+
+// Stop implements gate.Executor.Stop.
+func (e *Executor) Stop(_ context.Context, life string, c gate.StopCall) (gate.Answer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.advance(now)
+	a := gate.Answer{ClockMS: e.clock(now), Life: e.Life}
+	if err := e.check(life, c.Fence); err != nil {
+		return a, err
+	}
+	e.highest[c.Name.TaskName] = max(e.highest[c.Name.TaskName], c.Name.Run)
+	if r := e.running[c.Name.TaskName]; r != nil && r.name.Run <= c.Name.Run {
+		e.finish(now, r, gate.EndStopped)
+	}
+	return a, nil
+}
+
+// Hold implements gate.Executor.Hold.
+func (e *Executor) Hold(ctx context.Context, life string, c gate.HoldCall) (gate.Answer, gate.HoldAnswer, error) {
+	e.mu.Lock()
+	now := time.Now()
+	e.advance(now)
+	err := e.check(life, c.Fence)
+	if err == nil {
+		e.extend(now, c.UntilMS)
+		e.forget(c.Seen)
+	}
+	a := gate.Answer{ClockMS: e.clock(now), Life: e.Life}
+	e.mu.Unlock()
+	if err != nil {
+		return a, gate.HoldAnswer{}, err
+	}
+	e.await(ctx, time.Duration(c.WaitMS)*time.Millisecond)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return gate.Answer{ClockMS: e.clock(time.Now()), Life: e.Life}, e.lists(), nil
+}
+
+// forget drops the ends that are noted.
+func (e *Executor) forget(seen int64) {
+	for len(e.ends) > 0 && e.ends[0].Number <= seen {
+		e.note(e.ends[0].Number)
+		e.ends = e.ends[1:]
+		e.seen++
+	}
+}
+
+func (e *Executor) note(number int64) {
+	for i := range e.journal {
+		s := &e.journal[i]
+		if s.Number == number && s.End != 0 && !s.Ended.Before(e.lapsed) {
+			s.Noted = true
+		}
+	}
+}
+
+func (e *Executor) lists() gate.HoldAnswer {
+	var a gate.HoldAnswer
+	for _, r := range e.running {
+		a.Running = append(a.Running, gate.Running{Name: r.name, Percent: 50})
+	}
+	a.Finished = append(a.Finished, e.ends...)
+	return a
+}
+
+// await waits until an end is listed.
+func (e *Executor) await(ctx context.Context, d time.Duration) {
+	deadline := time.Now().Add(d)
+	for {
+		e.mu.Lock()
+		e.advance(time.Now())
+		left := time.Until(deadline)
+		wait := min(left, e.nextEnd())
+		listed := len(e.ends) > 0
+		changed := e.changed
+		e.mu.Unlock()
+		if listed || left <= 0 {
+			return
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// nextEnd returns the time until the next run ends.
+func (e *Executor) nextEnd() time.Duration {
+	next := time.Second
+	for _, r := range e.running {
+		next = min(next, max(time.Millisecond, r.lasts-time.Since(r.started)))
+	}
+	return next
+}
--- a/node/agent.go
+++ b/node/agent.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrServe, err.Error())
 	}
+	o.Listen = listener.Addr().String()
 	incarnation := o.Node + "~" + uuid.NewString()[:8]
 	g := gate.New(gate.Options{Node: o.Node, Incarnation: incarnation, MaxHold: o.MaxHold, Contact: contact, BestEffortContact: bestEffortContact})
 	return &Agent{
--- a/node/entry.go
+++ b/node/entry.go
@@ -92,6 +92,7 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrServe, err.Error())
 	}
+	o.Listen = listener.Addr().String()
 	e := &Entry{
 		options: o, follow: follow, log: o.Log, started: time.Now(), listener: listener,
 		daemons: map[string]member.Daemon{}, asks: map[string]*askClient{},
