Calls to an executor that get no answer stall nothing any more

Change: another hold is sent after 60 ms beside one that is not answered; lists older than those taken in are passed over; an unanswered start is looked for after 60 ms, then stopped and given back at once. Proof: TestUnansweredStart, TestOvertakenLists, TestHoldBesideHungOne.

--- a/gate/contact.go
+++ b/gate/contact.go
@@ -104,11 +104,8 @@
 func (g *Gate) stopWhatMust(now Time, a Actions) Actions {
 	a.Life = g.life
 	for _, r := range g.runs {
-		unsure := r.phase == phaseUnsure
-		if r.phase != phaseRunning && !unsure && !(r.stop && r.phase == phaseStarting) {
-			continue
-		}
-		if !r.stop && !unsure {
+		alive := r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning
+		if !alive || !r.stop {
 			continue
 		}
 		if r.stopSent != 0 && now-r.stopSent < resend {
--- a/gate/driver.go
+++ b/gate/driver.go
@@ -11,10 +11,16 @@
 // Times of a driver.
 const (
 	// holdWait is how long a hold may wait for an end.
-	holdWait = 400 * time.Millisecond
+	holdWait = 150 * time.Millisecond
 	// holdTimeout is the time given to a hold beyond its wait.
-	holdTimeout = 400 * time.Millisecond
-	callTimeout = 300 * time.Millisecond
+	holdTimeout = 250 * time.Millisecond
+	// hedgePause is after what time without an answer another hold is sent.
+	hedgePause = 60 * time.Millisecond
+	// mostHolds is how many holds are under way at most.
+	mostHolds = 4
+	// startTimeout is how long a start may go unanswered before it is looked for.
+	startTimeout = 60 * time.Millisecond
+	stopTimeout  = 100 * time.Millisecond
 	// unnotedPause is the time between two holds while ends wait to be noted.
 	unnotedPause = 15 * time.Millisecond
 	failurePause = 60 * time.Millisecond
@@ -70,7 +76,7 @@
 }
 
 func (d *Driver) start(life string, c StartCall) {
-	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
 	defer cancel()
 	ans, err := d.executor.Start(ctx, life, c)
 	if err != nil {
@@ -80,44 +86,69 @@
 }
 
 func (d *Driver) stop(life string, c StopCall) {
-	ctx, cancel := context.WithTimeout(d.ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(d.ctx, stopTimeout)
 	defer cancel()
 	ans, err := d.executor.Stop(ctx, life, c)
 	d.do(func(now Time, g *Gate) Actions { return g.OnStop(now, life, c, ans, err) })
 }
 
-// Run holds the executor until the context ends.
+// Run holds the executor until the context ends. A hold that is not answered
+// soon is not waited for: another is sent beside it, so that ends are seen also
+// while some calls get no answer.
 func (d *Driver) Run(ctx context.Context) {
 	go d.tick(ctx)
+	answered := make(chan error, mostHolds)
+	inFlight := 0
+	due := true
 	for ctx.Err() == nil {
-		var h Hold
-		d.do(func(now Time, g *Gate) Actions {
-			h = g.NextHold(now, holdWait)
-			return Actions{}
-		})
-		err := d.hold(ctx, h)
-		d.pause(ctx, h, err)
+		if due && inFlight < mostHolds {
+			inFlight++
+			go d.hold(ctx, d.nextHold(inFlight == 1), answered)
+		}
+		timer := time.NewTimer(hedgePause)
+		select {
+		case err := <-answered:
+			inFlight--
+			d.pause(ctx, err)
+			due = inFlight == 0
+		case <-d.kick:
+			due = true
+		case <-timer.C:
+			due = true
+		case <-ctx.Done():
+		}
+		timer.Stop()
 	}
 }
 
-func (d *Driver) hold(ctx context.Context, h Hold) error {
+// nextHold returns the hold to make now; only the first of several waits long.
+func (d *Driver) nextHold(first bool) (h Hold) {
+	d.do(func(now Time, g *Gate) Actions {
+		wait := Time(0)
+		if first {
+			wait = holdWait
+		}
+		h = g.NextHold(now, wait)
+		return Actions{}
+	})
+	return h
+}
+
+func (d *Driver) hold(ctx context.Context, h Hold, answered chan<- error) {
 	callCtx, cancel := context.WithTimeout(ctx, time.Duration(h.Call.WaitMS)*time.Millisecond+holdTimeout)
 	defer cancel()
 	ans, lists, err := d.executor.Hold(callCtx, h.Life, h.Call)
 	d.do(func(now Time, g *Gate) Actions { return g.OnHold(now, h, ans, lists, err) })
-	return err
+	answered <- err
 }
 
 // pause waits until the next hold is of use.
-func (d *Driver) pause(ctx context.Context, h Hold, err error) {
+func (d *Driver) pause(ctx context.Context, err error) {
 	var wait time.Duration
 	d.do(func(_ Time, g *Gate) Actions {
 		switch {
-		case err != nil:
-			wait = failurePause
-		case g.Lapsing():
+		case err != nil, g.Lapsing():
 			wait = failurePause
-		case g.NoteDue(h):
 		case g.Unnoted():
 			wait = unnotedPause
 		}
--- /dev/null
+++ b/gate/driver_test.go
@@ -0,0 +1,80 @@
+package gate
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rackspur/job"
+)
+
+// hangingExecutor never answers the first hold that extends the lease.
+type hangingExecutor struct {
+	hung  atomic.Bool
+	ended atomic.Bool
+	clock atomic.Int64
+	run   atomic.Value
+}
+
+func (e *hangingExecutor) answer() Answer { return Answer{ClockMS: e.clock.Add(1), Life: testLife} }
+
+func (e *hangingExecutor) Start(_ context.Context, _ string, c StartCall) (Answer, error) {
+	e.run.Store(c.Name)
+	e.ended.Store(true)
+	return e.answer(), nil
+}
+
+func (e *hangingExecutor) Stop(context.Context, string, StopCall) (Answer, error) {
+	return e.answer(), nil
+}
+
+func (e *hangingExecutor) Hold(ctx context.Context, _ string, c HoldCall) (Answer, HoldAnswer, error) {
+	if e.ended.Load() && e.hung.CompareAndSwap(false, true) {
+		<-ctx.Done()
+		return Answer{}, HoldAnswer{}, ErrUnanswered
+	}
+	if !e.ended.Load() || c.Seen > 0 {
+		return e.answer(), HoldAnswer{}, nil
+	}
+	return e.answer(), HoldAnswer{Finished: []Ended{{Number: 1, Name: e.run.Load().(job.RunName), Kind: EndDone}}}, nil
+}
+
+// Ends are seen although a hold gets no answer: another is sent beside it before
+// the first is given up.
+func TestHoldBesideHungOne(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e := &hangingExecutor{}
+	g := New(Options{Node: "gate-1", MaxHold: time.Second, Contact: time.Minute, BestEffortContact: time.Minute})
+	d := NewDriver(ctx, g, e, logr.Discard())
+	go d.Run(ctx)
+	d.Heartbeat(Heartbeat{Life: testLife, Service: "engine", Capacity: job.Resources{CPU: 1000}, Sequence: 1})
+	wake := make(chan struct{}, 1)
+	until := time.Now().Add(30 * time.Second)
+	for !d.Connect(testOwner, 1, func() {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}) && time.Now().Before(until) {
+		<-time.After(time.Millisecond)
+	}
+	name := testRun("aa", 0, 1)
+	d.Frame(testOwner, 1, OwnerFrame{Echo: time.Hour, KeptEcho: time.Hour, Sequence: 1, Starts: []Order{{Name: name, Need: job.Resources{CPU: 1}}}})
+	for time.Now().Before(until) {
+		f, _ := d.Flush(testOwner, 1)
+		for _, s := range f.States {
+			if s.Name == name && s.End == EndDone {
+				return
+			}
+		}
+		select {
+		case <-wake:
+		case <-time.After(time.Second):
+		}
+	}
+	t.Error("the end was never told")
+}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -71,6 +71,8 @@
 	phase   phase
 	arrived Time
 	started Time
+	// unsureSince is when the gate gave up waiting for the answer to the start.
+	unsureSince Time
 	// runningSince is when the gate learnt that the run runs.
 	runningSince Time
 	percent      int
@@ -133,6 +135,8 @@
 	clockAt Time
 	// grantedMS is the newest lease given, on the executor's clock.
 	grantedMS int64
+	// listedMS is the executor's clock of the newest lists that were taken in.
+	listedMS int64
 	// held is when the executor last answered a hold.
 	held Time
 	// surveyed is set once the executor has listed what an earlier process of
@@ -246,6 +250,7 @@
 	g.draining = false
 	g.fence = 0
 	g.clockMS = 0
+	g.listedMS = 0
 	g.clockAt = now
 	g.grantedMS = 0
 	g.seen = 0
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -164,3 +164,65 @@
 		t.Error("link not taken after the executor has listed its runs")
 	}
 }
+
+// A start without an answer that the executor does not list is stopped, so that
+// it can't happen later, and given back.
+func TestUnansweredStart(t *testing.T) {
+	b := newBench(t)
+	name := testRun("aa", 0, 1)
+	a := b.order(true, name)
+	b.now += 60 * time.Millisecond
+	b.gate.OnStart(b.now, a.Life, a.Starts[0], Answer{}, ErrUnanswered)
+	b.now += time.Millisecond
+	_, a = b.hold(HoldAnswer{})
+	if len(a.Stops) != 1 || a.Stops[0].Name != name {
+		t.Fatalf("stops %+v, want one", a.Stops)
+	}
+	b.hold(HoldAnswer{})
+	if s := b.states()[name]; s.End != 0 {
+		t.Fatalf("state %+v before the stop was answered", s)
+	}
+	b.gate.OnStop(b.now, a.Life, a.Stops[0], Answer{ClockMS: b.executorClock()}, nil)
+	b.now += time.Millisecond
+	b.hold(HoldAnswer{})
+	if s := b.states()[name]; s.End != EndRejected {
+		t.Errorf("state %+v, want rejected", s)
+	}
+	if b.gate.used != (job.Resources{}) {
+		t.Errorf("room still taken: %+v", b.gate.used)
+	}
+}
+
+// A start whose answer was lost but that the executor lists goes on.
+func TestLostAnswerOfStart(t *testing.T) {
+	b := newBench(t)
+	name := testRun("aa", 0, 1)
+	a := b.order(true, name)
+	b.gate.OnStart(b.now, a.Life, a.Starts[0], Answer{}, ErrUnanswered)
+	if _, a = b.hold(HoldAnswer{Running: []Running{{Name: name}}}); len(a.Stops) != 0 {
+		t.Errorf("stopped: %+v", a.Stops)
+	}
+	if s := b.states()[name]; !s.Running {
+		t.Errorf("state %+v, want running", s)
+	}
+}
+
+// Lists that are older than some already taken in say nothing: a run that has
+// ended since would come back as one that nobody owns.
+func TestOvertakenLists(t *testing.T) {
+	b := newBench(t)
+	name := testRun("aa", 0, 1)
+	b.started(b.order(true, name))
+	old := b.gate.NextHold(b.now, 0)
+	oldAnswer := Answer{ClockMS: b.executorClock(), Life: testLife}
+	b.now += 5 * time.Millisecond
+	b.hold(HoldAnswer{Finished: []Ended{{Number: 1, Name: name, Kind: EndDone}}})
+	b.verdict(name, VerdictNote)
+	if !b.gate.Idle() {
+		t.Fatal("not idle after the end was noted")
+	}
+	b.gate.OnHold(b.now, old, oldAnswer, HoldAnswer{Running: []Running{{Name: name}}}, nil)
+	if !b.gate.Idle() {
+		t.Error("a run came back with an old answer")
+	}
+}
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -62,6 +62,11 @@
 	if g.life == "" && a.Life != "" {
 		g.life = a.Life
 	}
+	if a.ClockMS < g.listedMS {
+		// Answers on different connections may overtake one another.
+		return Actions{}
+	}
+	g.listedMS = a.ClockMS
 	g.held = now
 	g.takeClock(now, a.ClockMS)
 	if h.peek {
@@ -80,7 +85,7 @@
 	g.surveyed = true
 	g.finishLapse(a)
 	g.advanceSeen()
-	return g.startFromQueue(now, Actions{})
+	return g.startFromQueue(now, g.stopWhatMust(now, Actions{}))
 }
 
 func (g *Gate) holdFailed(now Time, h Hold, a Answer, err error) Actions {
@@ -152,7 +157,7 @@
 			r.percent = x.Percent
 			r.moved = now
 		}
-		if r.phase == phaseUnsure {
+		if r.phase == phaseUnsure && !r.stop {
 			g.setRunning(now, r)
 			g.tell(r)
 		}
@@ -165,6 +170,8 @@
 			continue
 		}
 		switch {
+		case r.phase == phaseUnsure && r.unsureSince < h.sent && !r.stop:
+			r.stop = true
 		case g.neverStarted(r, h):
 			g.lose(now, r, EndRejected, "unanswered")
 		case r.phase == phaseRunning && r.runningSince < h.sent:
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -312,6 +312,7 @@
 		return Actions{}
 	case errors.Is(err, ErrUnanswered):
 		r.phase = phaseUnsure
+		r.unsureSince = now
 		return Actions{HoldNow: true}
 	}
 	g.release(r)
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -13,6 +13,9 @@
 	hopeShare = 0.25
 	// admitSlack is added to the slack of a new job when the backlog is judged.
 	admitSlack = 20 * time.Millisecond
+	// priorityStep is by how much later the jobs of a queue count as due than
+	// those of the queue with the next higher priority.
+	priorityStep = 100 * time.Millisecond
 )
 
 // admits says whether a new job can start in time. With room free it can;
@@ -76,7 +79,7 @@
 // setUrgency sets the times by which a job's tasks are ordered.
 func (j *liveJob) setUrgency() {
 	j.startBy = j.objective - j.chain()
-	j.urgency = j.startBy
+	j.urgency = j.startBy + time.Duration(j.record.Queue.Priority)*priorityStep
 }
 
 // reviewWaiting looks at the jobs with waiting tasks: one that can't be in time
