Logs that never block, a line for each job refused, given up or failed, metrics as text

Lines go through a bounded buffer; what a slow reader misses is counted. Metrics are served at 9464/metrics.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -56,9 +56,15 @@
 			if err != nil {
 				return exitWith(ExitUsage, "%v", err)
 			}
-			o := platformOptions(s, c.logger(os.Stdout))
+			o := platformOptions(s, c.logger(observe.NewBoundedWriter(os.Stdout)))
 			stop := platform.Reload(s, o.Log)
 			defer stop()
+			figures, err := serveMetrics(s, o)
+			if err != nil {
+				o.Log.Error(err, "Metrics are not served.")
+			} else {
+				defer figures.Close()
+			}
 			return run(ctx, s, o)
 		})
 	})
@@ -128,6 +134,19 @@
 	return nil
 }
 
+// metricsPort and metricsPath are named in deploy/system.toml.
+const (
+	metricsPort = "9464"
+	metricsPath = "/metrics"
+)
+
+// serveMetrics serves the metrics in text form.
+func serveMetrics(s *platform.Settings, o node.Options) (*http.Server, error) {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+metricsPath, o.Metrics.TextHandler())
+	return serve(net.JoinHostPort(s.IP, metricsPort), mux)
+}
+
 // serve serves a handler on an address until the server is closed.
 func serve(address string, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", address)
--- a/node/entry.go
+++ b/node/entry.go
@@ -99,6 +99,7 @@
 		seeds: newSeeds(o.Seeds, o.Listen, o.Metrics),
 	}
 	e.store = peer.NewRelayedStore(o.Store, e)
+	e.gauges()
 	return e, nil
 }
 
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,42 @@
+package node
+
+import "rackspur/owner"
+
+// Names of the metrics of an entry daemon.
+const (
+	metricJobTime = "jobs.time_us"
+)
+
+// gauges registers the counters of the owner of the current life.
+func (e *Entry) gauges() {
+	register := func(name string, read func(owner.Stats) int64) {
+		e.options.Metrics.Gauge(name, func() int64 {
+			t := e.current.Load()
+			if t == nil {
+				return 0
+			}
+			return read(t.owner.Stats())
+		})
+	}
+	register("jobs.accepted", func(s owner.Stats) int64 { return s.Accepted })
+	register("jobs.refused", func(s owner.Stats) int64 { return s.Refused })
+	register("jobs.completed", func(s owner.Stats) int64 { return s.Completed })
+	register("jobs.failed", func(s owner.Stats) int64 { return s.Failed })
+	register("jobs.cancelled", func(s owner.Stats) int64 { return s.Cancelled })
+	register("jobs.given_up", func(s owner.Stats) int64 { return s.Dropped })
+	register("jobs.late", func(s owner.Stats) int64 { return s.Late + s.VeryLate })
+	register("jobs.adopted", func(s owner.Stats) int64 { return s.Adopted })
+	register("tasks.placed", func(s owner.Stats) int64 { return s.Placed })
+	register("tasks.rejected", func(s owner.Stats) int64 { return s.Rejected })
+	register("tasks.failed", func(s owner.Stats) int64 { return s.EndedFailed })
+	register("tasks.lost", func(s owner.Stats) int64 { return s.Lost })
+	register("tasks.presumed_over", func(s owner.Stats) int64 { return s.PresumedOver })
+	register("tasks.discarded", func(s owner.Stats) int64 { return s.Discarded })
+	register("tasks.stalled", func(s owner.Stats) int64 { return s.Stalled })
+	e.options.Metrics.Gauge("gates.linked", func() int64 {
+		if t := e.current.Load(); t != nil {
+			return int64(t.links.Linked())
+		}
+		return 0
+	})
+}
--- a/node/term.go
+++ b/node/term.go
@@ -54,6 +54,7 @@
 		KeepFinished: e.options.KeepFinished, Log: e.log,
 		Now:       func() time.Duration { return time.Since(e.started) },
 		WallClock: time.Now,
+		Ended:     func(took time.Duration) { e.options.Metrics.Time(metricJobTime, took.Microseconds()) },
 	}, t)
 	t.links = peer.NewLinks(incarnation, t.owner, e.options.Metrics, e.log)
 	return t
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -102,7 +102,7 @@
 		}
 	}
 	for _, j := range refused {
-		o.stats.Refused++
+		o.tellRefused(now, j, "waited untried")
 		o.drop(j)
 	}
 	for _, j := range late {
--- a/owner/besteffort.go
+++ b/owner/besteffort.go
@@ -40,7 +40,7 @@
 	j := newLiveJob(job.Record{Submission: s, Owner: o.options.Incarnation}, now)
 	j.setUrgency()
 	if o.over || !o.admits(now, j) {
-		o.stats.Refused++
+		o.tellRefused(now, j, "no hope at arrival")
 		result(BestEffortResult{Refused: true})
 		return c.ticket
 	}
@@ -91,6 +91,7 @@
 func (o *Owner) drop(j *liveJob) {
 	delete(o.jobs, j.record.ID)
 	o.stats.Dropped++
+	o.tellDropped(o.options.Now(), j)
 	for _, t := range j.tasks {
 		o.waiting.remove(t)
 		o.stopEverywhere(t)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -53,6 +53,8 @@
 	// KeepFinished is how long the state of an ended job is told.
 	KeepFinished time.Duration
 	Log          logr.Logger
+	// Ended is told how long each job took from its arrival to its end; may be nil.
+	Ended func(took time.Duration)
 	// Now is the owner's steady clock.
 	Now func() Time
 	// WallClock tells the time of day, for records only.
--- a/owner/write.go
+++ b/owner/write.go
@@ -151,6 +151,8 @@
 }
 
 func (o *Owner) countEnd(now Time, j *liveJob) {
+	o.tellEnd(now, j)
+	o.observeEnd(now - j.arrived)
 	switch j.final {
 	case job.StateCompleted:
 		o.stats.Completed++
