Room of runs whose needs are not known yet

Change: a run that finds no room beside such runs waits 30 ms in the gate's queue; where executors guard nothing none starts before all found runs are claimed. Proof: TestRoomOfUnclaimedRuns, TestNoRoomBesideUnclaimedRuns.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -43,6 +43,9 @@
 	lapseMargin = 100 * time.Millisecond
 	// resend is the time between two tries of a stop.
 	resend = 150 * time.Millisecond
+	// fullPause is how long nothing is started after the executor had no room
+	// for a run that should have fitted.
+	fullPause = 30 * time.Millisecond
 )
 
 type phase int
@@ -66,6 +69,7 @@
 	estimate   time.Duration
 	rank       int64
 	bestEffort bool
+	unguarded  bool
 	order      uint64
 
 	phase   phase
@@ -142,6 +146,8 @@
 	// surveyed is set once the executor has listed what an earlier process of
 	// this gate has left there.
 	surveyed bool
+	// fullUntil is until when the executor is taken to have no room.
+	fullUntil Time
 
 	runs    map[job.RunName]*run
 	used    job.Resources
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -226,3 +226,40 @@
 		t.Error("a run came back with an old answer")
 	}
 }
+
+// What a restarted gate finds takes room that it can't count before the owners
+// have claimed it: an executor that guards nothing gets no run until then, and one
+// that does is not asked again and again.
+func TestRoomOfUnclaimedRuns(t *testing.T) {
+	b := newBench(t)
+	found, next := testRun("aa", 0, 1), testRun("bb", 0, 1)
+	b.hold(HoldAnswer{Running: []Running{{Name: found}}})
+	order := Order{Name: next, Need: job.Resources{CPU: 1600}, Unguarded: true}
+	a, _ := b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, KeptEcho: b.now, Starts: []Order{order}})
+	if len(a.Starts) != 0 {
+		t.Fatal("started beside a run whose need is not known")
+	}
+	a, _ = b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, KeptEcho: b.now, Verdicts: []Verdict{{Name: found, Kind: VerdictClaim, Need: job.Resources{CPU: 15000}}}})
+	if len(a.Starts) != 0 {
+		t.Fatal("started over the capacity")
+	}
+	_, a = b.hold(HoldAnswer{Finished: []Ended{{Number: 1, Name: found, Kind: EndDone}}})
+	if len(a.Starts) != 1 {
+		t.Errorf("%d starts once there is room, want 1", len(a.Starts))
+	}
+}
+
+func TestNoRoomBesideUnclaimedRuns(t *testing.T) {
+	b := newBench(t)
+	found, next := testRun("aa", 0, 1), testRun("bb", 0, 1)
+	b.hold(HoldAnswer{Running: []Running{{Name: found}}})
+	a := b.order(true, next)
+	a = b.gate.OnStart(b.now, a.Life, a.Starts[0], Answer{ClockMS: b.executorClock()}, ErrNoRoom)
+	if s := b.states()[next]; len(a.Starts) != 0 || s.End != 0 {
+		t.Fatalf("starts %v, state %+v; want it to wait", a.Starts, s)
+	}
+	b.now += fullPause
+	if a = b.gate.Tick(b.now); len(a.Starts) != 1 {
+		t.Errorf("%d starts after a pause, want 1", len(a.Starts))
+	}
+}
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -17,6 +17,8 @@
 	Checkpoint string
 	// BestEffort: the run is of a job that is not kept.
 	BestEffort bool
+	// Unguarded: the executor would start the run also if it does not fit.
+	Unguarded bool
 }
 
 // VerdictKind says what becomes of a run.
@@ -174,7 +176,7 @@
 	g.orders++
 	r := &run{
 		RunName: o.Name, owner: owner, spec: o.Spec, need: o.Need, checkpoint: o.Checkpoint,
-		estimate: o.Estimate, rank: o.Rank, order: g.orders, arrived: now, bestEffort: o.BestEffort,
+		estimate: o.Estimate, rank: o.Rank, order: g.orders, arrived: now, bestEffort: o.BestEffort, unguarded: o.Unguarded,
 	}
 	g.runs[o.Name] = r
 	switch {
@@ -272,7 +274,7 @@
 			g.reject(r, "owner silent")
 			continue
 		}
-		if !g.capacity.Minus(g.used).Fits(r.need) || !g.health.mayStart(now) {
+		if now < g.fullUntil || !g.capacity.Minus(g.used).Fits(r.need) || !g.health.mayStart(now) || (r.unguarded && g.hasUnclaimed()) {
 			return a
 		}
 		g.queue.pop()
@@ -291,6 +293,17 @@
 	return StartCall{Name: r.RunName, Spec: r.spec, Need: r.need, Checkpoint: r.checkpoint, UntilMS: r.untilMS, Fence: g.fence}
 }
 
+// hasUnclaimed says whether runs of an earlier process are there whose owners,
+// and so their needs, are not known yet.
+func (g *Gate) hasUnclaimed() bool {
+	for _, r := range g.runs {
+		if r.owner == "" && r.phase != phaseEnded {
+			return true
+		}
+	}
+	return false
+}
+
 // release gives back the room of a run that is over.
 func (g *Gate) release(r *run) {
 	if r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning {
@@ -316,6 +329,13 @@
 		return Actions{HoldNow: true}
 	}
 	g.release(r)
+	if errors.Is(err, ErrNoRoom) && g.hasUnclaimed() {
+		// Runs whose needs are not known yet take the room.
+		r.phase = phaseQueued
+		g.queue.push(r)
+		g.fullUntil = now + fullPause
+		return Actions{}
+	}
 	if errors.Is(err, ErrUnhealthy) {
 		g.health.turnedAway(now)
 	}
