--- a/owner/admission.go
+++ b/owner/admission.go
@@ -13,6 +13,8 @@
 	hopeShare = 0.25
 	// admitSlack is added to the slack of a new job when the backlog is judged.
 	admitSlack = 20 * time.Millisecond
+	// linkGrace is how long jobs are let in while no gate is open.
+	linkGrace = time.Second
 	// priorityStep is by how much later the jobs of a queue count as due than
 	// those of the queue with the next higher priority.
 	priorityStep = 100 * time.Millisecond
@@ -23,8 +25,10 @@
 func (o *Owner) admits(now Time, j *liveJob) bool {
 	capacity, room := o.roomFor(j)
 	if capacity == 0 {
-		return false
+		// Gates are back within moments after a restart of this daemon or theirs.
+		return now-o.capacityAt < linkGrace
 	}
+	o.capacityAt = now
 	if room >= j.need() {
 		return true
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -87,6 +87,8 @@
 	order   uint64
 	// entries is how many owners share the executors.
 	entries int
+	// capacityAt is when a gate was last open, at first the owner's beginning.
+	capacityAt Time
 	// valid says until when the owner's lease holds.
 	validUntil Time
 	over       bool
@@ -112,16 +114,17 @@
 // New returns an owner without jobs.
 func New(o Options, w Writer) *Owner {
 	return &Owner{
-		options: o,
-		entries: 1,
-		writer:  w,
-		jobs:    map[job.ID]*liveJob{},
-		ended:   map[job.ID]*endedJob{},
-		dropped: map[job.ID]Time{},
-		gates:   map[string]*gateView{},
-		foreign: map[job.ID][]endRef{},
-		random:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		log:     o.Log,
+		options:    o,
+		entries:    1,
+		capacityAt: o.Now(),
+		writer:     w,
+		jobs:       map[job.ID]*liveJob{},
+		ended:      map[job.ID]*endedJob{},
+		dropped:    map[job.ID]Time{},
+		gates:      map[string]*gateView{},
+		foreign:    map[job.ID][]endRef{},
+		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		log:        o.Log,
 	}
 }
 
