--- a/gate/gate.go
+++ b/gate/gate.go
@@ -184,10 +184,6 @@
 	HoldNow bool
 }
 
-func (a *Actions) empty() bool {
-	return len(a.Starts) == 0 && len(a.Stops) == 0 && !a.HoldNow
-}
-
 // executorClock returns a lower bound of the executor's clock.
 func (g *Gate) executorClock(now Time) int64 {
 	passed := float64(now-g.clockAt) * (1 - clockSlack)
--- /dev/null
+++ b/gate/start.go
@@ -0,0 +1,106 @@
+package gate
+
+import (
+	"errors"
+)
+
+// startFromQueue starts what fits, in the order of rank.
+func (g *Gate) startFromQueue(now Time, a Actions) Actions {
+	a.Life = g.life
+	if !g.Open() || g.life == "" {
+		g.rejectQueue("closed")
+		return a
+	}
+	for {
+		r := g.queue.first()
+		if r == nil {
+			return a
+		}
+		if g.silent(now, r) {
+			g.queue.pop()
+			g.reject(r, "owner silent")
+			continue
+		}
+		if now < g.fullUntil || !g.capacity.Minus(g.used).Fits(r.need) || !g.health.mayStart(now) || (r.unguarded && g.hasUnclaimed()) {
+			return a
+		}
+		g.queue.pop()
+		a.Starts = append(a.Starts, g.start(now, r))
+	}
+}
+
+func (g *Gate) start(now Time, r *run) StartCall {
+	r.phase = phaseStarting
+	r.started = now
+	r.moved = now
+	r.untilMS = g.executorClock(now) + startLease.Milliseconds()
+	g.grantedMS = max(g.grantedMS, r.untilMS)
+	g.used = g.used.Plus(r.need)
+	g.health.started(now)
+	return StartCall{Name: r.RunName, Spec: r.spec, Need: r.need, Checkpoint: r.checkpoint, UntilMS: r.untilMS, Fence: g.fence}
+}
+
+// hasUnclaimed says whether runs of an earlier process are there whose owners,
+// and so their needs, are not known yet.
+func (g *Gate) hasUnclaimed() bool {
+	for _, r := range g.runs {
+		if r.owner == "" && r.phase != phaseEnded {
+			return true
+		}
+	}
+	return false
+}
+
+// release gives back the room of a run that is over.
+func (g *Gate) release(r *run) {
+	if r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning {
+		g.used = g.used.Minus(r.need)
+	}
+}
+
+// OnStart takes in the answer to a start.
+func (g *Gate) OnStart(now Time, life string, c StartCall, ans Answer, err error) Actions {
+	r := g.runs[c.Name]
+	if life != g.life || r == nil || r.phase != phaseStarting {
+		return Actions{}
+	}
+	g.takeClock(now, ans.ClockMS)
+	switch {
+	case err == nil:
+		g.setRunning(now, r)
+		g.tell(r)
+		return Actions{}
+	case errors.Is(err, ErrUnanswered):
+		r.phase = phaseUnsure
+		r.unsureSince = now
+		return Actions{HoldNow: true}
+	}
+	g.release(r)
+	if errors.Is(err, ErrNoRoom) && g.hasUnclaimed() {
+		// Runs whose needs are not known yet take the room.
+		r.phase = phaseQueued
+		g.queue.push(r)
+		g.fullUntil = now + fullPause
+		return Actions{}
+	}
+	if errors.Is(err, ErrUnhealthy) {
+		g.health.turnedAway(now)
+	}
+	g.reject(r, err.Error())
+	g.tellAll()
+	return g.startFromQueue(now, Actions{HoldNow: errors.Is(err, ErrFenced)})
+}
+
+// OnStop takes in the answer to a stop.
+func (g *Gate) OnStop(now Time, life string, c StopCall, ans Answer, err error) Actions {
+	r := g.runs[c.Name]
+	if life != g.life || r == nil {
+		return Actions{}
+	}
+	g.takeClock(now, ans.ClockMS)
+	if err == nil {
+		r.stopConfirmed = now
+		return Actions{HoldNow: true}
+	}
+	return Actions{}
+}
--- /dev/null
+++ b/member/life_test.go
@@ -0,0 +1,115 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"rackspur/rowstore"
+)
+
+var testParts = []string{"p0", "p1"}
+
+func begin(t *testing.T, s rowstore.Store, node, incarnation string) *Life {
+	t.Helper()
+	l := NewLife(s, testParts, Daemon{Node: node, Role: RoleEntry, Address: node + ":1", Incarnation: incarnation})
+	if _, err := l.Begin(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
+func watcher(s rowstore.Store, node, incarnation string) *Watcher {
+	return NewWatcher(s, testParts, Daemon{Node: node, Address: node + ":1", Incarnation: incarnation}, time.Now())
+}
+
+// poll returns the lives that are over, with the seen ages set back.
+func poll(t *testing.T, w *Watcher, age time.Duration) []Over {
+	t.Helper()
+	if _, err := w.Poll(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range w.seen {
+		s.since = s.since.Add(-age)
+	}
+	over, err := w.Poll(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return over
+}
+
+func TestLifeIsFencedOnce(t *testing.T) {
+	s := rowstore.NewMemory()
+	l := begin(t, s, "a", "a~1")
+	begin(t, s, "b", "b~1")
+	w, other := watcher(s, "b", "b~1"), watcher(s, "c", "c~1")
+	if over := poll(t, w, 0); len(over) != 0 {
+		t.Fatalf("over at once: %+v", over)
+	}
+	over := poll(t, w, Lease+2*expiryMargin)
+	if len(over) != 1 || over[0].Incarnation != "a~1" {
+		t.Fatalf("over %+v, want a~1", over)
+	}
+	late := poll(t, other, Lease+2*expiryMargin)
+	if err := w.Fence(context.Background(), over[0]); err != nil {
+		t.Fatal(err)
+	}
+	for _, o := range late {
+		if o.Incarnation == "a~1" {
+			if err := other.Fence(context.Background(), o); !errors.Is(err, rowstore.ErrConflict) {
+				t.Errorf("fenced twice: %v", err)
+			}
+		}
+	}
+	if _, err := l.Renew(context.Background()); !errors.Is(err, ErrFenced) {
+		t.Errorf("renewal after the fence: %v", err)
+	}
+}
+
+func TestRenewedLifeIsNotOver(t *testing.T) {
+	s := rowstore.NewMemory()
+	l := begin(t, s, "a", "a~1")
+	w := watcher(s, "b", "b~1")
+	over := poll(t, w, Lease+2*expiryMargin)
+	if len(over) != 1 {
+		t.Fatalf("over %+v", over)
+	}
+	if _, err := l.Renew(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Fence(context.Background(), over[0]); !errors.Is(err, rowstore.ErrConflict) {
+		t.Errorf("a life that has renewed its lease was fenced: %v", err)
+	}
+}
+
+// A renewal whose answer was lost does not end the life.
+func TestRenewalWithoutAnswer(t *testing.T) {
+	s := rowstore.NewMemory()
+	l := begin(t, s, "a", "a~1")
+	s.SetFault(func(rowstore.Call) rowstore.Fault { return rowstore.FaultLoseAnswer })
+	if _, err := l.Renew(context.Background()); err == nil {
+		t.Fatal("renewed without an answer")
+	}
+	s.SetFault(nil)
+	if _, err := l.Renew(context.Background()); errors.Is(err, ErrFenced) {
+		t.Fatal("fenced by its own renewal")
+	}
+	if _, err := l.Renew(context.Background()); err != nil {
+		t.Errorf("renewal: %v", err)
+	}
+}
+
+func TestReleasedAndFormerLife(t *testing.T) {
+	s := rowstore.NewMemory()
+	l := begin(t, s, "a", "a~1")
+	begin(t, s, "b", "b~0")
+	if err := l.Release(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	over := poll(t, watcher(s, "b", "b~1"), 0)
+	if len(over) != 2 {
+		t.Errorf("over %+v, want the released life and the former one of the same machine", over)
+	}
+}
