--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -137,23 +137,28 @@
 		http.Error(w, "no slot", http.StatusServiceUnavailable)
 		return
 	}
-	time.Sleep(runTime(p, faults, r))
+	lasts, cut := runTime(p, faults, r)
+	time.Sleep(lasts)
 	// The slot is free before the answer goes out: who has it may send the next task.
 	t.end()
+	if cut {
+		// A task that its lease has ended has no result.
+		panic(http.ErrAbortHandler)
+	}
 	t.reply(w, r, payload, faults.Answer)
 }
 
-// runTime is the time a task takes; the lease ends it.
-func runTime(p Payload, f TargetFaults, r *http.Request) time.Duration {
+// runTime is the time a task takes, and whether its lease ends it before.
+func runTime(p Payload, f TargetFaults, r *http.Request) (lasts time.Duration, cut bool) {
 	d := time.Duration(p.MS) * time.Millisecond
 	if f.Slow > 0 {
 		d = d * time.Duration(f.Slow) / 100
 	}
 	lease, err := strconv.Atoi(r.Header.Get(target.HeaderLease))
-	if err == nil {
-		d = min(d, time.Duration(lease)*time.Millisecond)
+	if longest := time.Duration(lease) * time.Millisecond; err == nil && d > longest {
+		return longest, true
 	}
-	return d
+	return d, false
 }
 
 func (t *Target) start(r *http.Request, payload []byte) (TargetFaults, bool) {
--- a/internal/standin/target_test.go
+++ b/internal/standin/target_test.go
@@ -1,7 +1,9 @@
 package standin
 
 import (
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -32,3 +34,20 @@
 	}
 	wg.Wait()
 }
+
+// TestLeaseLeavesNoResult has a task that its lease ends. However late the
+// caller looks, there is no whole answer to it.
+func TestLeaseLeavesNoResult(t *testing.T) {
+	srv := httptest.NewServer(NewTarget("t", 1).Handler())
+	defer srv.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, srv.URL+target.PathTasks, strings.NewReader(`{"ms":5000}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set(target.HeaderLease, "1")
+	res, err := http.DefaultClient.Do(req)
+	if err == nil {
+		defer res.Body.Close()
+		t.Errorf("answered %s", res.Status)
+	}
+}
