An agent that stops waits until homes know it and have all results

A gate that left told only the homes that waited for a slot; a start that another home had on its way when the process ended, or a result not yet received, could not be told from a task that has run. The agent now ends only when each connected home has confirmed the word that it leaves and all results (2 s at most), and a home sends nothing over a session that opens with that word. Before: TestHomeConfirmsLeaving failed (confirmed up to 1, want 2; 1 task sent to a gate that leaves); Gate.Settled did not exist.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -194,9 +194,36 @@
 			return
 		}
 	}
+	a.awaitSettled()
 	a.leaveLedger()
 }
 
+// settleTimeout is how long an agent that stops waits for the homes to know it.
+const settleTimeout = 2 * time.Second
+
+// awaitSettled waits until no home sends starts any more and all have their
+// results: a start on its way when the process ends could not be told from one
+// that has run.
+func (a *Agent) awaitSettled() {
+	end := time.Now().Add(settleTimeout)
+	for !a.settled() {
+		if time.Now().After(end) {
+			a.log.Info("Stops while a home has not confirmed what it was told.")
+			return
+		}
+		time.Sleep(settlePoll)
+	}
+}
+
+// settlePoll is the time between two looks at what homes have confirmed.
+const settlePoll = 5 * time.Millisecond
+
+func (a *Agent) settled() bool {
+	a.node.mu.Lock()
+	defer a.node.mu.Unlock()
+	return a.node.gate.Settled()
+}
+
 func (a *Agent) isIdle() bool {
 	a.node.mu.Lock()
 	defer a.node.mu.Unlock()
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -63,6 +63,10 @@
 	reserved  int
 	lapse     Time
 	note      *wire.GateNote
+	// leaveSeq is the first note that told the home of the gate's leaving, 0
+	// before; acked is the newest note that the home has handled.
+	leaveSeq uint64
+	acked    uint64
 }
 
 // record remembers a task that started, until its home has the result.
@@ -128,13 +132,13 @@
 	}
 }
 
-// Leave closes the gate: nothing more starts; what runs goes on.
+// Leave closes the gate: nothing more starts; what runs goes on. All homes are told.
 func (g *Gate) Leave() []GateAction {
 	if g.leaving {
 		return nil
 	}
 	g.leaving = true
-	for _, s := range g.waiters {
+	for _, s := range g.sessions {
 		s.want = 0
 		g.touch(s)
 	}
@@ -142,9 +146,24 @@
 	return g.flush()
 }
 
+// Settled says whether each home with an open session has handled the word that
+// the gate leaves, and so sends no more starts, and all results.
+func (g *Gate) Settled() bool {
+	for _, s := range g.sessions {
+		told := s.leaveSeq != 0 && s.acked >= s.leaveSeq
+		if s.connected && (!told || len(s.finished) > 0) {
+			return false
+		}
+	}
+	return true
+}
+
 // Return opens a gate that was closed by a declaration since withdrawn.
 func (g *Gate) Return() {
 	g.leaving = false
+	for _, s := range g.sessions {
+		s.leaveSeq = 0
+	}
 }
 
 // Hello opens a session. It reports false for an epoch that is not newer than
@@ -165,6 +184,7 @@
 	g.release(s)
 	s.epoch = h.GetEpoch()
 	s.connected = true
+	s.leaveSeq = 0
 	s.granted = 0
 	s.note = nil
 	note := g.touch(s)
@@ -200,6 +220,7 @@
 		g.Counts.Duplicates++
 		return nil
 	}
+	s.acked = max(s.acked, n.GetAck())
 	s.forget(n.GetAck())
 	g.takeBack(s, int(n.GetReturned()))
 	for _, start := range n.GetStarts() {
@@ -350,6 +371,9 @@
 			continue
 		}
 		s.seq++
+		if g.leaving && s.leaveSeq == 0 {
+			s.leaveSeq = s.seq
+		}
 		note.Seq = s.seq
 		note.Load = g.Load()
 		g.out = append(g.out, GateAction{Home: s.home, Note: note})
--- a/dispatch/gate_test.go
+++ b/dispatch/gate_test.go
@@ -176,6 +176,47 @@
 	}
 }
 
+// TestGateSettled has a gate leave with homes that wait for nothing: it has
+// settled only when each of them has handled that word and all results. An agent
+// that ended earlier broke off starts on their way, which then count as run.
+func TestGateSettled(t *testing.T) {
+	b := newGateBench(t, 2)
+	idle, busy, late, lost := id.NewIncarnation(), id.NewIncarnation(), id.NewIncarnation(), id.NewIncarnation()
+	for _, home := range []id.Incarnation{idle, busy, lost} {
+		b.hello(home, 1)
+	}
+	b.note(busy, 1, &wire.HomeNote{Starts: []*wire.Start{startOf(0)}})
+	b.did(b.gate.Leave())
+	b.did(b.gate.Lost(b.now, lost, 1))
+	ack := func(home id.Incarnation) {
+		b.note(home, 1, &wire.HomeNote{Ack: b.last(home).GetSeq()})
+	}
+	if !b.last(idle).GetLoad().GetLeaving() {
+		t.Fatal("a home that waits for nothing was not told")
+	}
+	ack(busy)
+	if b.gate.Settled() {
+		t.Error("settled before a home has handled the word")
+	}
+	ack(idle)
+	b.finish(0)
+	if b.gate.Settled() {
+		t.Error("settled before a home has handled a result")
+	}
+	ack(busy)
+	if !b.gate.Settled() {
+		t.Error("not settled though all homes know")
+	}
+	b.hello(late, 1)
+	if b.gate.Settled() {
+		t.Error("settled before a home that came later has handled the welcome")
+	}
+	ack(late)
+	if !b.gate.Settled() {
+		t.Error("not settled though the home that came later knows")
+	}
+}
+
 func TestGateForgetsLostHomes(t *testing.T) {
 	b := newGateBench(t, 2)
 	for range 100 {
--- a/dispatch/home_test.go
+++ b/dispatch/home_test.go
@@ -141,6 +141,33 @@
 	}
 }
 
+// TestHomeConfirmsLeaving has a gate leave: the home confirms that at once, and
+// sends nothing over a session that opens with that word.
+func TestHomeConfirmsLeaving(t *testing.T) {
+	leaving := &wire.Load{Slots: 4, Pace: paceUnit, Leaving: true}
+	t.Run("open session", func(t *testing.T) {
+		b := newBench(t)
+		b.submit(b.submission(1, candidate(testPeer, 4, 0)))
+		b.open(testPeer, false)
+		b.did(b.home.Received(b.now, testPeer, b.epochs[testPeer], &wire.GateNote{Seq: 2, Load: leaving}))
+		if ack := b.lastNote(testPeer).GetAck(); ack != 2 {
+			t.Errorf("confirmed up to %d, want 2", ack)
+		}
+	})
+	t.Run("session that opens", func(t *testing.T) {
+		b := newBench(t)
+		b.submit(b.submission(1, candidate(testPeer, 4, 0)))
+		w := &wire.Welcome{Incarnation: make([]byte, id.IncarnationSize)}
+		b.did(b.home.Opened(b.now, testPeer, b.epochs[testPeer], &wire.GateNote{Seq: 1, Welcome: w, Load: leaving}))
+		if n := len(b.sent(testPeer)); n != 0 {
+			t.Errorf("%d tasks sent to a gate that leaves", n)
+		}
+		if ack := b.lastNote(testPeer).GetAck(); ack != 1 {
+			t.Errorf("confirmed up to %d, want 1", ack)
+		}
+	})
+}
+
 func TestHomeSettlesSession(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -20,13 +20,26 @@
 	p.retries = 0
 	p.grantsSeen, p.grants, p.wantSent, p.seq, p.acked = 0, 0, 0, 0, 0
 	h.take(now, p, n)
+	h.handPending(now, p)
+	h.mark(p)
+	return h.flush()
+}
+
+// handPending sends the tasks that waited for the session; a gate that leaves
+// gets none of them.
+func (h *Home) handPending(now Time, p *peer) {
 	pending := p.pending
 	p.pending = nil
 	for _, t := range pending {
-		h.hand(now, p, t)
+		if !p.leaving() {
+			h.hand(now, p, t)
+			continue
+		}
+		h.putBack(t)
+		if !t.job.over() {
+			h.replace(now, t.job)
+		}
 	}
-	h.mark(p)
-	return h.flush()
 }
 
 // settle decides about the tasks that were outstanding when the last session
@@ -85,7 +98,7 @@
 func (h *Home) take(now Time, p *peer, n *wire.GateNote) {
 	p.version = n.GetConfigVersion()
 	p.setLoad(n.GetLoad())
-	if n.GetSeq()-p.acked >= ackBacklog {
+	if n.GetSeq()-p.acked >= ackBacklog || n.GetLoad().GetLeaving() {
 		h.noteFor(p)
 	}
 	for _, r := range n.GetResults() {
