Revert: gates chosen from a random sample of eight

Tried for this reason: eleven owners place by reports up to 92 ms old, so all may choose the same best gate.

--- a/owner/admission.go
+++ b/owner/admission.go
@@ -8,9 +8,9 @@
 
 // Bounds of admission.
 const (
-	// hopeShare is the part of its objective by which a job of which nothing was
-	// placed may be behind before it is refused.
-	hopeShare = 0.25
+	// offerShare is the part of its objective that a job may wait while nothing of
+	// it was placed; then it is refused, while its caller can still go elsewhere.
+	offerShare = 0.24
 	// startReserve is the part of the time that a job may wait which is kept for
 	// run times above their estimates.
 	startReserve = 0.25
@@ -40,7 +40,7 @@
 	}
 	ahead := o.workAhead(j)
 	wait := time.Duration(ahead / float64(capacity) * float64(o.entries) * float64(time.Second))
-	return now+wait <= j.startBy+admitSlack
+	return now+wait <= min(j.startBy, j.offerBy())+admitSlack
 }
 
 // roomFor returns the capacity of the gates that a job may use and the room
@@ -110,7 +110,7 @@
 		}
 		seen[j] = true
 		switch {
-		case j.record.BestEffort && !j.placed && now > j.startBy+j.hope():
+		case j.record.BestEffort && !j.placed && now > j.offerBy():
 			refused = append(refused, j)
 		case j.late != j.isLate(now):
 			changed = append(changed, j)
@@ -131,8 +131,9 @@
 	return now > j.startBy && float64(j.left) > finishShare*float64(len(j.tasks))
 }
 
-func (j *liveJob) hope() time.Duration {
-	return time.Duration(hopeShare * float64(j.objective-j.arrived))
+// offerBy is when a job of which nothing was placed is refused.
+func (j *liveJob) offerBy() Time {
+	return j.arrived + time.Duration(offerShare*float64(j.objective-j.arrived))
 }
 
 // reorder changes what the place of a job's waiting tasks in the queue goes by.
--- a/owner/place.go
+++ b/owner/place.go
@@ -10,8 +10,6 @@
 
 // Bounds of placing.
 const (
-	// sampleSize is how many gates that can take a task are compared.
-	sampleSize = 8
 	// slowFactor is how many times slower than the median an executor must be to
 	// be used last.
 	slowFactor = 2.0
@@ -60,28 +58,13 @@
 	return usable
 }
 
-// choose returns the gate that a task goes to, or nil: the best of a random
-// sample of those that can take it. Other owners place at the same time by
-// reports as old as this owner's; if all of them took the best of all gates, they
-// would meet there. A task with a rack looks at all gates. The order of usable
-// is changed.
+// choose returns the gate that a task goes to, or nil.
 func (o *Owner) choose(usable []*gateView, median float64, t *task) *gateView {
-	wanted := sampleSize
-	if t.step.Rack != "" {
-		wanted = len(usable)
-	}
 	var best *gateView
 	bestScore := 0.0
-	for i := 0; i < len(usable) && wanted > 0; i++ {
-		other := i + o.random.IntN(len(usable)-i)
-		usable[i], usable[other] = usable[other], usable[i]
-		v := usable[i]
+	for _, v := range usable {
 		score, ok := o.score(v, t, median)
-		if !ok {
-			continue
-		}
-		wanted--
-		if best == nil || score > bestScore {
+		if ok && (best == nil || score > bestScore) {
 			best = v
 			bestScore = score
 		}
