Soak of real processes on the platform's own interfaces; stand-ins over its wire

The platform's engine was only tested in one process at our own interfaces. Now internal/standin serves the store and executors over the platform's HTTP interface, test/platform_test.go runs the two roles as processes with a proxy on each of their ways (store, executor, other daemons, clients), and TestSoak kills, stops, pauses and hangs up processes, harms links, makes the store refuse, lose and forget, crashes executors and changes the configuration, in series and overlapping, by a seed. It checks what clients and executors saw: no two runs at once, no start after a noted end, nothing accepted is lost, refused jobs never ran, completed means all done, no start long after a cancel.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -47,8 +47,10 @@
 
 func newPlatformRole(name, short string, run platformRole) *cobra.Command {
 	var c common
+	var advertise string
 	cmd := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs}
 	set := settings.NewSet(cmd.Flags())
+	set.Address(&advertise, "advertise", "", "address that other daemons reach this one at, if it is not the one listened on")
 	c.define(set)
 	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		return c.serve(cmd.Context(), name, func(ctx context.Context, log logr.Logger) error {
@@ -57,6 +59,7 @@
 				return exitWith(ExitUsage, "%v", err)
 			}
 			o := platformOptions(s, c.logger(observe.NewBoundedWriter(os.Stdout)))
+			o.Advertise = advertise
 			stop := platform.Reload(s, o.Log)
 			defer stop()
 			figures, err := serveMetrics(s, o)
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -74,6 +74,32 @@
 	e.down = down
 }
 
+// Down says whether the executor answers nothing.
+func (e *Executor) Down() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.down
+}
+
+// Clock returns the executor's own time in milliseconds.
+func (e *Executor) Clock() int64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.clock(time.Now())
+}
+
+// Crash ends all that runs; the executor answers nothing any more.
+func (e *Executor) Crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.advance(now)
+	for _, r := range e.running {
+		e.finish(now, r, gate.EndLost)
+	}
+	e.down = true
+}
+
 // Journal returns all runs so far.
 func (e *Executor) Journal() []Span {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/standin/executorwire.go
@@ -0,0 +1,208 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/job"
+)
+
+// Headers of an executor's interface.
+const (
+	headerIntended = "Rackspur-Target-Instance"
+	headerAnswered = "Rackspur-Instance-Id"
+)
+
+// ExecutorPort serves the newest life of an executor over the interface of the
+// users' platform, and sends its heartbeats.
+type ExecutorPort struct {
+	// Need is what each run takes: the interface does not say it.
+	Need    job.Resources
+	Service string
+	current atomic.Pointer[Executor]
+}
+
+// SetExecutor makes another life the newest.
+func (p *ExecutorPort) SetExecutor(e *Executor) { p.current.Store(e) }
+
+// Executor returns the newest life.
+func (p *ExecutorPort) Executor() *Executor { return p.current.Load() }
+
+// orderOnWire is the body of a call to an executor.
+type orderOnWire struct {
+	Task       string `json:"task"`
+	Run        int    `json:"run"`
+	Spec       string `json:"spec"`
+	UntilMS    int64  `json:"untilMs"`
+	Fence      uint64 `json:"fence"`
+	Checkpoint string `json:"checkpoint"`
+	Seen       int64  `json:"lastSeen"`
+	WaitMS     int    `json:"waitMs"`
+}
+
+// listsOnWire is the answer of an executor.
+type listsOnWire struct {
+	ClockMS  int64   `json:"clockMs"`
+	Reason   string  `json:"reason,omitempty"`
+	Running  [][]any `json:"running,omitempty"`
+	Finished [][]any `json:"finished,omitempty"`
+}
+
+// Handler serves the executor's interface.
+func (p *ExecutorPort) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/run-start", p.serve(func(ctx context.Context, e *Executor, life string, o orderOnWire, n job.RunName) (gate.Answer, gate.HoldAnswer, error) {
+		a, err := e.Start(ctx, life, gate.StartCall{Name: n, Spec: o.Spec, Need: p.Need, Checkpoint: o.Checkpoint, UntilMS: o.UntilMS, Fence: o.Fence})
+		return a, gate.HoldAnswer{}, err
+	}))
+	mux.HandleFunc("POST /v1/run-stop", p.serve(func(ctx context.Context, e *Executor, life string, o orderOnWire, n job.RunName) (gate.Answer, gate.HoldAnswer, error) {
+		a, err := e.Stop(ctx, life, gate.StopCall{Name: n, Fence: o.Fence})
+		return a, gate.HoldAnswer{}, err
+	}))
+	mux.HandleFunc("POST /v1/hold", p.serve(func(ctx context.Context, e *Executor, life string, o orderOnWire, _ job.RunName) (gate.Answer, gate.HoldAnswer, error) {
+		return e.Hold(ctx, life, gate.HoldCall{Fence: o.Fence, UntilMS: o.UntilMS, Seen: o.Seen, WaitMS: o.WaitMS})
+	}))
+	return mux
+}
+
+type executorCall func(ctx context.Context, e *Executor, life string, o orderOnWire, n job.RunName) (gate.Answer, gate.HoldAnswer, error)
+
+func (p *ExecutorPort) serve(do executorCall) http.HandlerFunc {
+	return func(w http.ResponseWriter, req *http.Request) {
+		var o orderOnWire
+		if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxWireBody)).Decode(&o); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		name := job.RunName{Run: o.Run}
+		if o.Task != "" {
+			task, err := taskOnWire(o.Task)
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusBadRequest)
+				return
+			}
+			name.TaskName = task
+		}
+		a, lists, err := do(req.Context(), p.Executor(), req.Header.Get(headerIntended), o, name)
+		if errors.Is(err, gate.ErrUnanswered) {
+			breakOff()
+		}
+		w.Header().Set(headerAnswered, a.Life)
+		status, reason := statusOnWire(err)
+		writeWire(w, status, listsOnWire{ClockMS: a.ClockMS, Reason: reason, Running: runningOnWire(lists.Running), Finished: finishedOnWire(lists.Finished)})
+	}
+}
+
+// taskOnWire reads a task's name, ID.TIME.STEP.INDEX.
+func taskOnWire(text string) (job.TaskName, error) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 {
+		return job.TaskName{}, fmt.Errorf("task %q: want four parts", text)
+	}
+	var numbers [3]int
+	for i := range numbers {
+		n, err := strconv.Atoi(parts[i+1])
+		if err != nil {
+			return job.TaskName{}, fmt.Errorf("task %q: %w", text, err)
+		}
+		numbers[i] = n
+	}
+	return job.TaskName{Job: job.ID(parts[0]), Time: numbers[0], Step: numbers[1], Index: numbers[2]}, nil
+}
+
+func nameOnWire(n job.TaskName) string {
+	return fmt.Sprintf("%s.%d.%d.%d", n.Job, n.Time, n.Step, n.Index)
+}
+
+func statusOnWire(err error) (status int, reason string) {
+	switch {
+	case err == nil:
+		return http.StatusOK, ""
+	case errors.Is(err, gate.ErrNoRoom):
+		return http.StatusConflict, "room"
+	case errors.Is(err, gate.ErrOldRun):
+		return http.StatusConflict, "old"
+	case errors.Is(err, gate.ErrLate):
+		return http.StatusConflict, "late"
+	case errors.Is(err, gate.ErrFenced):
+		return http.StatusConflict, "fence"
+	case errors.Is(err, gate.ErrOtherLife):
+		return http.StatusMisdirectedRequest, ""
+	}
+	return http.StatusServiceUnavailable, ""
+}
+
+func runningOnWire(runs []gate.Running) [][]any {
+	var rows [][]any
+	for _, r := range runs {
+		rows = append(rows, []any{nameOnWire(r.Name.TaskName), r.Name.Run, r.Checkpoint, r.Percent})
+	}
+	return rows
+}
+
+// endsOnWire are the kinds of ends that an executor lists.
+var endsOnWire = map[gate.EndKind]string{
+	gate.EndDone: "done", gate.EndFailed: "failed", gate.EndStopped: "stopped",
+	gate.EndLapsed: "lapsed", gate.EndBroken: "broken", gate.EndAlone: "alone",
+}
+
+func finishedOnWire(ends []gate.Ended) [][]any {
+	var rows [][]any
+	for _, e := range ends {
+		rows = append(rows, []any{e.Number, nameOnWire(e.Name.TaskName), e.Name.Run, endsOnWire[e.Kind], e.Checkpoint})
+	}
+	return rows
+}
+
+// heartbeatOnWire is what an executor says of itself.
+type heartbeatOnWire struct {
+	Service  string         `json:"service"`
+	State    string         `json:"state"`
+	Capacity capacityOnWire `json:"capacity"`
+	Labels   []string       `json:"labels"`
+	ClockMS  int64          `json:"clockMs"`
+	Sequence int64          `json:"seq"`
+}
+
+type capacityOnWire struct {
+	CPU    int `json:"cpu"`
+	Memory int `json:"memMb"`
+	GPU    int `json:"gpu"`
+}
+
+// Beat sends heartbeats of the newest life to a control address until the
+// context ends.
+func (p *ExecutorPort) Beat(ctx context.Context, control string, every time.Duration) {
+	client := &http.Client{Timeout: time.Second}
+	ticker := time.NewTicker(every)
+	defer ticker.Stop()
+	for sequence := int64(1); ctx.Err() == nil; sequence++ {
+		e := p.Executor()
+		body, err := json.Marshal(heartbeatOnWire{
+			Service: p.Service, State: "ready", Sequence: sequence, ClockMS: e.Clock(),
+			Capacity: capacityOnWire{CPU: e.Capacity.CPU, Memory: e.Capacity.Memory, GPU: e.Capacity.GPU},
+		})
+		if err != nil {
+			return
+		}
+		if !e.Down() {
+			res, err := client.Post("http://"+control+"/v1/executors/"+e.Life+"/heartbeat", "application/json", bytes.NewReader(body))
+			if err == nil {
+				res.Body.Close()
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
--- a/node/agent.go
+++ b/node/agent.go
@@ -33,14 +33,14 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrServe, err.Error())
 	}
-	o.Listen = listener.Addr().String()
+	o.listening(listener)
 	incarnation := o.Node + "~" + uuid.NewString()[:8]
 	g := gate.New(gate.Options{Node: o.Node, Incarnation: incarnation, MaxHold: o.MaxHold, Contact: contact, BestEffortContact: bestEffortContact})
 	return &Agent{
 		options: o, executor: e, listener: listener, log: o.Log,
 		driver: gate.NewDriver(ctx, g, e, o.Log),
-		seeds:  newSeeds(o.Seeds, o.Listen, o.Metrics),
-		daemon: member.Daemon{Node: o.Node, Role: member.RoleAgent, Zone: o.Zone, Address: o.Listen, Incarnation: incarnation},
+		seeds:  newSeeds(o.Seeds, o.Advertise, o.Metrics),
+		daemon: member.Daemon{Node: o.Node, Role: member.RoleAgent, Zone: o.Zone, Address: o.Advertise, Incarnation: incarnation},
 	}, nil
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -33,6 +33,9 @@
 	Zone string
 	// Listen is the address for other daemons.
 	Listen string
+	// Advertise is the address that other daemons are told; "" for the one that
+	// is listened on.
+	Advertise string
 	// Seeds are addresses of a few other daemons, maybe stale.
 	Seeds []string
 	// Parts is the number of parts of the store that jobs are spread over.
@@ -44,6 +47,14 @@
 	Log          logr.Logger
 }
 
+// listening takes in what is listened on.
+func (o *Options) listening(l net.Listener) {
+	o.Listen = l.Addr().String()
+	if o.Advertise == "" {
+		o.Advertise = o.Listen
+	}
+}
+
 // contact is how long a gate lets runs go on without word from their owner.
 const contact = 1400 * time.Millisecond
 
@@ -92,11 +103,11 @@
 	if err != nil {
 		return nil, eris.Wrap(ErrServe, err.Error())
 	}
-	o.Listen = listener.Addr().String()
+	o.listening(listener)
 	e := &Entry{
 		options: o, follow: follow, log: o.Log, started: time.Now(), listener: listener,
 		daemons: map[string]member.Daemon{}, asks: map[string]*askClient{},
-		seeds: newSeeds(o.Seeds, o.Listen, o.Metrics),
+		seeds: newSeeds(o.Seeds, o.Advertise, o.Metrics),
 	}
 	e.store = peer.NewRelayedStore(o.Store, e)
 	e.gauges()
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -100,6 +100,8 @@
 	t    testing.TB
 	name string
 	args []string
+	// env are variables beside those of this process.
+	env  []string
 	cmd  *exec.Cmd
 	log  *logBuffer
 	done chan struct{}
@@ -108,7 +110,13 @@
 // start runs the program with arguments until the test ends.
 func start(t testing.TB, name string, args ...string) *process {
 	t.Helper()
-	p := &process{t: t, name: name, args: args, log: &logBuffer{}}
+	return startWith(t, name, nil, args...)
+}
+
+// startWith is start with variables of its own.
+func startWith(t testing.TB, name string, env []string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, args: args, env: env, log: &logBuffer{}}
 	p.run()
 	t.Cleanup(p.end)
 	return p
@@ -117,6 +125,7 @@
 func (p *process) run() {
 	p.t.Helper()
 	p.cmd = exec.Command(binary, p.args...)
+	p.cmd.Env = append(os.Environ(), p.env...)
 	p.cmd.Stderr = p.log
 	p.cmd.Stdout = p.log
 	if err := p.cmd.Start(); err != nil {
