Runs that stand still or are far too slow are taken off their executor

Ruled out: orders and ends (those executors answer in time). Change: a gate compares the progress of each run with its estimate over at least 40 ms and 15% of the estimate, by the executor's own clock; one below 0.3 of what is expected is told to its owner, which stops it and starts the task elsewhere (twice at most), from its checkpoint if there is one. If most of what runs is behind the executor is left alone and probed.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -79,9 +79,7 @@
 	unsureSince Time
 	// runningSince is when the gate learnt that the run runs.
 	runningSince Time
-	percent      int
-	// moved is when the progress was last seen to change.
-	moved Time
+	progress     progress
 	// untilMS is the lease that the start carried.
 	untilMS int64
 	// found is when a run of nobody was found.
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -335,3 +335,66 @@
 		t.Errorf("%d given back and %d waiting, want %d together", given, b.gate.queue.len(), len(names))
 	}
 }
+
+// list makes the hold that is due and has it list runs with their progress.
+func (b *bench) list(percent int, names ...job.RunName) {
+	var lists HoldAnswer
+	for _, n := range names {
+		lists.Running = append(lists.Running, Running{Name: n, Percent: percent})
+	}
+	b.hold(lists)
+}
+
+// A run that makes far less progress than its estimate says is told to its
+// owner, once it was watched for long enough; a slow estimate is no reason.
+func TestRunBehindIsTold(t *testing.T) {
+	cases := []struct {
+		name          string
+		first, second int
+		after         time.Duration
+		behind        bool
+	}{
+		{"stands still", 0, 0, 50 * time.Millisecond, true},
+		{"six times too slow", 2, 10, 50 * time.Millisecond, true},
+		{"estimate too short and data far away", 0, 24, 60 * time.Millisecond, false},
+		{"as estimated", 10, 60, 50 * time.Millisecond, false},
+		{"not watched for long", 0, 0, 20 * time.Millisecond, false},
+		{"nearly done", 97, 99, 50 * time.Millisecond, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t)
+			name := testRun("aa", 0, 1)
+			b.started(b.order(false, name))
+			b.states()
+			b.list(tc.first, name)
+			b.now += tc.after
+			b.list(tc.second, name)
+			s, told := b.states()[name]
+			if told != tc.behind || (told && s.Reason != ReasonBehind) {
+				t.Errorf("told %v, reason %q; want %v", told, s.Reason, tc.behind)
+			}
+		})
+	}
+}
+
+// An executor on which most runs are behind is left alone, then probed.
+func TestSlowExecutorRests(t *testing.T) {
+	b := newBench(t)
+	names := b.fillWith("aa")
+	b.list(0, names...)
+	b.now += 50 * time.Millisecond
+	b.list(0, names...)
+	if !b.gate.report(b.now).Suspect {
+		t.Fatal("not suspect though all that runs stands still")
+	}
+	b.states()
+	b.order(true, testRun("bb", 0, 1))
+	if s := b.states()[testRun("bb", 0, 1)]; s.End != EndRejected {
+		t.Errorf("an order during the rest: %+v, want it given back", s)
+	}
+	b.now += firstRest
+	if b.gate.report(b.now).Suspect {
+		t.Error("no probe after the rest")
+	}
+}
--- a/gate/health.go
+++ b/gate/health.go
@@ -14,6 +14,9 @@
 	// doubles up to mostRest.
 	firstRest = 700 * time.Millisecond
 	mostRest  = 4 * time.Second
+	// stillSlow is how many times its estimate a probe may take for the executor
+	// to be trusted again.
+	stillSlow = 3
 	// slownessWeight is the weight of a new ratio in the smoothed one.
 	slownessWeight = 0.15
 )
@@ -34,6 +37,11 @@
 func (h *health) ended(now Time, r *run) {
 	switch r.end {
 	case EndDone:
+		if h.suspect && r.estimate > 0 && float64(r.ran) > stillSlow*float64(r.estimate) {
+			h.turnedAway(now)
+			h.pace(r)
+			return
+		}
 		h.failed = nil
 		h.suspect = false
 		h.probing = false
@@ -42,6 +50,9 @@
 	case EndFailed:
 		h.fail(now, r.Job)
 	case EndStopped, EndLapsed, EndBroken, EndAlone, EndRejected:
+		if h.probing && r.progress.behind {
+			h.turnedAway(now)
+		}
 		h.probing = false
 	}
 }
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -23,6 +23,9 @@
 		h.peek = true
 		return h
 	}
+	if g.watching() {
+		wait = min(wait, watchWait)
+	}
 	h.Call = HoldCall{Fence: g.fence, Seen: g.seen, WaitMS: int(wait.Milliseconds())}
 	if g.lapsing {
 		h.Call.WaitMS = 0
@@ -153,15 +156,13 @@
 		if x.Checkpoint != "" {
 			r.checkpoint = x.Checkpoint
 		}
-		if x.Percent != r.percent {
-			r.percent = x.Percent
-			r.moved = now
-		}
+		g.judgeProgress(r, x.Percent)
 		if r.phase == phaseUnsure && !r.stop {
 			g.setRunning(now, r)
 			g.tell(r)
 		}
 	}
+	g.judgePace(now)
 	if len(lists.Finished) >= fullList {
 		return
 	}
@@ -220,7 +221,7 @@
 
 // strange adds a run that the gate did not start: one of an earlier process.
 func (g *Gate) strange(now Time, name job.RunName) *run {
-	r := &run{RunName: name, phase: phaseStarting, started: now, found: now, moved: now}
+	r := &run{RunName: name, phase: phaseStarting, started: now, found: now}
 	g.runs[name] = r
 	for _, o := range g.owners {
 		o.inventory = true
--- a/gate/report.go
+++ b/gate/report.go
@@ -28,7 +28,8 @@
 	End        EndKind
 	Checkpoint string
 	Ran        time.Duration
-	Reason     string
+	// Reason tells why a run was rejected, or ReasonBehind.
+	Reason string
 }
 
 // Frame is what a gate sends to an owner.
@@ -166,9 +167,13 @@
 }
 
 func (r *run) state() RunState {
+	reason := r.reason
+	if r.phase == phaseRunning && r.progress.behind {
+		reason = ReasonBehind
+	}
 	return RunState{
 		Name: r.RunName, Queued: r.phase == phaseQueued,
 		Running: r.phase == phaseRunning || r.phase == phaseStarting || r.phase == phaseUnsure,
-		End:     r.end, Checkpoint: r.checkpoint, Ran: r.ran, Reason: r.reason,
+		End:     r.end, Checkpoint: r.checkpoint, Ran: r.ran, Reason: reason,
 	}
 }
--- a/gate/start.go
+++ b/gate/start.go
@@ -32,7 +32,7 @@
 func (g *Gate) start(now Time, r *run) StartCall {
 	r.phase = phaseStarting
 	r.started = now
-	r.moved = now
+	r.progress = progress{}
 	r.untilMS = g.executorClock(now) + startLease.Milliseconds()
 	g.grantedMS = max(g.grantedMS, r.untilMS)
 	g.used = g.used.Plus(r.need)
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -32,6 +32,7 @@
 	register("tasks.lost", func(s owner.Stats) int64 { return s.Lost })
 	register("tasks.presumed_over", func(s owner.Stats) int64 { return s.PresumedOver })
 	register("tasks.discarded", func(s owner.Stats) int64 { return s.Discarded })
+	register("tasks.moved", func(s owner.Stats) int64 { return s.Moved })
 	register("tasks.stalled", func(s owner.Stats) int64 { return s.Stalled })
 	e.options.Metrics.Gauge("gates.linked", func() int64 {
 		if t := e.current.Load(); t != nil {
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -138,6 +138,25 @@
 	if t.job.final != "" {
 		v.stop(s.Name)
 	}
+	if s.Reason == gate.ReasonBehind {
+		o.moveOn(v, t, s.Name)
+	}
+}
+
+// maxMoves is how many times a task is taken off executors on which it is behind.
+const maxMoves = 2
+
+// moveOn takes a run off an executor on which it makes too little progress. The
+// task starts elsewhere once the run has ended.
+func (o *Owner) moveOn(v *gateView, t *task, name job.RunName) {
+	if t.moves >= maxMoves {
+		return
+	}
+	t.moves++
+	o.stats.Moved++
+	t.avoidGate(v.name)
+	v.stop(name)
+	o.log.Info("Run is behind; taken off.", "job", name.Job, "task", t.index, "run", name.Run, "gate", v.name, "moves", t.moves)
 }
 
 func (o *Owner) onDone(now Time, v *gateView, t *task, s gate.RunState) {
--- a/owner/live.go
+++ b/owner/live.go
@@ -37,6 +37,8 @@
 	checkpoint string
 	// avoid are the gates on which a run has failed or stood still.
 	avoid map[string]bool
+	// moves counts how often the task was taken off an executor.
+	moves int
 	// position in the queue of waiting tasks, -1 if it is not in it.
 	position int
 	order    uint64
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -108,9 +108,9 @@
 
 // Stats are counters of an owner.
 type Stats struct {
-	Accepted, Refused, Completed, Failed, Cancelled           int64
-	Placed, Rejected, EndedFailed, Lost, Adopted              int64
-	Late, VeryLate, Dropped, PresumedOver, Discarded, Stalled int64
+	Accepted, Refused, Completed, Failed, Cancelled                  int64
+	Placed, Rejected, EndedFailed, Lost, Adopted                     int64
+	Late, VeryLate, Dropped, PresumedOver, Discarded, Stalled, Moved int64
 }
 
 // New returns an owner without jobs.
