--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -378,6 +378,21 @@
 	}
 }
 
+// A run that was judged to go on well is watched on.
+func TestRunThatStopsLater(t *testing.T) {
+	b := newBench(t)
+	name := testRun("aa", 0, 1)
+	b.started(b.order(false, name))
+	b.states()
+	for _, percent := range []int{0, 40, 40} {
+		b.list(percent, name)
+		b.now += 50 * time.Millisecond
+	}
+	if s := b.states()[name]; s.Reason != ReasonBehind {
+		t.Errorf("told %+v, want that it is behind", s)
+	}
+}
+
 // An executor on which most runs are behind is left alone, then probed.
 func TestSlowExecutorRests(t *testing.T) {
 	b := newBench(t)
--- a/gate/health.go
+++ b/gate/health.go
@@ -38,7 +38,7 @@
 	switch r.end {
 	case EndDone:
 		if h.suspect && r.estimate > 0 && float64(r.ran) > stillSlow*float64(r.estimate) {
-			h.turnedAway(now)
+			h.leaveAlone(now, firstRest)
 			h.pace(r)
 			return
 		}
@@ -51,7 +51,7 @@
 		h.fail(now, r.Job)
 	case EndStopped, EndLapsed, EndBroken, EndAlone, EndRejected:
 		if h.probing && r.progress.behind {
-			h.turnedAway(now)
+			h.leaveAlone(now, firstRest)
 		}
 		h.probing = false
 	}
@@ -84,13 +84,19 @@
 	}
 }
 
-// turnedAway makes the executor suspect: it is left alone for a time, then
-// probed with one run.
+// turnedAway makes an executor that fails what it starts suspect, each time for
+// longer.
 func (h *health) turnedAway(now Time) {
+	h.leaveAlone(now, min(max(firstRest, 2*h.rest), mostRest))
+}
+
+// leaveAlone makes the executor suspect: it is left alone for a time, then
+// probed with one run.
+func (h *health) leaveAlone(now Time, rest time.Duration) {
 	h.suspect = true
 	h.probing = false
-	h.rest = min(max(firstRest, 2*h.rest), mostRest)
-	h.until = now + h.rest
+	h.rest = rest
+	h.until = now + rest
 }
 
 // mayStart says whether a run may start: a suspect executor gets one probe
--- a/gate/progress.go
+++ b/gate/progress.go
@@ -8,6 +8,10 @@
 	// the part of its estimate.
 	judgeAfter = 40 * time.Millisecond
 	judgeShare = 0.15
+	// nearlyDone is the progress in percent from which the part is nearlyShare:
+	// little is left to be seen.
+	nearlyDone  = 90
+	nearlyShare = 0.5
 	// behindFactor is the part of the expected progress below which a run is
 	// behind. Estimates that are off by 40% and data on another rack together
 	// leave more than that.
@@ -22,13 +26,15 @@
 // ReasonBehind is told with a run that makes far less progress than expected.
 const ReasonBehind = "behind"
 
-// progress is what the gate has seen of a run's progress since it was first
-// listed: a start may have been carried out late.
+// progress is what the gate has seen of a run's progress. It is watched from the
+// first list with the run, since a start may be carried out late.
 type progress struct {
-	// since is the executor's time of the first list with the run.
+	// since is the executor's time of the list that the watch began with, and
+	// percent the progress then.
 	since   Time
 	percent int
-	// judged is set once the run was seen to make progress or not.
+	// judged is set once the run was watched for long enough, behind is the
+	// newest judgement.
 	judged bool
 	behind bool
 }
@@ -38,26 +44,33 @@
 func (g *Gate) judgeProgress(r *run, percent int) {
 	now := time.Duration(g.listedMS) * time.Millisecond
 	p := &r.progress
-	switch {
-	case p.since == 0:
-		p.since = now
-		p.percent = percent
-		return
-	case p.judged || r.estimate <= 0 || r.stop:
+	if p.since == 0 {
+		p.since, p.percent = now, percent
 		return
 	}
 	watched := now - p.since
-	if watched < max(judgeAfter, time.Duration(judgeShare*float64(r.estimate))) {
+	if r.estimate <= 0 || r.stop || watched < p.watchTime(r.estimate) {
 		return
 	}
-	expected := 100 * float64(watched) / float64(r.estimate)
+	expected := min(100*float64(watched)/float64(r.estimate), float64(100-p.percent))
+	wasBehind := p.behind
 	p.judged = true
-	p.behind = float64(percent-p.percent) < behindFactor*min(expected, float64(100-p.percent))
-	if p.behind {
+	p.behind = float64(percent-p.percent) < behindFactor*expected
+	p.since, p.percent = now, percent
+	if p.behind && !wasBehind {
 		g.tell(r)
 	}
 }
 
+// watchTime returns how long a run must be watched to be judged.
+func (p *progress) watchTime(estimate time.Duration) time.Duration {
+	share := judgeShare
+	if p.percent >= nearlyDone {
+		share = nearlyShare
+	}
+	return max(judgeAfter, time.Duration(share*float64(estimate)))
+}
+
 // judgePace makes the executor suspect if most of what runs there is behind.
 func (g *Gate) judgePace(now Time) {
 	behind, judged := 0, 0
@@ -73,15 +86,15 @@
 	if behind < slowRuns || 2*behind < judged || g.health.suspect {
 		return
 	}
-	g.health.turnedAway(now)
+	g.health.leaveAlone(now, firstRest)
 	g.rejectQueue("suspect")
 	g.tellAll()
 }
 
-// watching says whether runs are there whose progress is to be judged.
+// watching says whether runs are there whose progress is judged.
 func (g *Gate) watching() bool {
 	for _, r := range g.runs {
-		if r.phase == phaseRunning && !r.progress.judged && r.estimate > 0 {
+		if r.phase == phaseRunning && r.estimate > 0 {
 			return true
 		}
 	}
