--- a/peer/server.go
+++ b/peer/server.go
@@ -37,7 +37,7 @@
 	// report only. With many owners it is longer, so that the gate sends
 	// reportRate such frames a second at most to all of them together.
 	reportPause = 30 * time.Millisecond
-	reportRate  = 330
+	reportRate  = 120
 	// frameTimeout is how long a link may be without a frame.
 	frameTimeout = 900 * time.Millisecond
 )
