A job that is behind on many gates has a wrong estimate: it stays

Change: only on two gates may runs of a job be taken off; an executor rests by runs of two jobs at least. Tests that failed first: TestWrongEstimateStays, TestSlowExecutorRests (by one job).

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -400,6 +400,15 @@
 	b.list(0, names...)
 	b.now += 50 * time.Millisecond
 	b.list(0, names...)
+	if b.gate.report(b.now).Suspect {
+		t.Fatal("suspect by one job, whose estimate may be wrong")
+	}
+	b = newBench(t)
+	names = append(names[:5:5], testRun("cc", 0, 1), testRun("cc", 1, 1))
+	b.started(b.order(true, names...))
+	b.list(0, names...)
+	b.now += 50 * time.Millisecond
+	b.list(0, names...)
 	if !b.gate.report(b.now).Suspect {
 		t.Fatal("not suspect though all that runs stands still")
 	}
--- a/gate/progress.go
+++ b/gate/progress.go
@@ -1,6 +1,10 @@
 package gate
 
-import "time"
+import (
+	"time"
+
+	"rackspur/job"
+)
 
 // Bounds of what counts as a run that stands still or is far too slow.
 const (
@@ -18,9 +22,10 @@
 	behindFactor = 0.3
 	// watchWait is how long a hold may wait while runs are watched.
 	watchWait = 50 * time.Millisecond
-	// slowRuns is how many runs must be behind at once for the executor to be
-	// left alone.
+	// slowRuns is how many runs, and slowJobs of how many jobs, must be behind at
+	// once for the executor to be left alone: the estimate of one may be wrong.
 	slowRuns = 3
+	slowJobs = 2
 )
 
 // ReasonBehind is told with a run that makes far less progress than expected.
@@ -74,6 +79,7 @@
 // judgePace makes the executor suspect if most of what runs there is behind.
 func (g *Gate) judgePace(now Time) {
 	behind, judged := 0, 0
+	jobs := map[job.ID]bool{}
 	for _, r := range g.runs {
 		if r.phase != phaseRunning || !r.progress.judged {
 			continue
@@ -81,9 +87,10 @@
 		judged++
 		if r.progress.behind {
 			behind++
+			jobs[r.Job] = true
 		}
 	}
-	if behind < slowRuns || 2*behind < judged || g.health.suspect {
+	if behind < slowRuns || len(jobs) < slowJobs || 2*behind < judged || g.health.suspect {
 		return
 	}
 	g.health.leaveAlone(now, firstRest)
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"slices"
+
 	"rackspur/gate"
 	"rackspur/job"
 )
@@ -143,13 +145,23 @@
 	}
 }
 
-// maxMoves is how many times a task is taken off executors on which it is behind.
-const maxMoves = 2
+// Bounds of taking runs off executors on which they are behind.
+const (
+	// maxMoves is how many times a task is taken off.
+	maxMoves = 2
+	// maxSlowGates is on how many gates runs of a job may be behind: with more of
+	// them the job's estimate is wrong, and not the executors.
+	maxSlowGates = 2
+)
 
 // moveOn takes a run off an executor on which it makes too little progress. The
 // task starts elsewhere once the run has ended.
 func (o *Owner) moveOn(v *gateView, t *task, name job.RunName) {
-	if t.moves >= maxMoves {
+	j := t.job
+	if !slices.Contains(j.slowGates, v.name) {
+		j.slowGates = append(j.slowGates, v.name)
+	}
+	if t.moves >= maxMoves || len(j.slowGates) > maxSlowGates {
 		return
 	}
 	t.moves++
--- a/owner/live.go
+++ b/owner/live.go
@@ -106,6 +106,8 @@
 	waiters []chan struct{}
 	// found are runs that gates have told of while the job is being taken over.
 	found []foundRun
+	// slowGates are the gates on which runs of the job were behind.
+	slowGates []string
 	// stallTold says that a line has told of a task that stands still.
 	stallTold bool
 }
--- a/owner/move_test.go
+++ b/owner/move_test.go
@@ -53,3 +53,24 @@
 	b.t.Fatal("no start anywhere")
 	return "", gate.Order{}
 }
+
+// A job whose runs are behind on many gates has a wrong estimate: it stays.
+func TestWrongEstimateStays(t *testing.T) {
+	b := newBench(t)
+	links := map[string]uint64{"gate-1": b.connect("gate-1"), "gate-2": b.connect("gate-2"), "gate-3": b.connect("gate-3"), "gate-4": b.connect("gate-4")}
+	b.owner.RunBestEffort(testSubmission("00000000000000aa", 12), time.Minute, func(BestEffortResult) {})
+	stops, gates := 0, 0
+	for name, link := range links {
+		f := b.flush(name, link)
+		if len(f.Starts) == 0 {
+			continue
+		}
+		gates++
+		behind := gate.RunState{Name: f.Starts[0].Name, Running: true, Reason: gate.ReasonBehind}
+		b.owner.OnFrame(name, link, gate.Frame{Clock: b.now, Received: 1 << 20, Report: testReport(), States: []gate.RunState{behind}})
+		stops += len(b.flush(name, link).Stops)
+	}
+	if gates <= maxSlowGates || stops != maxSlowGates {
+		t.Errorf("%d runs taken off on %d gates, want %d", stops, gates, maxSlowGates)
+	}
+}
