--- a/cli/platform.go
+++ b/cli/platform.go
@@ -15,6 +15,7 @@
 	"rackspur/node"
 	"rackspur/observe"
 	"rackspur/platform"
+	"rackspur/policy"
 	"rackspur/settings"
 )
 
@@ -47,10 +48,13 @@
 
 func newPlatformRole(name, short string, run platformRole) *cobra.Command {
 	var c common
-	var advertise string
+	var advertise, policies string
 	cmd := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs}
 	set := settings.NewSet(cmd.Flags())
 	set.Address(&advertise, "advertise", "", "address that other daemons reach this one at, if it is not the one listened on")
+	if name == "entry" {
+		set.String(&policies, "policies", "", "file with the policies that decide, read anew at SIGHUP; nothing for what is built in")
+	}
 	c.define(set)
 	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
 		return c.serve(cmd.Context(), name, func(ctx context.Context, log logr.Logger) error {
@@ -62,7 +66,15 @@
 			o.Advertise = advertise
 			stop := platform.Reload(s, o.Log)
 			defer stop()
-			figures, err := serveMetrics(s, o)
+			engine, stopPolicies, err := loadPolicies(policies, o.Metrics, o.Log)
+			if err != nil {
+				return exitWith(ExitUsage, "%v", err)
+			}
+			defer stopPolicies()
+			if engine != nil {
+				o.Policy = enginePolicy{engine}
+			}
+			figures, err := serveMetrics(s, o, engine)
 			if err != nil {
 				o.Log.Error(err, "Metrics are not served.")
 			} else {
@@ -143,9 +155,15 @@
 	metricsPath = "/metrics"
 )
 
-// serveMetrics serves the metrics in text form.
-func serveMetrics(s *platform.Settings, o node.Options) (*http.Server, error) {
+// serveMetrics serves the metrics in text form, and the decisions of policies if
+// there are any.
+func serveMetrics(s *platform.Settings, o node.Options, e *policy.Engine) (*http.Server, error) {
 	mux := http.NewServeMux()
+	if e != nil {
+		mux.HandleFunc("GET "+observe.PathWatch, func(w http.ResponseWriter, r *http.Request) {
+			observe.WriteJSON(w, http.StatusOK, e.Recent(r.URL.Query().Get("submission")))
+		})
+	}
 	mux.Handle("GET "+metricsPath, o.Metrics.TextHandler())
 	return serve(net.JoinHostPort(s.IP, metricsPort), mux)
 }
--- a/config/document.go
+++ b/config/document.go
@@ -90,6 +90,18 @@
 	Shadow string `yaml:"shadow" json:"shadow,omitempty"`
 }
 
+// ParsePolicies reads the policies of a declaration that stand in a file of
+// their own. Unknown fields are errors.
+func ParsePolicies(text []byte) (Policies, error) {
+	dec := yaml.NewDecoder(bytes.NewReader(text))
+	dec.KnownFields(true)
+	var p Policies
+	if err := dec.Decode(&p); err != nil {
+		return Policies{}, eris.Wrap(ErrInvalid, err.Error())
+	}
+	return p, nil
+}
+
 // Parse reads a YAML declaration. Unknown fields are errors.
 func Parse(text []byte) (*Document, error) {
 	dec := yaml.NewDecoder(bytes.NewReader(text))
--- a/node/entry.go
+++ b/node/entry.go
@@ -45,6 +45,8 @@
 	Store        rowstore.Store
 	Metrics      *observe.Metrics
 	Log          logr.Logger
+	// Policy makes the decisions that operators have programmed; it may be nil.
+	Policy owner.Policy
 }
 
 // listening takes in what is listened on.
--- a/node/term.go
+++ b/node/term.go
@@ -50,7 +50,7 @@
 	t.ctx, t.end = context.WithCancel(ctx)
 	t.owner = owner.New(owner.Options{
 		Incarnation: incarnation, Parts: e.options.Parts, Contact: contact, MaxHold: e.options.MaxHold,
-		KeepFinished: e.options.KeepFinished, Log: e.log,
+		KeepFinished: e.options.KeepFinished, Log: e.log, Policy: e.options.Policy,
 		Now:       func() time.Duration { return time.Since(e.started) },
 		WallClock: time.Now,
 		Ended:     func(took time.Duration) { e.options.Metrics.Time(metricJobTime, took.Microseconds()) },
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -26,8 +26,7 @@
 	priorityStep = 100 * time.Millisecond
 )
 
-// admits says whether a new job can start in time. With room free it can;
-// otherwise the work that is waiting ahead of it has to be done before.
+// admits says whether a new job can start in time, or what a policy says of it.
 func (o *Owner) admits(now Time, j *liveJob) bool {
 	capacity, room := o.roomFor(j)
 	if capacity == 0 {
@@ -35,12 +34,19 @@
 		return now-o.capacityAt < linkGrace
 	}
 	o.capacityAt = now
+	if o.options.Policy != nil {
+		return o.admitsByPolicy(now, j, capacity)
+	}
 	if room >= j.need() {
 		return true
 	}
-	ahead := o.workAhead(j)
-	wait := time.Duration(ahead / float64(capacity) * float64(o.entries) * float64(time.Second))
-	return now+wait <= min(j.startBy, j.offerBy())+admitSlack
+	return now+o.expectedWait(j, capacity) <= min(j.startBy, j.offerBy())+admitSlack
+}
+
+// expectedWait is how long the work that waits ahead of a job takes on its part
+// of the capacity, in thousandths of a core.
+func (o *Owner) expectedWait(j *liveJob, capacity int) time.Duration {
+	return time.Duration(o.workAhead(j) / float64(capacity) * float64(o.entries) * float64(time.Second))
 }
 
 // roomFor returns the capacity of the gates that a job may use and the room
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -53,6 +53,9 @@
 	// KeepFinished is how long the state of an ended job is told.
 	KeepFinished time.Duration
 	Log          logr.Logger
+	// Policy makes the decisions that operators have programmed; nil leaves them
+	// to what is built in.
+	Policy Policy
 	// Ended is told how long each job took from its arrival to its end; may be nil.
 	Ended func(took time.Duration)
 	// Now is the owner's steady clock.
--- a/owner/place.go
+++ b/owner/place.go
@@ -32,7 +32,7 @@
 			back = append(back, t)
 			continue
 		}
-		v := o.choose(usable, median, t)
+		v := o.choose(now, usable, median, t)
 		if v == nil {
 			back = append(back, t)
 			misses++
@@ -59,7 +59,10 @@
 }
 
 // choose returns the gate that a task goes to, or nil.
-func (o *Owner) choose(usable []*gateView, median float64, t *task) *gateView {
+func (o *Owner) choose(now Time, usable []*gateView, median float64, t *task) *gateView {
+	if o.options.Policy != nil {
+		return o.chooseByPolicy(now, usable, median, t)
+	}
 	var best *gateView
 	bestScore := 0.0
 	for _, v := range usable {
@@ -69,8 +72,8 @@
 			bestScore = score
 		}
 	}
-	if best == nil && o.avoidsAll(usable, t) {
-		t.avoid = nil
+	if best == nil {
+		o.forgiveAll(usable, t)
 	}
 	return best
 }
@@ -113,14 +116,14 @@
 	return n
 }
 
-// avoidsAll says whether a task avoids every gate that it could use.
-func (o *Owner) avoidsAll(usable []*gateView, t *task) bool {
+// forgiveAll lets a task that avoids every gate that it could use go to any.
+func (o *Owner) forgiveAll(usable []*gateView, t *task) {
 	for _, v := range usable {
 		if !t.avoid[v.name] {
-			return false
+			return
 		}
 	}
-	return true
+	t.avoid = nil
 }
 
 func medianSlowness(usable []*gateView) float64 {
--- /dev/null
+++ b/owner/policy.go
@@ -0,0 +1,116 @@
+package owner
+
+import (
+	"time"
+
+	"rackspur/dispatch"
+	"rackspur/gate"
+	"rackspur/job"
+)
+
+// Policy makes the decisions that operators may program. What must always hold
+// (room, labels, spread, executors that a task avoids) is no matter of policy:
+// Place sees only the gates that may take the task.
+type Policy interface {
+	// Admit decides whether a new job is taken.
+	Admit(j dispatch.JobView) dispatch.Verdict
+	// Place chooses a target for one task: to start at, or one of those to wait at
+	// as soon as it has room.
+	Place(j dispatch.JobView, targets []dispatch.TargetView) dispatch.Plan
+}
+
+// admitsByPolicy asks the policy about a new job.
+func (o *Owner) admitsByPolicy(now Time, j *liveJob, capacity int) bool {
+	v := o.jobView(now, j, &j.record.Steps[0])
+	v.Tasks = len(j.tasks)
+	v.ExpectedWaitMS = milliseconds(o.expectedWait(j, capacity))
+	for _, g := range o.usableGates() {
+		if g.report.Service != j.record.Queue.Service {
+			continue
+		}
+		t := targetView(g, j.record.Steps[0].Need)
+		v.Slots += t.Slots
+		v.Free += t.Free
+	}
+	return o.options.Policy.Admit(v).Admit
+}
+
+// chooseByPolicy asks the policy where a task goes; nil lets it wait.
+func (o *Owner) chooseByPolicy(now Time, usable []*gateView, median float64, t *task) *gateView {
+	var gates []*gateView
+	var views []dispatch.TargetView
+	for _, v := range usable {
+		if _, ok := o.score(v, t, median); !ok {
+			continue
+		}
+		view := targetView(v, t.step.Need)
+		view.Tie = o.random.Float64()
+		gates = append(gates, v)
+		views = append(views, view)
+	}
+	if len(gates) == 0 {
+		o.forgiveAll(usable, t)
+		return nil
+	}
+	view := o.jobView(now, t.job, t.step)
+	for _, v := range views {
+		view.Slots += v.Slots
+		view.Free += v.Free
+	}
+	if i, ok := placeOf(o.options.Policy.Place(view, views), views); ok {
+		return gates[i]
+	}
+	return nil
+}
+
+// placeOf returns the target that a plan for one task sends it to: the first to
+// start at, else the one with most room of those to wait at.
+func placeOf(p dispatch.Plan, targets []dispatch.TargetView) (best int, ok bool) {
+	for _, s := range p.Start {
+		if s.N > 0 && s.Target >= 0 && s.Target < len(targets) {
+			return s.Target, true
+		}
+	}
+	for _, i := range p.Wait {
+		if i < 0 || i >= len(targets) || targets[i].Free == 0 {
+			continue
+		}
+		if !ok || targets[i].Free > targets[best].Free {
+			best, ok = i, true
+		}
+	}
+	return best, ok
+}
+
+// jobView is what a policy sees of a job, for one task of a step.
+func (o *Owner) jobView(now Time, j *liveJob, s *job.Step) dispatch.JobView {
+	return dispatch.JobView{
+		Submission: string(j.record.ID), Kind: j.record.Queue.Name, Tasks: 1,
+		ExpectMS: float64(s.EstimateMS), LongestMS: milliseconds(j.chain()),
+		DeadlineMS: milliseconds(j.objective - now), MaxWaitMS: milliseconds(j.startBy - now),
+		HomeWaiting: o.waiting.len(),
+	}
+}
+
+// targetView is what a policy sees of a gate: its room as the number of tasks
+// that need so much. What may wait at the gate counts as room.
+func targetView(v *gateView, need job.Resources) dispatch.TargetView {
+	capacity := v.report.Capacity
+	free := v.free().Plus(job.Resources{CPU: capacity.CPU * gate.QueueShare / 1000})
+	return dispatch.TargetView{
+		Name: v.name, Domain: v.zone, Slots: tasksIn(capacity, need), Free: tasksIn(free, need), Pace: v.report.Slowness,
+	}
+}
+
+// tasksIn returns how many tasks fit into a room.
+func tasksIn(room, need job.Resources) int {
+	n := job.MaxTasks
+	for _, r := range [...]struct{ room, need int }{{room.CPU, need.CPU}, {room.Memory, need.Memory}, {room.GPU, need.GPU}} {
+		if r.need > 0 {
+			n = min(n, max(0, r.room)/r.need)
+		}
+	}
+	return n
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/policy/fixed.go
@@ -0,0 +1,33 @@
+package policy
+
+import (
+	"github.com/go-logr/logr"
+
+	"rackspur/config"
+	"rackspur/observe"
+)
+
+// NewFixed returns an engine that decides by policies which are not part of a
+// declaration, until Replace gives it others. Policies that can't be used are an
+// error.
+func NewFixed(p config.Policies, m *observe.Metrics, log logr.Logger) (*Engine, error) {
+	e := &Engine{metrics: m, log: log.WithName("policy")}
+	return e, e.Replace(p)
+}
+
+// Replace puts other policies in force; on an error those in force stay.
+func (e *Engine) Replace(p config.Policies) error {
+	if err := Check(p); err != nil {
+		return err
+	}
+	set, err := Load(p)
+	if err != nil {
+		return err
+	}
+	version := uint64(1)
+	if old := e.current.Load(); old != nil {
+		version = old.version + 1
+	}
+	e.current.Store(&bound{engine: e, set: set, version: version})
+	return nil
+}
--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -10,7 +10,9 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -52,6 +54,8 @@
 	mu       sync.Mutex
 	// lives counts the executors' lives.
 	lives int
+	// entryArgs are further arguments of the entries.
+	entryArgs []string
 }
 
 // machine is a process of the program with the proxies around it.
@@ -79,8 +83,8 @@
 }
 
 // newDeployment starts so many entries and agents and waits until they serve.
-func newDeployment(t testing.TB, entries, agents int) *deployment {
-	d := &deployment{t: t, store: rowstore.NewMemory()}
+func newDeployment(t testing.TB, entries, agents int, entryArgs ...string) *deployment {
+	d := &deployment{t: t, store: rowstore.NewMemory(), entryArgs: entryArgs}
 	d.storeURL = serveOn(t, "127.0.0.1:0", standin.RowsHandler(d.store))
 	d.configure(1)
 	for i := range agents {
@@ -131,7 +135,7 @@
 	m := &machine{ip: machineIP(0, i)}
 	m.store = newProxy(d.t, m.ip+":"+platformStoreProxy, d.storeURL)
 	m.process = startWith(d.t, fmt.Sprintf("entry-%d", i), []string{"RACKSPUR_SETTINGS=" + d.settings(m, fmt.Sprintf("entry-%d", i), "edge")},
-		"platform", "entry")
+		append([]string{"platform", "entry"}, d.entryArgs...)...)
 	m.inward = newProxy(d.t, m.ip+":"+platformProxyPort, m.ip+":"+platformFrontPort)
 	return m
 }
@@ -273,3 +277,34 @@
 		return true
 	})
 }
+
+// TestPlatformPolicies has an operator's program decide at an entry, and another
+// after SIGHUP; a file that can't be used changes nothing.
+func TestPlatformPolicies(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "policies.yaml")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	closed := "admit: |\n  def admit(job):\n      return refuse('closed', 100)\n"
+	write("base: least-loaded\n")
+	d := newDeployment(t, 1, 2, "--policies", path)
+	e := d.entries[0]
+	next := 0
+	submit := func() int {
+		next++
+		status, _ := e.ask(http.MethodPost, fmt.Sprintf("%016x", next), platformJob(3, true))
+		return status
+	}
+	waitFor(t, "jobs are served by the first policies", func() bool { return submit() == http.StatusOK })
+	write(closed)
+	e.signal(syscall.SIGHUP)
+	waitFor(t, "jobs are refused", func() bool { return submit() == http.StatusServiceUnavailable })
+	write("base: no-such-set\n")
+	e.signal(syscall.SIGHUP)
+	waitFor(t, "the entry tells of policies that it can't use", func() bool { return strings.Contains(e.log.String(), "Policies not reloaded") })
+	if status := submit(); status != http.StatusServiceUnavailable {
+		t.Errorf("after a file that can't be used: %d", status)
+	}
+}
