TestHoldBesideHungOne fails without the hold beside the hung one

It passed without the mend that it is for, since the hung hold gave up with its time. The stand-in now never answers it.

--- a/gate/driver_test.go
+++ b/gate/driver_test.go
@@ -11,12 +11,14 @@
 	"rackspur/job"
 )
 
-// hangingExecutor never answers the first hold that extends the lease.
+// hangingExecutor never answers the first hold after a start, whatever time the
+// caller gives it.
 type hangingExecutor struct {
-	hung  atomic.Bool
-	ended atomic.Bool
-	clock atomic.Int64
-	run   atomic.Value
+	release chan struct{}
+	hung    atomic.Bool
+	ended   atomic.Bool
+	clock   atomic.Int64
+	run     atomic.Value
 }
 
 func (e *hangingExecutor) answer() Answer { return Answer{ClockMS: e.clock.Add(1), Life: testLife} }
@@ -31,9 +33,9 @@
 	return e.answer(), nil
 }
 
-func (e *hangingExecutor) Hold(ctx context.Context, _ string, c HoldCall) (Answer, HoldAnswer, error) {
+func (e *hangingExecutor) Hold(_ context.Context, _ string, c HoldCall) (Answer, HoldAnswer, error) {
 	if e.ended.Load() && e.hung.CompareAndSwap(false, true) {
-		<-ctx.Done()
+		<-e.release
 		return Answer{}, HoldAnswer{}, ErrUnanswered
 	}
 	if !e.ended.Load() || c.Seen > 0 {
@@ -47,7 +49,8 @@
 func TestHoldBesideHungOne(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	e := &hangingExecutor{}
+	e := &hangingExecutor{release: make(chan struct{})}
+	defer close(e.release)
 	g := New(Options{Node: "gate-1", MaxHold: time.Second, Contact: time.Minute, BestEffortContact: time.Minute})
 	d := NewDriver(ctx, g, e, logr.Discard())
 	go d.Run(ctx)
