The front follows the configuration's header size and times to wait

Cause: only the body size was obeyed; the header time-out was fixed at 3 s, the idle time-out at 15 s, and header sizes at the library's default. Connections now take their times from the configuration in force at each wait, also those that are open, and a header over its size gets 431. Tests: TestHeaderSizeFollowsConfiguration, TestTimesFollowConfiguration.

--- /dev/null
+++ b/cli/limits_test.go
@@ -0,0 +1,109 @@
+package cli
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"rackspur/route"
+)
+
+// limitedFront serves under limits that a test changes.
+func limitedFront(t *testing.T) (address string, limits *atomic.Pointer[route.Limits]) {
+	t.Helper()
+	limits = &atomic.Pointer[route.Limits]{}
+	limits.Store(&route.Limits{})
+	probe, err := listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address = probe.Addr().String()
+	probe.Close()
+	srv, err := serveLimited(address, func() route.Limits { return *limits.Load() }, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "served")
+	}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { srv.Close() })
+	return address, limits
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	_ = c.SetReadDeadline(time.Now().Add(30 * time.Second))
+	return c
+}
+
+// ask sends a request and returns the status; 0 if the connection has closed.
+func ask(c net.Conn, header string) int {
+	if _, err := fmt.Fprintf(c, "GET / HTTP/1.1\r\nHost: h\r\n%s\r\n", header); err != nil {
+		return 0
+	}
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	defer res.Body.Close()
+	_, _ = io.Copy(io.Discard, res.Body)
+	return res.StatusCode
+}
+
+// closes says whether the server ends a connection on which nothing is sent.
+func closes(c net.Conn) bool {
+	_, err := c.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+func TestHeaderSizeFollowsConfiguration(t *testing.T) {
+	address, limits := limitedFront(t)
+	large := "X-Large: " + strings.Repeat("x", 2000) + "\r\n"
+	if status := ask(dial(t, address), large); status != http.StatusOK {
+		t.Errorf("without a limit: %d", status)
+	}
+	limits.Store(&route.Limits{HeaderBytes: 1000})
+	if status := ask(dial(t, address), large); status != http.StatusRequestHeaderFieldsTooLarge {
+		t.Errorf("over the limit: %d", status)
+	}
+	if status := ask(dial(t, address), "X-Small: x\r\n"); status != http.StatusOK {
+		t.Errorf("below the limit: %d", status)
+	}
+}
+
+// A connection between two requests, and one whose header does not come, is
+// closed after the times of the configuration, also one that was open before.
+func TestTimesFollowConfiguration(t *testing.T) {
+	address, limits := limitedFront(t)
+	c := dial(t, address)
+	if status := ask(c, ""); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	limits.Store(&route.Limits{IdleTimeout: 20 * time.Millisecond, HeaderTimeout: time.Hour})
+	if status := ask(c, ""); status != http.StatusOK {
+		t.Fatalf("status %d", status)
+	}
+	if !closes(c) {
+		t.Error("an idle connection is not closed")
+	}
+	limits.Store(&route.Limits{IdleTimeout: time.Hour, HeaderTimeout: 20 * time.Millisecond})
+	slow := dial(t, address)
+	if _, err := io.WriteString(slow, "GET / HT"); err != nil {
+		t.Fatal(err)
+	}
+	if !closes(slow) {
+		t.Error("a header that does not come is waited for")
+	}
+}
--- a/cli/platform.go
+++ b/cli/platform.go
@@ -19,7 +19,8 @@
 	"rackspur/settings"
 )
 
-// Times of the platform's roles.
+// Times of the platform's roles. Those of the front hold until a configuration
+// names others.
 const (
 	frontHeaderTimeout = 3 * time.Second
 	frontIdleTimeout   = 15 * time.Second
@@ -107,7 +108,7 @@
 		return err
 	}
 	defer readiness.Close()
-	front, err := serve(s.Listen.Front, platform.FrontHandler(e, o.Log))
+	front, err := serveLimited(s.Listen.Front, e.Limits, platform.FrontHandler(e, o.Log))
 	if err != nil {
 		return err
 	}
@@ -170,15 +171,31 @@
 
 // serve serves a handler on an address until the server is closed.
 func serve(address string, h http.Handler) (*http.Server, error) {
+	l, err := listen(address)
+	if err != nil {
+		return nil, err
+	}
+	srv := newServer(h)
+	serveListener(srv, l)
+	return srv, nil
+}
+
+func listen(address string) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, eris.Wrap(errListen, err.Error())
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdleTimeout}
+	return l, nil
+}
+
+func newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: frontHeaderTimeout, IdleTimeout: frontIdleTimeout}
+}
+
+func serveListener(srv *http.Server, l net.Listener) {
 	go func() {
 		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			_ = l.Close()
 		}
 	}()
-	return srv, nil
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -152,6 +152,14 @@
 // Routes returns the configuration in force, or nil before the first.
 func (e *Entry) Routes() *route.Table { return e.routes.Current() }
 
+// Limits returns the limits of the configuration in force; none before the first.
+func (e *Entry) Limits() route.Limits {
+	if t := e.routes.Current(); t != nil {
+		return t.Limits
+	}
+	return route.Limits{}
+}
+
 // found takes in a daemon of the membership.
 func (e *Entry) found(d member.Daemon) {
 	e.mu.Lock()
