--- a/cli/limits_test.go
+++ b/cli/limits_test.go
@@ -108,3 +108,50 @@
 		t.Error("a header that does not come is waited for")
 	}
 }
+
+// deadlineConn records the deadline that it was given.
+type deadlineConn struct {
+	net.Conn
+	deadline time.Time
+}
+
+func (c *deadlineConn) SetReadDeadline(t time.Time) error {
+	c.deadline = t
+	return nil
+}
+
+// The server's own deadlines are moved to those of the configuration in force.
+func TestReadDeadlines(t *testing.T) {
+	const own = 5 * time.Second
+	cases := []struct {
+		name   string
+		limits route.Limits
+		idle   bool
+		want   time.Duration
+	}{
+		{"nothing configured", route.Limits{}, false, own},
+		{"header", route.Limits{HeaderTimeout: time.Hour, IdleTimeout: time.Minute}, false, time.Hour},
+		{"idle", route.Limits{HeaderTimeout: time.Hour, IdleTimeout: time.Minute}, true, time.Minute},
+		{"only the other is configured", route.Limits{HeaderTimeout: time.Hour}, true, own},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			inner := &deadlineConn{}
+			c := &limitedConn{Conn: inner, limits: func() route.Limits { return tc.limits }}
+			state := http.StateActive
+			if tc.idle {
+				state = http.StateIdle
+			}
+			noteState(c, state)
+			now := time.Now()
+			_ = c.SetReadDeadline(now.Add(own))
+			if got := inner.deadline.Sub(now); got < tc.want || got > tc.want+own/2 {
+				t.Errorf("deadline after %v, want %v", got, tc.want)
+			}
+			_ = c.SetReadDeadline(time.Time{})
+			if !inner.deadline.IsZero() {
+				t.Error("a deadline that was taken away stands")
+			}
+		})
+	}
+}
