Idle links talk less

Every link carried four frames a second in each direction, used or not. Change: a gate without runs of an owner sends it a frame each 400 ms (600 ms at most with many owners; the next order carries the newest, which must be younger than the contact time of 1 s); an owner without runs at a gate sends one each 2 s. With runs, with something to say, and during a take-over it stays at 250 ms.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -38,36 +38,57 @@
 		Short: "Run a role on the platform that lays a settings file",
 	}
 	cmd.AddCommand(
-		newPlatformRole("entry", "Serve clients and own their jobs", runPlatformEntry),
-		newPlatformRole("agent", "Serve as the gate beside an executor", runPlatformAgent),
+		newPlatformRole(roleEntry, "Serve clients and own their jobs", runPlatformEntry),
+		newPlatformRole(roleAgent, "Serve as the gate beside an executor", runPlatformAgent),
 	)
 	return cmd
 }
 
+// Names of the roles on the platform.
+const (
+	roleEntry = "entry"
+	roleAgent = "agent"
+)
+
 // platformRole runs a role until the context ends, then stops it.
 type platformRole func(ctx context.Context, s *platform.Settings, o node.Options) error
 
+// platformFlags are our own settings of a role on the platform.
+type platformFlags struct {
+	common
+	advertise string
+	policies  string
+}
+
+func (f *platformFlags) define(set *settings.Set) {
+	set.Address(&f.advertise, "advertise", "", "address that other daemons reach this one at (default: the one listened on)")
+	f.common.define(set)
+}
+
+// definePolicies defines what only an entry has.
+func (f *platformFlags) definePolicies(set *settings.Set) {
+	set.String(&f.policies, "policies", "", "file with the policies that decide, read anew at SIGHUP (default: what is built in)")
+}
+
 func newPlatformRole(name, short string, run platformRole) *cobra.Command {
-	var c common
-	var advertise, policies string
+	var f platformFlags
 	cmd := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs}
 	set := settings.NewSet(cmd.Flags())
-	set.Address(&advertise, "advertise", "", "address that other daemons reach this one at, if it is not the one listened on")
-	if name == "entry" {
-		set.String(&policies, "policies", "", "file with the policies that decide, read anew at SIGHUP; nothing for what is built in")
+	if name == roleEntry {
+		f.definePolicies(set)
 	}
-	c.define(set)
+	f.define(set)
 	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
-		return c.serve(cmd.Context(), name, func(ctx context.Context, log logr.Logger) error {
+		return f.serve(cmd.Context(), name, func(ctx context.Context, log logr.Logger) error {
 			s, err := platform.LoadSettings()
 			if err != nil {
 				return exitWith(ExitUsage, "%v", err)
 			}
-			o := platformOptions(s, c.logger(observe.NewBoundedWriter(os.Stdout)))
-			o.Advertise = advertise
+			o := platformOptions(s, f.logger(observe.NewBoundedWriter(os.Stdout)))
+			o.Advertise = f.advertise
 			stop := platform.Reload(s, o.Log)
 			defer stop()
-			engine, stopPolicies, err := loadPolicies(policies, o.Metrics, o.Log)
+			engine, stopPolicies, err := loadPolicies(f.policies, o.Metrics, o.Log)
 			if err != nil {
 				return exitWith(ExitUsage, "%v", err)
 			}
--- a/cli/settings.go
+++ b/cli/settings.go
@@ -19,6 +19,8 @@
 }{
 	{"entry", func(s *settings.Set) { new(entry.Settings).Define(s); new(common).define(s) }},
 	{"agent", func(s *settings.Set) { new(agent.Settings).Define(s); new(common).define(s) }},
+	{"platform entry", func(s *settings.Set) { new(platformFlags).definePolicies(s); new(platformFlags).define(s) }},
+	{"platform agent", func(s *settings.Set) { new(platformFlags).define(s) }},
 }
 
 func newSettings() *cobra.Command {
--- a/gate/driver.go
+++ b/gate/driver.go
@@ -260,6 +260,13 @@
 	return pending
 }
 
+// HasRuns says whether the gate has runs of an owner, or of nobody.
+func (d *Driver) HasRuns(owner string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gate.HasRuns(owner)
+}
+
 // OpenOwners returns the number of owners that are linked.
 func (d *Driver) OpenOwners() int {
 	d.mu.Lock()
--- a/gate/report.go
+++ b/gate/report.go
@@ -66,6 +66,16 @@
 	return o != nil && (len(o.states) > 0 || o.inventory)
 }
 
+// HasRuns says whether the gate has runs of an owner, or of nobody.
+func (g *Gate) HasRuns(owner string) bool {
+	for _, r := range g.runs {
+		if r.owner == owner || r.owner == "" {
+			return true
+		}
+	}
+	return false
+}
+
 // OpenOwners returns the number of owners that are linked.
 func (g *Gate) OpenOwners() int {
 	n := 0
--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -34,7 +34,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.adopted = append(o.adopted, lives...)
+	o.adoptionBegun = o.options.Now()
 	for _, v := range o.gates {
+		v.busy = true
 		v.adopt = append(v.adopt, lives...)
 		v.poke()
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -105,8 +105,12 @@
 	// resumed is when the owner's lease held again after it had lapsed.
 	resumed Time
 	stats   Stats
-	swept   Time
-	log     logr.Logger
+	// busyReviewed is when it was last looked at which gates runs are.
+	busyReviewed Time
+	// adoptionBegun is when a take-over last began, 0 before the first.
+	adoptionBegun Time
+	swept         Time
+	log           logr.Logger
 }
 
 // Stats are counters of an owner.
@@ -208,6 +212,7 @@
 	o.reviewDropped(now)
 	o.reviewWaiting(now)
 	o.place(now)
+	o.reviewBusy(now)
 	o.forgetEnded(now)
 }
 
--- a/owner/place.go
+++ b/owner/place.go
@@ -149,6 +149,7 @@
 	}
 	t.gate = v.name
 	t.since = now
+	v.busy = true
 	o.stats.Placed++
 	v.starts = append(v.starts, gate.Order{
 		Name: t.runName(), Spec: t.job.record.Spec, Need: t.step.Need,
--- a/peer/links.go
+++ b/peer/links.go
@@ -35,6 +35,8 @@
 	LinkDown(gate string, link uint64)
 	Flush(gate string, link uint64) (gate.OwnerFrame, bool)
 	OnFrame(gate string, link uint64, f gate.Frame)
+	// Busy says whether the owner has runs, or something to say, at a gate.
+	Busy(gate string) bool
 }
 
 // Links keeps a link to each gate.
@@ -208,7 +210,11 @@
 		if stream.Send(toOwnerFrame(f)) != nil {
 			return
 		}
-		await(ctx, wake, heartbeat)
+		pause := idleHeartbeat
+		if l.owner.Busy(node) {
+			pause = heartbeat
+		}
+		await(ctx, wake, pause)
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -31,8 +31,17 @@
 
 // Times of links.
 const (
-	// heartbeat is the longest time between two frames in each direction.
+	// heartbeat is the longest time between two frames in each direction while the
+	// gate has runs of the owner.
 	heartbeat = 250 * time.Millisecond
+	// idleReport and mostIdleReport bound the time between two frames of a gate
+	// that has no runs of the owner. The owner's next order carries the newest of
+	// them, which must be younger than the contact time.
+	idleReport     = 400 * time.Millisecond
+	mostIdleReport = 600 * time.Millisecond
+	// idleHeartbeat is the time between two frames of an owner without runs at the
+	// gate.
+	idleHeartbeat = 2 * time.Second
 	// reportPause is the shortest time between two frames to an owner that hold a
 	// report only. With many owners it is longer, so that the gate sends
 	// reportRate such frames a second at most to all of them together.
@@ -49,6 +58,8 @@
 	Frame(owner string, link uint64, f gate.OwnerFrame) bool
 	Flush(owner string, link uint64) (gate.Frame, bool)
 	Pending(owner string) bool
+	// HasRuns says whether the gate has runs of an owner, or of nobody.
+	HasRuns(owner string) bool
 	// OpenOwners returns the number of owners that are linked.
 	OpenOwners() int
 }
@@ -136,7 +147,7 @@
 			return err
 		}
 		sent = time.Now()
-		await(ctx, wake, heartbeat)
+		await(ctx, wake, s.gateHeartbeat(owner))
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
@@ -151,6 +162,14 @@
 	return max(reportPause, time.Duration(s.Gate.OpenOwners())*time.Second/reportRate)
 }
 
+// gateHeartbeat returns the longest time to the next frame to an owner.
+func (s *Server) gateHeartbeat(owner string) time.Duration {
+	if s.Gate.HasRuns(owner) {
+		return heartbeat
+	}
+	return min(max(idleReport, s.reportPause()), mostIdleReport)
+}
+
 // awaitPending waits for a time, or until something is pending.
 func awaitPending(ctx context.Context, wake <-chan struct{}, d time.Duration, pending func() bool) {
 	end := time.Now().Add(d)
--- a/peer/server_test.go
+++ b/peer/server_test.go
@@ -15,6 +15,7 @@
 func (g countedGate) Frame(string, uint64, gate.OwnerFrame) bool { return true }
 func (g countedGate) Flush(string, uint64) (gate.Frame, bool)    { return gate.Frame{}, true }
 func (g countedGate) Pending(string) bool                        { return false }
+func (g countedGate) HasRuns(owner string) bool                  { return owner == "with-runs" }
 func (g countedGate) OpenOwners() int                            { return g.owners }
 
 // What a gate sends as reports only stays below a rate, however many owners it has.
@@ -30,3 +31,17 @@
 		}
 	}
 }
+
+// A gate without runs of an owner is heard of less often, and often enough for
+// an order to be obeyed.
+func TestGateHeartbeat(t *testing.T) {
+	for _, owners := range []int{1, 11, 70, 1000} {
+		s := &Server{Gate: countedGate{owners: owners}}
+		if got := s.gateHeartbeat("with-runs"); got != heartbeat {
+			t.Errorf("%d owners: %v with runs, want %v", owners, got, heartbeat)
+		}
+		if got := s.gateHeartbeat("without"); got < idleReport || got > mostIdleReport || got >= frameTimeout {
+			t.Errorf("%d owners: %v without runs", owners, got)
+		}
+	}
+}
