--- a/cli/cli.go
+++ b/cli/cli.go
@@ -53,6 +53,7 @@
 func Main(args []string, in io.Reader, out, errOut io.Writer) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	surviveHangUp(args)
 	root := newRoot()
 	root.SetArgs(args)
 	root.SetIn(in)
@@ -73,6 +74,15 @@
 	return ExitError
 }
 
+// surviveHangUp makes a role on the platform live through SIGHUP from its first
+// moment to its last: the signal says that settings have changed, also while the
+// role does not listen for it yet.
+func surviveHangUp(args []string) {
+	if len(args) > 0 && args[0] == commandPlatform {
+		signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
+	}
+}
+
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "rackspur",
--- a/cli/platform.go
+++ b/cli/platform.go
@@ -34,7 +34,7 @@
 // newPlatform returns the commands that run rackspur on the users' platform.
 func newPlatform() *cobra.Command {
 	cmd := &cobra.Command{
-		Use:   "platform",
+		Use:   commandPlatform,
 		Short: "Run a role on the platform that lays a settings file",
 	}
 	cmd.AddCommand(
@@ -44,6 +44,9 @@
 	return cmd
 }
 
+// commandPlatform starts the roles on the platform.
+const commandPlatform = "platform"
+
 // Names of the roles on the platform.
 const (
 	roleEntry = "entry"
