Tasks of the first priority pass gates' full queues

An owner sends nothing to a gate whose queue is full, so an urgent task waited at the owner behind less urgent ones of other owners at the gate, which would have given those back for it. Change: owners send tasks of priority 0 beyond a full queue by as much again. Test that failed first: TestFirstPriorityPassesFullQueue.

--- a/owner/drop_test.go
+++ b/owner/drop_test.go
@@ -82,6 +82,7 @@
 	b.fill("gate-1", link)
 	second := testSubmission("00000000000000bb", 4)
 	second.Queue.TargetLatencyMS = 90
+	second.Queue.Priority = 1
 	b.owner.RunBestEffort(second, time.Minute, func(BestEffortResult) {})
 	r := testReport()
 	r.Free = job.Resources{CPU: 1600, Memory: 64}
@@ -91,6 +92,7 @@
 		t.Fatalf("%d starts, want 1", len(f.Starts))
 	}
 	first := testSubmission("00000000000000aa", 4)
+	first.Queue.Priority = 1
 	b.owner.RunBestEffort(first, time.Minute, func(BestEffortResult) {})
 	if id := b.owner.waiting.items[0].job.record.ID; id != second.ID {
 		t.Errorf("%s comes first, want the job that has begun", id)
@@ -146,3 +148,22 @@
 		t.Errorf("answered %+v, want refused", got)
 	}
 }
+
+// A task of the first priority is sent to a gate whose queue is full, and others
+// are not: the gate gives back what comes after it.
+func TestFirstPriorityPassesFullQueue(t *testing.T) {
+	for priority, want := range map[int]int{0: 1, 1: 0} {
+		b := newBench(t)
+		link := b.connect("gate-1")
+		r := testReport()
+		r.Free = job.Resources{}
+		r.Queued = job.Resources{CPU: r.Capacity.CPU * gate.QueueShare / 1000}
+		b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Report: r})
+		s := testSubmission("00000000000000aa", 1)
+		s.Queue.Priority = priority
+		b.owner.RunBestEffort(s, time.Minute, func(BestEffortResult) {})
+		if n := len(b.flush("gate-1", link).Starts); n != want {
+			t.Errorf("priority %d: %d starts, want %d", priority, n, want)
+		}
+	}
+}
--- a/owner/place.go
+++ b/owner/place.go
@@ -91,7 +91,7 @@
 		return 0, false
 	}
 	free := v.free()
-	room := free.Plus(job.Resources{CPU: capacity.CPU * gate.QueueShare / 1000, Memory: capacity.Memory, GPU: capacity.GPU})
+	room := free.Plus(job.Resources{CPU: capacity.CPU * queueShare(t) / 1000, Memory: capacity.Memory, GPU: capacity.GPU})
 	if !room.Fits(t.step.Need) {
 		return 0, false
 	}
@@ -105,6 +105,16 @@
 	return score, true
 }
 
+// queueShare is how much of a gate's room may wait there, in thousandths, for a
+// task to be sent to it. Tasks of the first priority go also to gates whose queue
+// is full: these give back what comes after them.
+func queueShare(t *task) int {
+	if t.job.record.Queue.Priority == 0 {
+		return 2 * gate.QueueShare
+	}
+	return gate.QueueShare
+}
+
 // onGate counts the tasks of a task's step that are on a gate.
 func (o *Owner) onGate(v *gateView, t *task) int {
 	n := 0
