Only runs that stand still, or are slow on a slow executor, are taken off

Change: a run is told to its owner if it made no progress at all in its watch, or if it is behind while half of what runs on its executor is (three runs of two jobs at least).

--- a/gate/progress.go
+++ b/gate/progress.go
@@ -17,18 +17,18 @@
 	nearlyDone  = 90
 	nearlyShare = 0.5
 	// behindFactor is the part of the expected progress below which a run is
-	// behind. Estimates that are off by 40% and data on another rack together
-	// leave more than that.
+	// behind. One in a thousand is by its estimate alone.
 	behindFactor = 0.3
 	// watchWait is how long a hold may wait while runs are watched.
 	watchWait = 50 * time.Millisecond
 	// slowRuns is how many runs, and slowJobs of how many jobs, must be behind at
-	// once for the executor to be left alone: the estimate of one may be wrong.
+	// once for the executor to count as slow: the estimate of one may be wrong.
 	slowRuns = 3
 	slowJobs = 2
 )
 
-// ReasonBehind is told with a run that makes far less progress than expected.
+// ReasonBehind is told with a run that stands still, or is behind on an executor
+// that is slow.
 const ReasonBehind = "behind"
 
 // progress is what the gate has seen of a run's progress. It is watched from the
@@ -42,6 +42,8 @@
 	// newest judgement.
 	judged bool
 	behind bool
+	// told is set once the owner was told that the run should go elsewhere.
+	told bool
 }
 
 // judgeProgress takes in the progress that the executor's newest list gives for
@@ -58,15 +60,24 @@
 		return
 	}
 	expected := min(100*float64(watched)/float64(r.estimate), float64(100-p.percent))
-	wasBehind := p.behind
+	standsStill := percent <= p.percent
 	p.judged = true
 	p.behind = float64(percent-p.percent) < behindFactor*expected
 	p.since, p.percent = now, percent
-	if p.behind && !wasBehind {
-		g.tell(r)
+	if standsStill {
+		g.tellBehind(r)
 	}
 }
 
+// tellBehind tells a run's owner, once, that it should go elsewhere.
+func (g *Gate) tellBehind(r *run) {
+	if r.progress.told {
+		return
+	}
+	r.progress.told = true
+	g.tell(r)
+}
+
 // watchTime returns how long a run must be watched to be judged.
 func (p *progress) watchTime(estimate time.Duration) time.Duration {
 	share := judgeShare
@@ -76,9 +87,11 @@
 	return max(judgeAfter, time.Duration(share*float64(estimate)))
 }
 
-// judgePace makes the executor suspect if most of what runs there is behind.
+// judgePace makes the executor suspect if most of what runs there is behind; what
+// is should go elsewhere then.
 func (g *Gate) judgePace(now Time) {
-	behind, judged := 0, 0
+	var behind []*run
+	judged := 0
 	jobs := map[job.ID]bool{}
 	for _, r := range g.runs {
 		if r.phase != phaseRunning || !r.progress.judged {
@@ -86,11 +99,17 @@
 		}
 		judged++
 		if r.progress.behind {
-			behind++
+			behind = append(behind, r)
 			jobs[r.Job] = true
 		}
 	}
-	if behind < slowRuns || len(jobs) < slowJobs || 2*behind < judged || g.health.suspect {
+	if len(behind) < slowRuns || len(jobs) < slowJobs || 2*len(behind) < judged {
+		return
+	}
+	for _, r := range behind {
+		g.tellBehind(r)
+	}
+	if g.health.suspect {
 		return
 	}
 	g.health.leaveAlone(now, firstRest)
--- a/gate/report.go
+++ b/gate/report.go
@@ -169,7 +169,7 @@
 
 func (r *run) state() RunState {
 	reason := r.reason
-	if r.phase == phaseRunning && r.progress.behind {
+	if r.phase == phaseRunning && r.progress.told {
 		reason = ReasonBehind
 	}
 	return RunState{
