Orders without an answer are sent again at once; overdue holds are broken off

Cause: an agent waited a fixed 60 ms for the answer to a start, then looked for the run, stopped it and gave it back to its owner; a job of eight tasks got all eight started only with luck. A hold that hung was waited for although a later one had been answered.

Change: starts and stops are sent again after a time learnt from the answers (smoothed time and deviation, 8 to 30 ms), eight times at most, three while the executor answers nothing at all. A refusal after an unanswered try leaves the run in doubt. Overdue holds are broken off once a later one is answered. Tests run with the mends taken out: TestOrderSentAgain, TestOrderSentMoreOftenBesideAnswers, TestOverdueHoldIsBrokenOff fail.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -8,24 +8,8 @@
 	"github.com/go-logr/logr"
 )
 
-// Times of a driver.
-const (
-	// holdWait is how long a hold may wait for an end.
-	holdWait = 150 * time.Millisecond
-	// holdTimeout is the time given to a hold beyond its wait.
-	holdTimeout = 250 * time.Millisecond
-	// hedgePause is after what time without an answer another hold is sent.
-	hedgePause = 60 * time.Millisecond
-	// mostHolds is how many holds are under way at most.
-	mostHolds = 4
-	// startTimeout is how long a start may go unanswered before it is looked for.
-	startTimeout = 60 * time.Millisecond
-	stopTimeout  = 100 * time.Millisecond
-	// unnotedPause is the time between two holds while ends wait to be noted.
-	unnotedPause = 15 * time.Millisecond
-	failurePause = 60 * time.Millisecond
-	tickPause    = 50 * time.Millisecond
-)
+// tickPause is the time between two looks at the gate's times.
+const tickPause = 50 * time.Millisecond
 
 // Driver carries out what a Gate decides.
 type Driver struct {
@@ -35,7 +19,8 @@
 	// kick wakes the loop of holds.
 	kick chan struct{}
 	// ctx ends the calls.
-	ctx context.Context
+	ctx      context.Context
+	patience patience
 
 	mu   sync.Mutex
 	gate *Gate
@@ -76,49 +61,25 @@
 }
 
 func (d *Driver) start(life string, c StartCall) {
-	ctx, cancel := context.WithTimeout(d.ctx, startTimeout)
-	defer cancel()
-	ans, err := d.executor.Start(ctx, life, c)
+	o := newOrder(&d.patience, func(ctx context.Context) (Answer, error) { return d.executor.Start(ctx, life, c) })
+	ans, err := o.run(d.ctx)
 	if err != nil {
-		d.log.Info("Start not done.", "job", c.Name.Job, "step", c.Name.Step, "index", c.Name.Index, "run", c.Name.Run, "error", err.Error())
+		d.log.Info("Start not done.", "job", c.Name.Job, "step", c.Name.Step, "index", c.Name.Index, "run", c.Name.Run, "tries", o.tries, "error", err.Error())
 	}
 	d.do(func(now Time, g *Gate) Actions { return g.OnStart(now, life, c, ans, err) })
 }
 
 func (d *Driver) stop(life string, c StopCall) {
-	ctx, cancel := context.WithTimeout(d.ctx, stopTimeout)
-	defer cancel()
-	ans, err := d.executor.Stop(ctx, life, c)
+	o := newOrder(&d.patience, func(ctx context.Context) (Answer, error) { return d.executor.Stop(ctx, life, c) })
+	ans, err := o.run(d.ctx)
 	d.do(func(now Time, g *Gate) Actions { return g.OnStop(now, life, c, ans, err) })
 }
 
-// Run holds the executor until the context ends. A hold that is not answered
-// soon is not waited for: another is sent beside it, so that ends are seen also
-// while some calls get no answer.
+// Run holds the executor until the context ends.
 func (d *Driver) Run(ctx context.Context) {
 	go d.tick(ctx)
-	answered := make(chan error, mostHolds)
-	inFlight := 0
-	due := true
-	for ctx.Err() == nil {
-		if due && inFlight < mostHolds {
-			inFlight++
-			go d.hold(ctx, d.nextHold(inFlight == 1), answered)
-		}
-		timer := time.NewTimer(hedgePause)
-		select {
-		case err := <-answered:
-			inFlight--
-			d.pause(ctx, err)
-			due = inFlight == 0
-		case <-d.kick:
-			due = true
-		case <-timer.C:
-			due = true
-		case <-ctx.Done():
-		}
-		timer.Stop()
-	}
+	l := &holdLoop{driver: d, answers: make(chan *holdCall)}
+	l.run(ctx)
 }
 
 // nextHold returns the hold to make now; only the first of several waits long.
@@ -134,12 +95,11 @@
 	return h
 }
 
-func (d *Driver) hold(ctx context.Context, h Hold, answered chan<- error) {
-	callCtx, cancel := context.WithTimeout(ctx, time.Duration(h.Call.WaitMS)*time.Millisecond+holdTimeout)
-	defer cancel()
-	ans, lists, err := d.executor.Hold(callCtx, h.Life, h.Call)
+// hold makes a hold and takes in its answer.
+func (d *Driver) hold(ctx context.Context, h Hold) error {
+	ans, lists, err := d.executor.Hold(ctx, h.Life, h.Call)
 	d.do(func(now Time, g *Gate) Actions { return g.OnHold(now, h, ans, lists, err) })
-	answered <- err
+	return err
 }
 
 // pause waits until the next hold is of use.
--- /dev/null
+++ b/gate/holds.go
@@ -0,0 +1,136 @@
+package gate
+
+import (
+	"context"
+	"slices"
+	"time"
+)
+
+// Times of holds.
+const (
+	// holdWait is how long a hold may wait for an end.
+	holdWait = 150 * time.Millisecond
+	// holdTimeout is the time given to a hold beyond its wait.
+	holdTimeout = 250 * time.Millisecond
+	// mostHolds is how many holds are under way at most.
+	mostHolds = 4
+	// unnotedPause is the time between two holds while ends wait to be noted.
+	unnotedPause = 15 * time.Millisecond
+	failurePause = 60 * time.Millisecond
+)
+
+// holdCall is a hold that is under way.
+type holdCall struct {
+	hold   Hold
+	cancel context.CancelFunc
+	sent   time.Time
+	// due is when an answer should have come; overdue that it has not by then.
+	due     time.Time
+	overdue bool
+	// brokenOff is set once nobody waits for the answer any more.
+	brokenOff bool
+	err       error
+}
+
+// wait is how long the executor may wait with its answer.
+func (c *holdCall) wait() time.Duration {
+	return time.Duration(c.hold.Call.WaitMS) * time.Millisecond
+}
+
+// holdLoop holds the executor again and again. A hold that is overdue is not
+// waited for: another is sent beside it, so that ends are seen also while some
+// calls get no answer.
+type holdLoop struct {
+	driver   *Driver
+	answers  chan *holdCall
+	underWay []*holdCall
+}
+
+func (l *holdLoop) run(ctx context.Context) {
+	l.send(ctx)
+	for ctx.Err() == nil {
+		timer := time.NewTimer(time.Until(l.newest().due))
+		select {
+		case c := <-l.answers:
+			l.finished(ctx, c)
+		case <-l.driver.kick:
+			l.send(ctx)
+		case <-timer.C:
+			l.passedDue(ctx)
+		case <-ctx.Done():
+		}
+		timer.Stop()
+	}
+}
+
+func (l *holdLoop) newest() *holdCall { return l.underWay[len(l.underWay)-1] }
+
+// passedDue sends another hold beside the newest one, which should have been
+// answered by now.
+func (l *holdLoop) passedDue(ctx context.Context) {
+	c := l.newest()
+	c.due = time.Now().Add(l.driver.patience.wait())
+	c.overdue = true
+	l.send(ctx)
+}
+
+// send makes a hold unless too many are under way; only the first waits long.
+func (l *holdLoop) send(ctx context.Context) {
+	if len(l.underWay) >= mostHolds {
+		return
+	}
+	c := &holdCall{hold: l.driver.nextHold(len(l.underWay) == 0), sent: time.Now()}
+	c.due = c.sent.Add(c.wait() + l.driver.patience.wait())
+	callCtx, cancel := context.WithTimeout(ctx, c.wait()+holdTimeout)
+	c.cancel = cancel
+	l.underWay = append(l.underWay, c)
+	go func() {
+		defer cancel()
+		c.err = l.driver.hold(callCtx, c.hold)
+		select {
+		case l.answers <- c:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// finished takes in the end of a hold and makes the next if no other is under way.
+func (l *holdLoop) finished(ctx context.Context, c *holdCall) {
+	if c.brokenOff {
+		return
+	}
+	l.underWay = slices.DeleteFunc(l.underWay, func(other *holdCall) bool { return other == c })
+	if answered(c.err) {
+		l.learn(c)
+		l.breakOffOlder(c)
+	}
+	if len(l.underWay) > 0 {
+		return
+	}
+	l.driver.pause(ctx, c.err)
+	l.send(ctx)
+}
+
+// learn takes in how long the executor took to answer beyond the wait. An answer
+// that came before its end tells nothing of that: it waited for an end of a run.
+func (l *holdLoop) learn(c *holdCall) {
+	took := time.Since(c.sent) - c.wait()
+	if took < 0 {
+		l.driver.patience.heard()
+		return
+	}
+	l.driver.patience.answered(took)
+}
+
+// breakOffOlder gives up the overdue holds that were sent before one that was
+// answered: their lists would be older than those that have come.
+func (l *holdLoop) breakOffOlder(c *holdCall) {
+	l.underWay = slices.DeleteFunc(l.underWay, func(other *holdCall) bool {
+		if !other.overdue || other.sent.After(c.sent) {
+			return false
+		}
+		other.brokenOff = true
+		other.cancel()
+		return true
+	})
+}
--- /dev/null
+++ b/gate/resend.go
@@ -0,0 +1,130 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// Bounds of sending an order again.
+const (
+	// mostTries is how many times an order is sent at most: with half of all
+	// calls unanswered one order in 256 is left in doubt.
+	mostTries = 8
+	// triesInSilence is how many times it is sent while the executor answers
+	// nothing at all: three in a row are lost by chance only where calls mostly are.
+	triesInSilence = 3
+	// orderTimeout is how long an order may go unanswered before the gate looks
+	// for what became of it.
+	orderTimeout = 60 * time.Millisecond
+	// lateAnswer is how long the other tries of an order are left alone once it
+	// is decided: breaking off one that is answered a moment later would cost its
+	// connection.
+	lateAnswer = mostPatience
+)
+
+// order is a start or a stop that is sent again while it stays without an answer.
+// This is safe: an executor takes a second start of the same run for the first,
+// and one that is carried out late is past its lease.
+type order struct {
+	call     func(ctx context.Context) (Answer, error)
+	patience *patience
+	began    time.Time
+	answers  chan try
+	tries    int
+	// open is how many tries have neither an answer nor an error.
+	open int
+}
+
+// try is what became of one try of an order.
+type try struct {
+	answer Answer
+	err    error
+}
+
+// newOrder returns an order that is carried out by a call.
+func newOrder(p *patience, call func(ctx context.Context) (Answer, error)) *order {
+	return &order{call: call, patience: p, began: time.Now(), answers: make(chan try, mostTries)}
+}
+
+// run sends the order until it is decided. ErrUnanswered says that it may have
+// been done, or may be done later.
+func (o *order) run(ctx context.Context) (Answer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer time.AfterFunc(lateAnswer, cancel)
+	timeout := time.NewTimer(orderTimeout)
+	defer timeout.Stop()
+	for {
+		o.send(ctx)
+		again, t := o.await(ctx, timeout.C)
+		if !again {
+			return t.answer, t.err
+		}
+	}
+}
+
+func (o *order) send(ctx context.Context) {
+	o.tries++
+	o.open++
+	go func() {
+		sent := time.Now()
+		answer, err := o.call(ctx)
+		if answered(err) {
+			o.patience.answered(time.Since(sent))
+		}
+		o.answers <- try{answer: answer, err: err}
+	}()
+}
+
+// answered says whether an executor has answered a call.
+func answered(err error) bool {
+	return !errors.Is(err, ErrUnanswered) && !errors.Is(err, ErrUnreached)
+}
+
+// await waits until the order is decided or is to be sent again.
+func (o *order) await(ctx context.Context, timeout <-chan time.Time) (again bool, t try) {
+	due := time.NewTimer(o.patience.wait())
+	defer due.Stop()
+	for {
+		select {
+		case t := <-o.answers:
+			o.open--
+			if answered(t.err) || o.tries == 1 && errors.Is(t.err, ErrUnreached) {
+				return false, o.decided(t)
+			}
+			if o.mayResend() {
+				return true, try{}
+			}
+			if o.open == 0 {
+				return false, try{err: ErrUnanswered}
+			}
+		case <-due.C:
+			if o.mayResend() {
+				return true, try{}
+			}
+			due.Reset(o.patience.wait())
+		case <-timeout:
+			return false, try{err: ErrUnanswered}
+		case <-ctx.Done():
+			return false, try{err: ErrUnanswered}
+		}
+	}
+}
+
+// decided returns the outcome by an answer. If an earlier try got none, only
+// success is certain: after any other answer the earlier one may still have been
+// done, or be done later.
+func (o *order) decided(t try) try {
+	if t.err == nil || o.tries == 1 {
+		return t
+	}
+	return try{answer: t.answer, err: ErrUnanswered}
+}
+
+// mayResend says whether another try is of use.
+func (o *order) mayResend() bool {
+	if o.tries < triesInSilence {
+		return true
+	}
+	return o.tries < mostTries && o.patience.answeredSince(o.began)
+}
--- /dev/null
+++ b/gate/resend_test.go
@@ -0,0 +1,137 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// hangs is a call that never gets an answer.
+func hangs(ctx context.Context) (Answer, error) {
+	<-ctx.Done()
+	return Answer{}, ErrUnanswered
+}
+
+// answers is a call that is answered at once.
+func answers(err error) func(context.Context) (Answer, error) {
+	return func(context.Context) (Answer, error) { return Answer{ClockMS: 7}, err }
+}
+
+// An order whose first tries get no answer is sent again; what a later answer
+// says about it counts only as far as it covers the earlier tries.
+func TestOrderSentAgain(t *testing.T) {
+	tests := []struct {
+		name  string
+		tries []func(context.Context) (Answer, error)
+		want  error
+		sent  int
+	}{
+		{name: "answered", tries: []func(context.Context) (Answer, error){answers(nil)}, sent: 1},
+		{name: "refused", tries: []func(context.Context) (Answer, error){answers(ErrNoRoom)}, want: ErrNoRoom, sent: 1},
+		{name: "not reached", tries: []func(context.Context) (Answer, error){answers(ErrUnreached)}, want: ErrUnreached, sent: 1},
+		{name: "second answered", tries: []func(context.Context) (Answer, error){hangs, answers(nil)}, sent: 2},
+		{name: "second refused, first may be done", tries: []func(context.Context) (Answer, error){hangs, answers(ErrNoRoom)}, want: ErrUnanswered, sent: 2},
+		{name: "second not reached, third answered", tries: []func(context.Context) (Answer, error){hangs, answers(ErrUnreached), answers(nil)}, sent: 3},
+		{name: "broken off, then answered", tries: []func(context.Context) (Answer, error){answers(ErrUnanswered), answers(nil)}, sent: 2},
+		{name: "silence", tries: []func(context.Context) (Answer, error){hangs, hangs, hangs, hangs}, want: ErrUnanswered, sent: triesInSilence},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var sent atomic.Int32
+			p := &patience{}
+			p.answered(time.Microsecond)
+			o := newOrder(p, func(ctx context.Context) (Answer, error) {
+				return test.tries[min(int(sent.Add(1)), len(test.tries))-1](ctx)
+			})
+			_, err := o.run(context.Background())
+			if !errors.Is(err, test.want) || int(sent.Load()) != test.sent {
+				t.Errorf("error %v after %d tries, want %v after %d", err, sent.Load(), test.want, test.sent)
+			}
+		})
+	}
+}
+
+// While other calls are answered an order is sent more often than in silence.
+func TestOrderSentMoreOftenBesideAnswers(t *testing.T) {
+	p := &patience{}
+	p.answered(time.Microsecond)
+	var sent atomic.Int32
+	o := newOrder(p, func(ctx context.Context) (Answer, error) {
+		if sent.Add(1) == triesInSilence+2 {
+			return Answer{}, nil
+		}
+		p.heard()
+		return hangs(ctx)
+	})
+	if _, err := o.run(context.Background()); err != nil {
+		t.Errorf("%v after %d tries", err, sent.Load())
+	}
+}
+
+// The wait for an answer follows the times that answers take, within its bounds.
+func TestPatience(t *testing.T) {
+	p := &patience{}
+	if p.wait() != mostPatience {
+		t.Errorf("%v before the first answer", p.wait())
+	}
+	for range 50 {
+		p.answered(time.Millisecond)
+	}
+	if p.wait() != leastPatience {
+		t.Errorf("%v for quick answers", p.wait())
+	}
+	for range 50 {
+		p.answered(12 * time.Millisecond)
+	}
+	if w := p.wait(); w < 12*time.Millisecond || w > mostPatience {
+		t.Errorf("%v for answers in 12 ms", w)
+	}
+	for range 50 {
+		p.answered(time.Second)
+	}
+	if p.wait() != mostPatience {
+		t.Errorf("%v for slow answers", p.wait())
+	}
+}
+
+// lossyHolds answers every second hold only.
+type lossyHolds struct {
+	hangingExecutor
+	holds atomic.Int32
+	// longest is the most holds that were under way at once.
+	underWay, longest atomic.Int32
+}
+
+func (e *lossyHolds) Hold(ctx context.Context, _ string, _ HoldCall) (Answer, HoldAnswer, error) {
+	n := e.underWay.Add(1)
+	defer e.underWay.Add(-1)
+	e.longest.Store(max(e.longest.Load(), n))
+	if e.holds.Add(1)%2 == 0 {
+		<-ctx.Done()
+		return Answer{}, HoldAnswer{}, ErrUnanswered
+	}
+	return e.answer(), HoldAnswer{}, nil
+}
+
+// A hold without an answer is broken off once a later one is answered, so that it
+// does not take the place of the next.
+func TestOverdueHoldIsBrokenOff(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	e := &lossyHolds{}
+	g := New(Options{Node: "gate-1", MaxHold: time.Second, Contact: time.Minute, BestEffortContact: time.Minute})
+	d := NewDriver(ctx, g, e, logr.Discard())
+	go d.Run(ctx)
+	d.Heartbeat(Heartbeat{Life: testLife, Service: "engine", Sequence: 1})
+	until := time.Now().Add(30 * time.Second)
+	for e.holds.Load() < 20 && time.Now().Before(until) {
+		<-time.After(time.Millisecond)
+	}
+	if e.holds.Load() < 20 || e.longest.Load() >= mostHolds {
+		t.Errorf("%d holds, %d at once", e.holds.Load(), e.longest.Load())
+	}
+}
