A gate whose executor answers nothing takes no more orders

Change: a gate that has had no answer for 300 ms, or can't connect, is closed and gives its queue back; the next answer opens it. Owners are told at once. Ruled out: that overload itself keeps 30% late after the burst has ended; the other nine executors were at 95%, but for work that came back from these two. TestSilentExecutorClosesGate and TestUnreachedExecutorClosesGate fail with the mend taken out.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -98,6 +99,10 @@
 // hold makes a hold and takes in its answer.
 func (d *Driver) hold(ctx context.Context, h Hold) error {
 	ans, lists, err := d.executor.Hold(ctx, h.Life, h.Call)
+	if ctx.Err() != nil && errors.Is(err, ErrUnreached) {
+		// The connection was given up, not refused.
+		err = ErrUnanswered
+	}
 	d.do(func(now Time, g *Gate) Actions { return g.OnHold(now, h, ans, lists, err) })
 	return err
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -139,8 +139,14 @@
 	grantedMS int64
 	// listedMS is the executor's clock of the newest lists that were taken in.
 	listedMS int64
-	// held is when the executor last answered a hold.
-	held Time
+	// held is when the executor last answered a hold, heard when it last answered
+	// any call.
+	held  Time
+	heard Time
+	// unreached is set while no connection to the executor can be made.
+	unreached bool
+	// toldOpen is whether owners were last told that the gate is open.
+	toldOpen bool
 	// surveyed is set once the executor has listed what an earlier process of
 	// this gate has left there.
 	surveyed bool
@@ -290,6 +296,6 @@
 }
 
 // Open says whether the gate takes orders.
-func (g *Gate) Open() bool {
-	return g.known && !g.draining && !g.leaving && !g.lapsing && g.fence != 0
+func (g *Gate) Open(now Time) bool {
+	return g.known && !g.draining && !g.leaving && !g.lapsing && g.fence != 0 && !g.executorSilent(now)
 }
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -59,6 +59,7 @@
 	if h.Life != g.life {
 		return Actions{}
 	}
+	g.takeAnswer(now, a, err)
 	if err != nil {
 		return g.holdFailed(now, h, a, err)
 	}
@@ -71,7 +72,6 @@
 	}
 	g.listedMS = a.ClockMS
 	g.held = now
-	g.takeClock(now, a.ClockMS)
 	if h.peek {
 		if a.ClockMS == 0 {
 			return Actions{}
@@ -96,7 +96,6 @@
 	case errors.Is(err, ErrFenced):
 		// An earlier process of this gate has set a higher token; the
 		// executor's clock has passed it.
-		g.takeClock(now, a.ClockMS)
 		g.fence = uint64(a.ClockMS) + 1
 		g.grantedMS = max(g.grantedMS, a.ClockMS+g.options.MaxHold.Milliseconds())
 		return Actions{HoldNow: true}
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -181,7 +181,7 @@
 	switch {
 	case g.silent(now, r):
 		g.reject(r, "stale order")
-	case !g.Open():
+	case !g.Open(now):
 		g.reject(r, "closed")
 	case g.health.suspect && (g.queue.first() != nil || !g.health.mayStart(now)):
 		g.reject(r, "suspect")
--- a/gate/report.go
+++ b/gate/report.go
@@ -162,7 +162,7 @@
 func (g *Gate) report(now Time) Report {
 	return Report{
 		Life: g.life, Service: g.service, Capacity: g.capacity, Free: g.capacity.Minus(g.used),
-		Queued: g.queued(), Labels: g.labels, Open: g.Open(), Slowness: g.health.slowness,
+		Queued: g.queued(), Labels: g.labels, Open: g.Open(now), Slowness: g.health.slowness,
 		Suspect: g.health.suspect && !g.health.mayStart(now),
 	}
 }
--- a/gate/start.go
+++ b/gate/start.go
@@ -7,7 +7,8 @@
 // startFromQueue starts what fits, in the order of rank.
 func (g *Gate) startFromQueue(now Time, a Actions) Actions {
 	a.Life = g.life
-	if !g.Open() || g.life == "" {
+	g.tellOpen(now)
+	if !g.Open(now) || g.life == "" {
 		g.rejectQueue("closed")
 		return a
 	}
@@ -64,7 +65,7 @@
 	if life != g.life || r == nil || r.phase != phaseStarting {
 		return Actions{}
 	}
-	g.takeClock(now, ans.ClockMS)
+	g.takeAnswer(now, ans, err)
 	switch {
 	case err == nil:
 		g.setRunning(now, r)
@@ -99,7 +100,7 @@
 	if life != g.life || r == nil {
 		return Actions{}
 	}
-	g.takeClock(now, ans.ClockMS)
+	g.takeAnswer(now, ans, err)
 	if err == nil {
 		r.stopConfirmed = now
 		return Actions{HoldNow: true}
