An agent that is started anew recalls its executor's description from the store

Change: an agent keeps what its executor has told (life, service, room, labels, draining) in a row of its own; its next process reads it and opens the gate once a call that names that life is answered. Another life turns the call away. Ruled out: a faster start of the processes (all are up within 0.1 s).

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -19,6 +19,8 @@
 	log      logr.Logger
 	// kick wakes the loop of holds.
 	kick chan struct{}
+	// described holds the newest description that nobody has taken yet.
+	described chan Description
 	// ctx ends the calls.
 	ctx      context.Context
 	patience patience
@@ -29,7 +31,7 @@
 
 // NewDriver returns a driver of a gate; the context ends its calls.
 func NewDriver(ctx context.Context, g *Gate, e Executor, log logr.Logger) *Driver {
-	return &Driver{executor: e, started: time.Now(), log: log, kick: make(chan struct{}, 1), ctx: ctx, gate: g}
+	return &Driver{executor: e, started: time.Now(), log: log, kick: make(chan struct{}, 1), described: make(chan Description, 1), ctx: ctx, gate: g}
 }
 
 func (d *Driver) now() Time { return time.Since(d.started) }
@@ -166,13 +168,40 @@
 
 // Heartbeat takes in an executor's word; it returns false if it is of an earlier life.
 func (d *Driver) Heartbeat(b Heartbeat) (ok bool) {
+	var before, after Description
 	d.do(func(now Time, g *Gate) (a Actions) {
+		before, _ = g.Description()
 		a, ok = g.OnHeartbeat(now, b)
+		after, _ = g.Description()
 		return a
 	})
+	if ok && !after.Equal(before) {
+		d.tellDescribed(after)
+	}
 	return ok
 }
 
+// tellDescribed passes on a description; one that was not taken yet is replaced.
+func (d *Driver) tellDescribed(latest Description) {
+	d.log.Info("Executor described itself.", "life", latest.Life, "service", latest.Service, "capacityCPU", latest.Capacity.CPU, "draining", latest.Draining)
+	select {
+	case <-d.described:
+	default:
+	}
+	select {
+	case d.described <- latest:
+	default:
+	}
+}
+
+// Described returns the channel of new descriptions of the executor.
+func (d *Driver) Described() <-chan Description { return d.described }
+
+// Recall takes in what an earlier process knew of the executor; see Gate.Recall.
+func (d *Driver) Recall(known Description) {
+	d.do(func(_ Time, g *Gate) Actions { return g.Recall(known) })
+}
+
 // Deregister takes in that a life of the executor has ended.
 func (d *Driver) Deregister(life string) {
 	d.do(func(now Time, g *Gate) Actions {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -128,8 +128,10 @@
 	labels    []string
 	known     bool
 	draining  bool
-	leaving   bool
-	sequence  int64
+	// recalled is what an earlier process knew of the executor.
+	recalled Description
+	leaving  bool
+	sequence int64
 
 	fence uint64
 	// clockMS was the executor's clock at clockAt.
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -66,6 +66,7 @@
 	if g.life == "" && a.Life != "" {
 		g.life = a.Life
 	}
+	g.confirmRecalled()
 	if a.ClockMS < g.listedMS {
 		// Answers on different connections may overtake one another.
 		return Actions{}
--- /dev/null
+++ b/gate/recall_test.go
@@ -0,0 +1,68 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"rackspur/job"
+)
+
+var recalled = Description{Life: testLife, Service: "engine", Capacity: job.Resources{CPU: 16000, Memory: 32768}, Labels: []string{"r1"}}
+
+// restarted is a gate that has just started and recalls a description.
+func restarted(t *testing.T, d Description) *bench {
+	b := &bench{t: t, now: time.Second, clock: 100000}
+	b.gate = New(Options{Node: "gate-1", MaxHold: time.Second, Contact: 1400 * time.Millisecond, BestEffortContact: time.Second})
+	b.gate.Recall(d)
+	return b
+}
+
+// What was recalled counts as soon as the life that it is of has answered.
+func TestRecallOpensGate(t *testing.T) {
+	b := restarted(t, recalled)
+	if b.gate.Open(b.now) {
+		t.Error("open before the executor has answered")
+	}
+	b.hold(HoldAnswer{})
+	b.hold(HoldAnswer{})
+	d, ok := b.gate.Description()
+	if !b.gate.Open(b.now) || !ok || !d.Equal(recalled) {
+		t.Errorf("open %v, described %v as %v", b.gate.Open(b.now), ok, d)
+	}
+}
+
+// A life that was recalled and has turned away a call is not the executor's.
+func TestRecallOfOtherLife(t *testing.T) {
+	b := restarted(t, recalled)
+	h := b.gate.NextHold(b.now, 0)
+	b.gate.OnHold(b.now, h, Answer{Life: "i-2"}, HoldAnswer{}, ErrOtherLife)
+	b.hold(HoldAnswer{})
+	b.hold(HoldAnswer{})
+	if b.gate.Open(b.now) {
+		t.Error("open with the description of another life")
+	}
+	b.heartbeat("i-2", false)
+	b.hold(HoldAnswer{})
+	b.hold(HoldAnswer{})
+	if !b.gate.Open(b.now) {
+		t.Error("closed after the heartbeat")
+	}
+}
+
+// A draining executor that is recalled gets no orders, and a heartbeat that has
+// come counts more than what is recalled later.
+func TestRecallOfDrainingAndLate(t *testing.T) {
+	draining := recalled
+	draining.Draining = true
+	b := restarted(t, draining)
+	b.hold(HoldAnswer{})
+	b.hold(HoldAnswer{})
+	if b.gate.Open(b.now) {
+		t.Error("open beside a draining executor")
+	}
+	b = newBench(t)
+	b.gate.Recall(Description{Life: "i-0", Service: "other"})
+	if d, _ := b.gate.Description(); d.Life != testLife || d.Service != "engine" {
+		t.Errorf("described as %v", d)
+	}
+}
--- /dev/null
+++ b/node/recall.go
@@ -0,0 +1,97 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rackspur/gate"
+	"rackspur/rowstore"
+)
+
+// tableExecutors has a row for each agent with the description of its executor.
+// An agent that is started anew opens its gate with it, in place of waiting for
+// the executor's next heartbeat.
+const tableExecutors = "executors"
+
+// executorsPart is the part that these rows stand in.
+const executorsPart = "members"
+
+// Times of reading and writing descriptions.
+const (
+	recallTimeout = 700 * time.Millisecond
+	recallPause   = 200 * time.Millisecond
+)
+
+// memory keeps the description of an agent's executor in the store.
+type memory struct {
+	store  rowstore.Store
+	node   string
+	driver *gate.Driver
+	log    logr.Logger
+}
+
+func (m *memory) key() rowstore.Key {
+	return rowstore.Key{Table: tableExecutors, Part: executorsPart, Name: m.node}
+}
+
+// run recalls what was kept, then keeps each new description until the context
+// ends.
+func (m *memory) run(ctx context.Context) {
+	go m.recall(ctx)
+	for {
+		select {
+		case d := <-m.driver.Described():
+			m.keep(ctx, d)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// recall reads the description that was kept, if there is one. It is of use in
+// the first moments only, so a failure is not tried again.
+func (m *memory) recall(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	row, ok, err := rowstore.ReadOne(ctx, m.store, m.key())
+	if err != nil {
+		m.log.Info("Executor not recalled.", "error", err.Error())
+		return
+	}
+	var d gate.Description
+	if !ok || json.Unmarshal(row.Value, &d) != nil {
+		return
+	}
+	m.driver.Recall(d)
+}
+
+// keep writes a description until it stands, a newer one has come, or the context
+// ends.
+func (m *memory) keep(ctx context.Context, d gate.Description) {
+	value, err := json.Marshal(d)
+	if err != nil {
+		m.log.Error(err, "Executor's description is not kept.")
+		return
+	}
+	for ctx.Err() == nil {
+		err := m.write(ctx, value)
+		if err == nil {
+			return
+		}
+		m.log.V(1).Info("Executor's description not kept yet.", "error", err.Error())
+		sleep(ctx, recallPause)
+		if len(m.driver.Described()) > 0 {
+			return
+		}
+	}
+}
+
+func (m *memory) write(ctx context.Context, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
+	defer cancel()
+	_, err := m.store.Transact(ctx, rowstore.Transaction{Puts: []rowstore.Put{{Key: m.key(), Value: value}}})
+	return err
+}
