Links to gates follow a new process at once

Change: when the membership shows another incarnation of a gate, the link to the former one is broken off, and the next is made directly without a pause. Ruled out: a shorter time for the first frame; on grown sites an entry makes 67 links at once and needs that time. TestLinkFollowsNewProcess fails with the mend taken out (its first form, with a listener that says nothing, did not: grpc gives such a connection up by itself).

--- a/peer/links.go
+++ b/peer/links.go
@@ -46,34 +46,56 @@
 	metrics     *observe.Metrics
 	log         logr.Logger
 	counter     atomic.Uint64
+	// firstFrameTimeout is how long a new link may take to bring a frame.
+	firstFrameTimeout time.Duration
 
-	mu      sync.Mutex
-	daemons map[string]member.Daemon
+	mu   sync.Mutex
+	kept map[string]*kept
 	// up has the connections of the links that have brought a frame.
 	up map[string]*grpc.ClientConn
 }
 
+// kept is a gate to which a link is kept.
+type kept struct {
+	daemon member.Daemon
+	// breakOff ends the link that is up or being made.
+	breakOff context.CancelFunc
+	// changed is poked when another process has taken the gate's place.
+	changed chan struct{}
+}
+
 // NewLinks returns links of an owner's life.
 func NewLinks(incarnation string, o Owner, m *observe.Metrics, log logr.Logger) *Links {
-	return &Links{incarnation: incarnation, owner: o, metrics: m, log: log, daemons: map[string]member.Daemon{}, up: map[string]*grpc.ClientConn{}}
+	return &Links{incarnation: incarnation, owner: o, metrics: m, log: log, firstFrameTimeout: firstFrameTimeout, kept: map[string]*kept{}, up: map[string]*grpc.ClientConn{}}
 }
 
-// Keep keeps a link to a daemon's gate until the context ends; a daemon that is
-// known already only changes its address.
+// Keep keeps a link to a daemon's gate until the context ends. If another process
+// has taken the place of one that is known, the link to that one is broken off: a
+// machine that has lost power does not say that it is gone.
 func (l *Links) Keep(ctx context.Context, d member.Daemon) {
 	l.mu.Lock()
-	_, known := l.daemons[d.Node]
-	l.daemons[d.Node] = d
-	l.mu.Unlock()
-	if !known {
-		go l.keep(ctx, d.Node)
+	defer l.mu.Unlock()
+	k := l.kept[d.Node]
+	if k == nil {
+		k = &kept{daemon: d, breakOff: func() {}, changed: make(chan struct{}, 1)}
+		l.kept[d.Node] = k
+		go l.keep(ctx, k)
+		return
 	}
+	if k.daemon.Incarnation != d.Incarnation {
+		k.breakOff()
+		poker(k.changed)()
+	}
+	k.daemon = d
 }
 
-func (l *Links) daemon(node string) member.Daemon {
+// begin returns the daemon that the next link goes to, and that link's context.
+func (l *Links) begin(ctx context.Context, k *kept) (context.Context, context.CancelFunc, member.Daemon) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.daemons[node]
+	ctx, cancel := context.WithCancel(ctx)
+	k.breakOff = cancel
+	return ctx, cancel, k.daemon
 }
 
 // Some implements Peers.Some with the daemons that are linked.
@@ -98,7 +120,7 @@
 	var addresses []string
 	for name := range l.up {
 		if name != node {
-			addresses = append(addresses, l.daemons[name].Address)
+			addresses = append(addresses, l.kept[name].daemon.Address)
 		}
 	}
 	if len(addresses) == 0 {
@@ -109,27 +131,48 @@
 
 // keep makes links to a gate, one after the other; after a failure it tries
 // through a peer and directly by turns.
-func (l *Links) keep(ctx context.Context, node string) {
+func (l *Links) keep(ctx context.Context, k *kept) {
 	backoff := leastBackoff
 	for try := 0; ctx.Err() == nil; try++ {
 		if !l.owner.Alive() {
 			sleep(ctx, leastBackoff)
 			continue
 		}
-		d := l.daemon(node)
+		linkCtx, cancel, d := l.begin(ctx, k)
 		relay := ""
 		if try%2 == 1 {
-			relay = l.relayFor(node)
+			relay = l.relayFor(d.Node)
 		}
-		if l.link(ctx, d, relay) {
-			l.log.Info("Lost the link to a gate.", "gate", node, "relay", relay)
-			backoff = leastBackoff
-			try = 1
-			continue
+		worked := l.link(linkCtx, d, relay)
+		cancel()
+		if worked {
+			l.log.Info("Lost the link to a gate.", "gate", d.Node, "relay", relay)
 		}
-		sleep(ctx, backoff)
+		pause := backoff
 		backoff = min(2*backoff, mostBackoff)
+		if worked {
+			pause, backoff = 0, leastBackoff
+			try = 1
+		}
+		if k.awaitChange(ctx, pause) {
+			backoff = leastBackoff
+			try = -1
+		}
+	}
+}
+
+// awaitChange waits for a time; it returns true as soon as another process has
+// taken the gate's place.
+func (k *kept) awaitChange(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-k.changed:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
 	}
+	return false
 }
 
 func sleep(ctx context.Context, d time.Duration) {
@@ -155,7 +198,7 @@
 		stop := time.AfterFunc(relayedFor, cancel)
 		defer stop.Stop()
 	}
-	watchdog := time.AfterFunc(firstFrameTimeout, cancel)
+	watchdog := time.AfterFunc(l.firstFrameTimeout, cancel)
 	defer watchdog.Stop()
 	stream, err := peerpb.NewPeerClient(conn).Link(streamCtx)
 	if err != nil {
--- /dev/null
+++ b/peer/links_test.go
@@ -0,0 +1,81 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rackspur/gate"
+	"rackspur/member"
+	"rackspur/observe"
+	"rackspur/peer/peerpb"
+	"rackspur/rpc"
+)
+
+// linkedOwner is an owner that counts the frames of gates.
+type linkedOwner struct{ frames atomic.Int32 }
+
+func (*linkedOwner) Alive() bool                                  { return true }
+func (*linkedOwner) LinkUp(string, uint64, func())                {}
+func (*linkedOwner) LinkDown(string, uint64)                      {}
+func (*linkedOwner) Flush(string, uint64) (gate.OwnerFrame, bool) { return gate.OwnerFrame{}, true }
+func (o *linkedOwner) OnFrame(string, uint64, gate.Frame)         { o.frames.Add(1) }
+func (*linkedOwner) Busy(string) bool                             { return false }
+
+// hungGate is a gate that takes links and never sends a frame, as if its machine
+// had lost power after that.
+type hungGate struct {
+	countedGate
+	linked atomic.Int32
+	end    chan struct{}
+}
+
+func (g *hungGate) Flush(string, uint64) (gate.Frame, bool) {
+	g.linked.Add(1)
+	<-g.end
+	return gate.Frame{}, false
+}
+
+// gateServer serves the gate of a node.
+func gateServer(t *testing.T, node string, g Gate) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := observe.NewMetrics()
+	s := rpc.NewServer(m)
+	peerpb.RegisterPeerServer(s, &Server{Node: node, Gate: g, Metrics: m, Log: logr.Discard()})
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { go s.Stop() })
+	return l.Addr().String()
+}
+
+func until(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+		<-time.After(time.Millisecond)
+	}
+}
+
+// A link that is being made to a process that is gone is broken off as soon as
+// another process has taken its place, and the next goes there at once.
+func TestLinkFollowsNewProcess(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	owner := &linkedOwner{}
+	l := NewLinks("entry-1~a", owner, observe.NewMetrics(), logr.Discard())
+	l.firstFrameTimeout = time.Hour
+	old := &hungGate{end: make(chan struct{})}
+	defer close(old.end)
+	l.Keep(ctx, member.Daemon{Node: "agent-1", Address: gateServer(t, "agent-1", old), Incarnation: "agent-1~a"})
+	until(t, "the old process has taken the link", func() bool { return old.linked.Load() > 0 })
+	l.Keep(ctx, member.Daemon{Node: "agent-1", Address: gateServer(t, "agent-1", countedGate{}), Incarnation: "agent-1~b"})
+	until(t, "the new process is linked", func() bool { return owner.frames.Load() > 0 })
+}
