--- a/gate/room.go
+++ b/gate/room.go
@@ -4,8 +4,9 @@
 
 // QueueShare is how much of an executor's room, in thousandths, may wait at its
 // gate beyond what is free, so that a run starts without a message as another
-// ends. Longer queues would bind runs that could start earlier elsewhere.
-const QueueShare = 150
+// ends. A tenth is about one task of three cores on an executor of 32. Longer queues
+// bind runs that could start earlier elsewhere: docs/DECISIONS.md has the rounds.
+const QueueShare = 100
 
 // trimQueue gives the runs that come last back to their owners while more waits
 // than may. Owners place by reports that are older than their orders.
