Jobs that are taken over count as waiting until a run of them is known

A start that is under way or in doubt counted as begun as well. Change: a job taken over has begun if its record holds an end, or a gate tells of a run that has started. Its state is still shown as running, since a run of the former owner may have left nothing behind. Ruled out: counts of owners that do not answer; all four were in touch. TestAdoptedJobWaits fails with the mend taken out.

--- a/gate/report.go
+++ b/gate/report.go
@@ -21,8 +21,10 @@
 
 // RunState is what a gate says of a run.
 type RunState struct {
-	Name    job.RunName
-	Queued  bool
+	Name   job.RunName
+	Queued bool
+	// Running says that the executor has started the run. One that is neither
+	// queued nor running has been ordered there and is in doubt.
 	Running bool
 	// End is set if the run is over.
 	End        EndKind
@@ -174,7 +176,7 @@
 	}
 	return RunState{
 		Name: r.RunName, Queued: r.phase == phaseQueued,
-		Running: r.phase == phaseRunning || r.phase == phaseStarting || r.phase == phaseUnsure,
+		Running: r.phase == phaseRunning,
 		End:     r.end, Checkpoint: r.checkpoint, Ran: r.ran, Reason: reason,
 	}
 }
--- a/job/job.go
+++ b/job/job.go
@@ -223,6 +223,11 @@
 	return r, nil
 }
 
+// HasEnds says whether the record has an end of a run.
+func (r *Record) HasEnds() bool {
+	return len(r.Done) > 0 || len(r.Failed) > 0
+}
+
 // IsDone says whether a task is done.
 func (r *Record) IsDone(task int) bool {
 	_, ok := r.Done[task]
--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -59,7 +59,7 @@
 		j.setUrgency()
 		j.version = adopted.Version
 		j.phase = jobAdopting
-		j.begun = true
+		j.begun = adopted.Record.HasEnds()
 		o.jobs[adopted.Record.ID] = j
 		a.jobs = append(a.jobs, j)
 		o.stats.Adopted++
--- a/owner/adopt_test.go
+++ b/owner/adopt_test.go
@@ -111,3 +111,31 @@
 		}
 	}
 }
+
+// A job that is taken over counts as waiting until a run of it is known to have
+// started: its former owner may have died before it placed anything.
+func TestAdoptedJobWaits(t *testing.T) {
+	tests := []struct {
+		name   string
+		record func(*job.Record)
+		states []gate.RunState
+		want   int
+	}{
+		{name: "nothing known", record: func(*job.Record) {}, want: 1},
+		{name: "a run is ordered and in doubt", record: func(*job.Record) {}, states: []gate.RunState{{Name: runOf(0, 1)}}, want: 1},
+		{name: "a run goes on", record: func(*job.Record) {}, states: []gate.RunState{{Name: runOf(0, 1), Running: true}}},
+		{name: "a task was done", record: func(r *job.Record) { r.SetDone(0, 1) }},
+		{name: "a run has failed", record: func(r *job.Record) { r.AddFailure(0, 1) }},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBench(t)
+			record := keptRecord(2)
+			test.record(&record)
+			b.adoptJob(record, test.states)
+			if got := b.owner.Pending(record.Queue.Name); got != test.want {
+				t.Errorf("%d jobs wait, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/owner/live.go
+++ b/owner/live.go
@@ -71,6 +71,7 @@
 	phase   jobPhase
 	tasks   []*task
 	left    int
+	// begun says that a run of the job is known to have started.
 	begun   bool
 	arrived Time
 	// objective is when the job should have ended; lateBy when its worth is gone.
@@ -201,7 +202,8 @@
 }
 
 func (j *liveJob) state() job.State {
-	if j.begun {
+	if j.begun || j.record.Generation > 0 {
+		// A former owner may have started runs of which nothing is left.
 		return job.StateRunning
 	}
 	return job.StateQueued
