--- a/cli/cli.go
+++ b/cli/cli.go
@@ -95,7 +95,7 @@
 	})
 	root.AddCommand(
 		newEntry(), newAgent(), newDev(), newStandin(),
-		newSubmit(), newLoad(), newApply(), newConfig(), newPolicy(), newStatus(), newDrain(),
+		newSubmit(), newLoad(), newBound(), newApply(), newConfig(), newPolicy(), newStatus(), newDrain(),
 		newPlatform(), newSettings(), newVersion(),
 	)
 	return root
