No time is kept in reserve when jobs are ordered; refusal at a fifth

Change: the reserve goes. offerShare 0.24 to 0.2, in the middle of what was measured alike (0.16 to 0.24), in place of a figure that followed another one.

--- a/owner/admission.go
+++ b/owner/admission.go
@@ -10,19 +10,18 @@
 const (
 	// offerShare is the part of its objective that a job may wait while nothing of
 	// it was placed; then it is refused, while its caller can still go elsewhere.
-	offerShare = 0.24
-	// startReserve is the part of the time that a job may wait which is kept for
-	// run times above their estimates.
-	startReserve = 0.25
+	// 0.16 to 0.24 were measured alike, 0.36 and more as worse in overload.
+	offerShare = 0.2
 	// finishShare is the part of a job's tasks that may be left for it to go on
-	// before others although it is late.
+	// before others although it is late: most of its work would be lost.
 	finishShare = 0.25
 	// admitSlack is added to the slack of a new job when the backlog is judged.
 	admitSlack = 20 * time.Millisecond
 	// linkGrace is how long jobs are let in while no gate is open.
 	linkGrace = time.Second
 	// priorityStep is by how much later the jobs of a queue count as due than
-	// those of the queue with the next higher priority.
+	// those of the queue with the next higher priority: about the slack of a short
+	// job. 0 was measured as worse, 200 ms as no better.
 	priorityStep = 100 * time.Millisecond
 )
 
@@ -98,8 +97,7 @@
 
 // setUrgency sets the times by which a job's tasks are ordered.
 func (j *liveJob) setUrgency() {
-	latest := j.objective - j.chain()
-	j.startBy = latest - time.Duration(startReserve*float64(latest-j.arrived))
+	j.startBy = j.objective - j.chain()
 	j.urgency = j.startBy + time.Duration(j.record.Queue.Priority)*priorityStep
 }
 
