--- a/gate/driver.go
+++ b/gate/driver.go
@@ -22,8 +22,8 @@
 	// described holds the newest description that nobody has taken yet.
 	described chan Description
 	// ctx ends the calls.
-	ctx      context.Context
-	patience patience
+	ctx context.Context
+	rto rtoEstimator
 
 	mu   sync.Mutex
 	gate *Gate
@@ -64,17 +64,17 @@
 }
 
 func (d *Driver) start(life string, c StartCall) {
-	o := newOrder(&d.patience, func(ctx context.Context) (Answer, error) { return d.executor.Start(ctx, life, c) })
-	ans, err := o.run(d.ctx)
+	call := newRetriedCall(&d.rto, func(ctx context.Context) (Answer, error) { return d.executor.Start(ctx, life, c) })
+	ans, err := call.run(d.ctx)
 	if err != nil {
-		d.log.Info("Start not done.", "job", c.Name.Job, "step", c.Name.Step, "index", c.Name.Index, "run", c.Name.Run, "tries", o.tries, "error", err.Error())
+		d.log.Info("Start not done.", "job", c.Name.Job, "step", c.Name.Step, "index", c.Name.Index, "run", c.Name.Run, "tries", call.tries, "error", err.Error())
 	}
 	d.do(func(now Time, g *Gate) Actions { return g.OnStart(now, life, c, ans, err) })
 }
 
 func (d *Driver) stop(life string, c StopCall) {
-	o := newOrder(&d.patience, func(ctx context.Context) (Answer, error) { return d.executor.Stop(ctx, life, c) })
-	ans, err := o.run(d.ctx)
+	call := newRetriedCall(&d.rto, func(ctx context.Context) (Answer, error) { return d.executor.Stop(ctx, life, c) })
+	ans, err := call.run(d.ctx)
 	d.do(func(now Time, g *Gate) Actions { return g.OnStop(now, life, c, ans, err) })
 }
 
--- a/gate/holds.go
+++ b/gate/holdloop.go
@@ -69,7 +69,7 @@
 // answered by now.
 func (l *holdLoop) passedDue(ctx context.Context) {
 	c := l.newest()
-	c.due = time.Now().Add(l.driver.patience.wait())
+	c.due = time.Now().Add(l.driver.rto.timeout())
 	c.overdue = true
 	l.send(ctx)
 }
@@ -80,7 +80,7 @@
 		return
 	}
 	c := &holdCall{hold: l.driver.nextHold(len(l.underWay) == 0), sent: time.Now()}
-	c.due = c.sent.Add(c.wait() + l.driver.patience.wait())
+	c.due = c.sent.Add(c.wait() + l.driver.rto.timeout())
 	callCtx, cancel := context.WithTimeout(ctx, c.wait()+holdTimeout)
 	c.cancel = cancel
 	l.underWay = append(l.underWay, c)
@@ -116,10 +116,10 @@
 func (l *holdLoop) learn(c *holdCall) {
 	took := time.Since(c.sent) - c.wait()
 	if took < 0 {
-		l.driver.patience.heard()
+		l.driver.rto.heard()
 		return
 	}
-	l.driver.patience.answered(took)
+	l.driver.rto.answered(took)
 }
 
 // breakOffOlder gives up the overdue holds that were sent before one that was
--- a/gate/resend.go
+++ b/gate/retry.go
@@ -20,15 +20,15 @@
 	// lateAnswer is how long the other tries of an order are left alone once it
 	// is decided: breaking off one that is answered a moment later would cost its
 	// connection.
-	lateAnswer = mostPatience
+	lateAnswer = mostRTO
 )
 
-// order is a start or a stop that is sent again while it stays without an answer.
+// retriedCall is a start or a stop that is sent again while it stays without an answer.
 // This is safe: an executor takes a second start of the same run for the first,
 // and one that is carried out late is past its lease.
-type order struct {
-	call     func(ctx context.Context) (Answer, error)
-	patience *patience
+type retriedCall struct {
+	call func(ctx context.Context) (Answer, error)
+	rto  *rtoEstimator
 	began    time.Time
 	answers  chan try
 	tries    int
@@ -42,37 +42,37 @@
 	err    error
 }
 
-// newOrder returns an order that is carried out by a call.
-func newOrder(p *patience, call func(ctx context.Context) (Answer, error)) *order {
-	return &order{call: call, patience: p, began: time.Now(), answers: make(chan try, mostTries)}
+// newRetriedCall returns a call that was not sent yet.
+func newRetriedCall(e *rtoEstimator, call func(ctx context.Context) (Answer, error)) *retriedCall {
+	return &retriedCall{call: call, rto: e, began: time.Now(), answers: make(chan try, mostTries)}
 }
 
-// run sends the order until it is decided. ErrUnanswered says that it may have
+// run sends the call until it is decided. ErrUnanswered says that it may have
 // been done, or may be done later.
-func (o *order) run(ctx context.Context) (Answer, error) {
+func (c *retriedCall) run(ctx context.Context) (Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer time.AfterFunc(lateAnswer, cancel)
 	timeout := time.NewTimer(orderTimeout)
 	defer timeout.Stop()
 	for {
-		o.send(ctx)
-		again, t := o.await(ctx, timeout.C)
+		c.send(ctx)
+		again, t := c.await(ctx, timeout.C)
 		if !again {
 			return t.answer, t.err
 		}
 	}
 }
 
-func (o *order) send(ctx context.Context) {
-	o.tries++
-	o.open++
+func (c *retriedCall) send(ctx context.Context) {
+	c.tries++
+	c.open++
 	go func() {
 		sent := time.Now()
-		answer, err := o.call(ctx)
+		answer, err := c.call(ctx)
 		if answered(err) {
-			o.patience.answered(time.Since(sent))
+			c.rto.answered(time.Since(sent))
 		}
-		o.answers <- try{answer: answer, err: err}
+		c.answers <- try{answer: answer, err: err}
 	}()
 }
 
@@ -81,28 +81,28 @@
 	return !errors.Is(err, ErrUnanswered) && !errors.Is(err, ErrUnreached)
 }
 
-// await waits until the order is decided or is to be sent again.
-func (o *order) await(ctx context.Context, timeout <-chan time.Time) (again bool, t try) {
-	due := time.NewTimer(o.patience.wait())
+// await waits until the call is decided or is to be sent again.
+func (c *retriedCall) await(ctx context.Context, timeout <-chan time.Time) (again bool, t try) {
+	due := time.NewTimer(c.rto.timeout())
 	defer due.Stop()
 	for {
 		select {
-		case t := <-o.answers:
-			o.open--
-			if answered(t.err) || o.tries == 1 && errors.Is(t.err, ErrUnreached) {
-				return false, o.decided(t)
+		case t := <-c.answers:
+			c.open--
+			if answered(t.err) || c.tries == 1 && errors.Is(t.err, ErrUnreached) {
+				return false, c.decided(t)
 			}
-			if o.mayResend() {
+			if c.mayResend() {
 				return true, try{}
 			}
-			if o.open == 0 {
+			if c.open == 0 {
 				return false, try{err: ErrUnanswered}
 			}
 		case <-due.C:
-			if o.mayResend() {
+			if c.mayResend() {
 				return true, try{}
 			}
-			due.Reset(o.patience.wait())
+			due.Reset(c.rto.timeout())
 		case <-timeout:
 			return false, try{err: ErrUnanswered}
 		case <-ctx.Done():
@@ -114,17 +114,17 @@
 // decided returns the outcome by an answer. If an earlier try got none, only
 // success is certain: after any other answer the earlier one may still have been
 // done, or be done later.
-func (o *order) decided(t try) try {
-	if t.err == nil || o.tries == 1 {
+func (c *retriedCall) decided(t try) try {
+	if t.err == nil || c.tries == 1 {
 		return t
 	}
 	return try{answer: t.answer, err: ErrUnanswered}
 }
 
 // mayResend says whether another try is of use.
-func (o *order) mayResend() bool {
-	if o.tries < triesInSilence {
+func (c *retriedCall) mayResend() bool {
+	if c.tries < triesInSilence {
 		return true
 	}
-	return o.tries < mostTries && o.patience.answeredSince(o.began)
+	return c.tries < mostTries && c.rto.answeredSince(c.began)
 }
--- a/gate/resend_test.go
+++ b/gate/retry_test.go
@@ -42,12 +42,12 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			var sent atomic.Int32
-			p := &patience{}
-			p.answered(time.Microsecond)
-			o := newOrder(p, func(ctx context.Context) (Answer, error) {
+			e := &rtoEstimator{}
+			e.answered(time.Microsecond)
+			c := newRetriedCall(e, func(ctx context.Context) (Answer, error) {
 				return test.tries[min(int(sent.Add(1)), len(test.tries))-1](ctx)
 			})
-			_, err := o.run(context.Background())
+			_, err := c.run(context.Background())
 			if !errors.Is(err, test.want) || int(sent.Load()) != test.sent {
 				t.Errorf("error %v after %d tries, want %v after %d", err, sent.Load(), test.want, test.sent)
 			}
@@ -57,44 +57,44 @@
 
 // While other calls are answered an order is sent more often than in silence.
 func TestOrderSentMoreOftenBesideAnswers(t *testing.T) {
-	p := &patience{}
-	p.answered(time.Microsecond)
+	e := &rtoEstimator{}
+	e.answered(time.Microsecond)
 	var sent atomic.Int32
-	o := newOrder(p, func(ctx context.Context) (Answer, error) {
+	c := newRetriedCall(e, func(ctx context.Context) (Answer, error) {
 		if sent.Add(1) == triesInSilence+2 {
 			return Answer{}, nil
 		}
-		p.heard()
+		e.heard()
 		return hangs(ctx)
 	})
-	if _, err := o.run(context.Background()); err != nil {
+	if _, err := c.run(context.Background()); err != nil {
 		t.Errorf("%v after %d tries", err, sent.Load())
 	}
 }
 
 // The wait for an answer follows the times that answers take, within its bounds.
-func TestPatience(t *testing.T) {
-	p := &patience{}
-	if p.wait() != mostPatience {
-		t.Errorf("%v before the first answer", p.wait())
+func TestRTO(t *testing.T) {
+	e := &rtoEstimator{}
+	if e.timeout() != mostRTO {
+		t.Errorf("%v before the first answer", e.timeout())
 	}
 	for range 50 {
-		p.answered(time.Millisecond)
+		e.answered(time.Millisecond)
 	}
-	if p.wait() != leastPatience {
-		t.Errorf("%v for quick answers", p.wait())
+	if e.timeout() != leastRTO {
+		t.Errorf("%v for quick answers", e.timeout())
 	}
 	for range 50 {
-		p.answered(12 * time.Millisecond)
+		e.answered(12 * time.Millisecond)
 	}
-	if w := p.wait(); w < 12*time.Millisecond || w > mostPatience {
+	if w := e.timeout(); w < 12*time.Millisecond || w > mostRTO {
 		t.Errorf("%v for answers in 12 ms", w)
 	}
 	for range 50 {
-		p.answered(time.Second)
+		e.answered(time.Second)
 	}
-	if p.wait() != mostPatience {
-		t.Errorf("%v for slow answers", p.wait())
+	if e.timeout() != mostRTO {
+		t.Errorf("%v for slow answers", e.timeout())
 	}
 }
 
--- a/node/agent.go
+++ b/node/agent.go
@@ -57,8 +57,8 @@
 	defer server.Stop()
 	store := peer.NewRelayedStore(a.options.Store, a)
 	go member.Register(ctx, store, a.daemon, a.log)
-	m := &memory{store: store, node: a.options.Node, driver: a.driver, log: a.log}
-	go m.run(ctx)
+	kept := &descriptions{store: store, node: a.options.Node, driver: a.driver, log: a.log}
+	go kept.run(ctx)
 	a.driver.Run(ctx)
 	return nil
 }
--- a/node/recall.go
+++ b/node/recall.go
@@ -25,26 +25,26 @@
 	recallPause   = 200 * time.Millisecond
 )
 
-// memory keeps the description of an agent's executor in the store.
-type memory struct {
+// descriptions keeps the description of an agent's executor in the store.
+type descriptions struct {
 	store  rowstore.Store
 	node   string
 	driver *gate.Driver
 	log    logr.Logger
 }
 
-func (m *memory) key() rowstore.Key {
-	return rowstore.Key{Table: tableExecutors, Part: executorsPart, Name: m.node}
+func (s *descriptions) key() rowstore.Key {
+	return rowstore.Key{Table: tableExecutors, Part: executorsPart, Name: s.node}
 }
 
 // run recalls what was kept, then keeps each new description until the context
 // ends.
-func (m *memory) run(ctx context.Context) {
-	go m.recall(ctx)
+func (s *descriptions) run(ctx context.Context) {
+	go s.recall(ctx)
 	for {
 		select {
-		case d := <-m.driver.Described():
-			m.keep(ctx, d)
+		case d := <-s.driver.Described():
+			s.keep(ctx, d)
 		case <-ctx.Done():
 			return
 		}
@@ -53,45 +53,45 @@
 
 // recall reads the description that was kept, if there is one. It is of use in
 // the first moments only, so a failure is not tried again.
-func (m *memory) recall(ctx context.Context) {
+func (s *descriptions) recall(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
-	row, ok, err := rowstore.ReadOne(ctx, m.store, m.key())
+	row, ok, err := rowstore.ReadOne(ctx, s.store, s.key())
 	if err != nil {
-		m.log.Info("Executor not recalled.", "error", err.Error())
+		s.log.Info("Executor not recalled.", "error", err.Error())
 		return
 	}
 	var d gate.Description
 	if !ok || json.Unmarshal(row.Value, &d) != nil {
 		return
 	}
-	m.driver.Recall(d)
+	s.driver.Recall(d)
 }
 
 // keep writes a description until it stands, a newer one has come, or the context
 // ends.
-func (m *memory) keep(ctx context.Context, d gate.Description) {
+func (s *descriptions) keep(ctx context.Context, d gate.Description) {
 	value, err := json.Marshal(d)
 	if err != nil {
-		m.log.Error(err, "Executor's description is not kept.")
+		s.log.Error(err, "Executor's description is not kept.")
 		return
 	}
 	for ctx.Err() == nil {
-		err := m.write(ctx, value)
+		err := s.write(ctx, value)
 		if err == nil {
 			return
 		}
-		m.log.V(1).Info("Executor's description not kept yet.", "error", err.Error())
+		s.log.V(1).Info("Executor's description not kept yet.", "error", err.Error())
 		sleep(ctx, recallPause)
-		if len(m.driver.Described()) > 0 {
+		if len(s.driver.Described()) > 0 {
 			return
 		}
 	}
 }
 
-func (m *memory) write(ctx context.Context, value []byte) error {
+func (s *descriptions) write(ctx context.Context, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, recallTimeout)
 	defer cancel()
-	_, err := m.store.Transact(ctx, rowstore.Transaction{Puts: []rowstore.Put{{Key: m.key(), Value: value}}})
+	_, err := s.store.Transact(ctx, rowstore.Transaction{Puts: []rowstore.Put{{Key: s.key(), Value: value}}})
 	return err
 }
--- a/peer/links.go
+++ b/peer/links.go
@@ -49,14 +49,14 @@
 	// firstFrameTimeout is how long a new link may take to bring a frame.
 	firstFrameTimeout time.Duration
 
-	mu   sync.Mutex
-	kept map[string]*kept
+	mu    sync.Mutex
+	gates map[string]*gateLink
 	// up has the connections of the links that have brought a frame.
 	up map[string]*grpc.ClientConn
 }
 
-// kept is a gate to which a link is kept.
-type kept struct {
+// gateLink is a gate to which a link is kept.
+type gateLink struct {
 	daemon member.Daemon
 	// breakOff ends the link that is up or being made.
 	breakOff context.CancelFunc
@@ -66,7 +66,7 @@
 
 // NewLinks returns links of an owner's life.
 func NewLinks(incarnation string, o Owner, m *observe.Metrics, log logr.Logger) *Links {
-	return &Links{incarnation: incarnation, owner: o, metrics: m, log: log, firstFrameTimeout: firstFrameTimeout, kept: map[string]*kept{}, up: map[string]*grpc.ClientConn{}}
+	return &Links{incarnation: incarnation, owner: o, metrics: m, log: log, firstFrameTimeout: firstFrameTimeout, gates: map[string]*gateLink{}, up: map[string]*grpc.ClientConn{}}
 }
 
 // Keep keeps a link to a daemon's gate until the context ends. If another process
@@ -75,27 +75,27 @@
 func (l *Links) Keep(ctx context.Context, d member.Daemon) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	k := l.kept[d.Node]
-	if k == nil {
-		k = &kept{daemon: d, breakOff: func() {}, changed: make(chan struct{}, 1)}
-		l.kept[d.Node] = k
-		go l.keep(ctx, k)
+	g := l.gates[d.Node]
+	if g == nil {
+		g = &gateLink{daemon: d, breakOff: func() {}, changed: make(chan struct{}, 1)}
+		l.gates[d.Node] = g
+		go l.keep(ctx, g)
 		return
 	}
-	if k.daemon.Incarnation != d.Incarnation {
-		k.breakOff()
-		poker(k.changed)()
+	if g.daemon.Incarnation != d.Incarnation {
+		g.breakOff()
+		poker(g.changed)()
 	}
-	k.daemon = d
+	g.daemon = d
 }
 
 // begin returns the daemon that the next link goes to, and that link's context.
-func (l *Links) begin(ctx context.Context, k *kept) (context.Context, context.CancelFunc, member.Daemon) {
+func (l *Links) begin(ctx context.Context, g *gateLink) (context.Context, context.CancelFunc, member.Daemon) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
-	k.breakOff = cancel
-	return ctx, cancel, k.daemon
+	g.breakOff = cancel
+	return ctx, cancel, g.daemon
 }
 
 // Some implements Peers.Some with the daemons that are linked.
@@ -120,7 +120,7 @@
 	var addresses []string
 	for name := range l.up {
 		if name != node {
-			addresses = append(addresses, l.kept[name].daemon.Address)
+			addresses = append(addresses, l.gates[name].daemon.Address)
 		}
 	}
 	if len(addresses) == 0 {
@@ -131,14 +131,14 @@
 
 // keep makes links to a gate, one after the other; after a failure it tries
 // through a peer and directly by turns.
-func (l *Links) keep(ctx context.Context, k *kept) {
+func (l *Links) keep(ctx context.Context, g *gateLink) {
 	backoff := leastBackoff
 	for try := 0; ctx.Err() == nil; try++ {
 		if !l.owner.Alive() {
 			sleep(ctx, leastBackoff)
 			continue
 		}
-		linkCtx, cancel, d := l.begin(ctx, k)
+		linkCtx, cancel, d := l.begin(ctx, g)
 		relay := ""
 		if try%2 == 1 {
 			relay = l.relayFor(d.Node)
@@ -154,7 +154,7 @@
 			pause, backoff = 0, leastBackoff
 			try = 1
 		}
-		if k.awaitChange(ctx, pause) {
+		if g.awaitChange(ctx, pause) {
 			backoff = leastBackoff
 			try = -1
 		}
@@ -163,11 +163,11 @@
 
 // awaitChange waits for a time; it returns true as soon as another process has
 // taken the gate's place.
-func (k *kept) awaitChange(ctx context.Context, d time.Duration) bool {
+func (g *gateLink) awaitChange(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
-	case <-k.changed:
+	case <-g.changed:
 		return true
 	case <-t.C:
 	case <-ctx.Done():
