--- a/owner/admission.go
+++ b/owner/admission.go
@@ -21,7 +21,7 @@
 	linkGrace = time.Second
 	// priorityStep is by how much later the jobs of a queue count as due than
 	// those of the queue with the next higher priority: about the slack of a short
-	// job. 0 was measured as worse, 200 ms as no better.
+	// job. 200 ms was measured as no better.
 	priorityStep = 100 * time.Millisecond
 )
 
