--- a/gate/retry.go
+++ b/gate/retry.go
@@ -27,11 +27,11 @@
 // This is safe: an executor takes a second start of the same run for the first,
 // and one that is carried out late is past its lease.
 type retriedCall struct {
-	call func(ctx context.Context) (Answer, error)
-	rto  *rtoEstimator
-	began    time.Time
-	answers  chan try
-	tries    int
+	call    func(ctx context.Context) (Answer, error)
+	rto     *rtoEstimator
+	began   time.Time
+	answers chan try
+	tries   int
 	// open is how many tries have neither an answer nor an error.
 	open int
 }
