--- a/peer/links_test.go
+++ b/peer/links_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,8 +11,6 @@
 	"rackspur/gate"
 	"rackspur/member"
 	"rackspur/observe"
-	"rackspur/peer/peerpb"
-	"rackspur/rpc"
 )
 
 // linkedOwner is an owner that counts the frames of gates.
@@ -42,15 +39,8 @@
 
 // gateServer serves the gate of a node.
 func gateServer(t *testing.T, node string, g Gate) (address string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	m := observe.NewMetrics()
-	s := rpc.NewServer(m)
-	peerpb.RegisterPeerServer(s, &Server{Node: node, Gate: g, Metrics: m, Log: logr.Discard()})
-	go func() { _ = s.Serve(l) }()
-	t.Cleanup(func() { go s.Stop() })
+	l := listen(t)
+	serveOn(t, l, &Server{Node: node, Gate: g, Metrics: observe.NewMetrics(), Log: logr.Discard()})
 	return l.Addr().String()
 }
 
--- a/test/kinddays/main.go
+++ b/test/kinddays/main.go
@@ -1,6 +1,6 @@
 // Command kinddays writes days for the users' bench: each kind of trouble with each
 // of its variants alone at its default strength, twice, the second time 3 s after the
-// first has ended. Docs/MEASUREMENT.md has the table that they give.
+// first has ended. docs/MEASUREMENT.md has the table that they give.
 //
 //	go run ./test/kinddays -out DIR
 //
