--- a/member/member.go
+++ b/member/member.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -50,8 +49,6 @@
 	callTimeout = 700 * time.Millisecond
 	retryPause  = 100 * time.Millisecond
 	mostPause   = time.Second
-	feedWait    = 20 * time.Second
-	feedMargin  = 2 * time.Second
 )
 
 // Register writes a daemon's row, and tries until it stands or the context ends.
@@ -113,59 +110,22 @@
 // Follow calls found with each daemon that stands in the store or comes later,
 // until the context ends.
 func Follow(ctx context.Context, s rowstore.Store, found func(Daemon), log logr.Logger) {
-	FollowTable(ctx, s, tableMembers, log, func(ctx context.Context) (uint64, error) {
-		all, version, err := ReadDaemons(ctx, s)
-		for _, d := range all {
-			found(d)
-		}
-		return version, err
-	}, func(row rowstore.Row) {
-		if d, ok := decodeDaemon(row); ok {
-			found(d)
-		}
-	})
-}
-
-// FollowTable reads a table anew and then takes in its changes, until the
-// context ends. A forgotten history makes it read anew.
-func FollowTable(ctx context.Context, s rowstore.Store, table string, log logr.Logger, readAll func(context.Context) (uint64, error), change func(rowstore.Row)) {
-	fresh := false
-	var version uint64
-	pause := retryPause
-	for ctx.Err() == nil {
-		err := error(nil)
-		if !fresh {
-			version, err = withTimeout(ctx, callTimeout, readAll)
-			fresh = err == nil
-		}
-		if err == nil {
-			version, err = followOnce(ctx, s, table, version, change)
-		}
-		switch {
-		case err == nil:
-			pause = retryPause
-		case errors.Is(err, rowstore.ErrHistoryGone):
-			log.Info("History is gone; reading anew.", "table", table, "version", version)
-			fresh = false
-		default:
-			log.V(1).Info("Can't follow a table.", "table", table, "version", version, "error", err.Error())
-			sleep(ctx, pause)
-			pause = min(2*pause, mostPause)
-		}
-	}
-}
-
-func followOnce(ctx context.Context, s rowstore.Store, table string, version uint64, change func(rowstore.Row)) (uint64, error) {
-	callCtx, cancel := context.WithTimeout(ctx, feedWait+feedMargin)
-	defer cancel()
-	page, err := s.Changes(callCtx, table, version, feedWait)
-	if err != nil {
-		return version, err
-	}
-	for _, row := range page.Rows {
-		change(row)
+	f := rowstore.Follower{
+		Store: s, Table: tableMembers, Log: log,
+		ReadAll: func(ctx context.Context) (uint64, error) {
+			all, version, err := ReadDaemons(ctx, s)
+			for _, d := range all {
+				found(d)
+			}
+			return version, err
+		},
+		Change: func(row rowstore.Row) {
+			if d, ok := decodeDaemon(row); ok {
+				found(d)
+			}
+		},
 	}
-	return max(version, page.Version), nil
+	f.Run(ctx)
 }
 
 func withTimeout[A any](ctx context.Context, d time.Duration, f func(context.Context) (A, error)) (A, error) {
--- a/node/agent.go
+++ b/node/agent.go
@@ -55,7 +55,7 @@
 	})
 	go func() { _ = server.Serve(a.listener) }()
 	defer server.Stop()
-	store := peer.NewRelayedStore(a.options.Store, a)
+	store := peer.NewRelayedStore(a.options.Store, a, a.options.Metrics, a.log)
 	go member.Register(ctx, store, a.daemon, a.log)
 	kept := &descriptions{store: store, node: a.options.Node, driver: a.driver, log: a.log}
 	go kept.run(ctx)
--- a/node/entry.go
+++ b/node/entry.go
@@ -76,9 +76,9 @@
 	defaultPatience = 30 * time.Second
 )
 
-// FollowConfiguration reads the configuration and follows its changes until
-// the context ends.
-type FollowConfiguration func(ctx context.Context, s rowstore.Store, found func(*route.Table), log logr.Logger)
+// FollowConfiguration keeps the newest configuration in a holder until the context
+// ends.
+type FollowConfiguration func(ctx context.Context, s rowstore.Store, h *route.Holder, log logr.Logger)
 
 // Entry is an entry daemon.
 type Entry struct {
@@ -111,7 +111,7 @@
 		daemons: map[string]member.Daemon{}, asks: map[string]*askClient{},
 		seeds: newSeeds(o.Seeds, o.Advertise, o.Metrics),
 	}
-	e.store = peer.NewRelayedStore(o.Store, e)
+	e.store = peer.NewRelayedStore(o.Store, e, o.Metrics, o.Log)
 	e.gauges()
 	return e, nil
 }
@@ -134,7 +134,7 @@
 	})
 	go func() { _ = server.Serve(e.listener) }()
 	defer server.Stop()
-	go e.follow(ctx, e.store, e.takeRoutes, e.log)
+	go e.follow(ctx, e.store, &e.routes, e.log)
 	go member.Follow(ctx, e.store, e.found, e.log)
 	for ctx.Err() == nil {
 		e.runTerm(ctx)
@@ -142,16 +142,13 @@
 	return nil
 }
 
-// takeRoutes takes in a version of the configuration.
-func (e *Entry) takeRoutes(t *route.Table) {
-	if e.routes.Take(t) {
-		e.log.Info("Configuration in force.", "version", t.Version, "routes", len(t.Routes))
-	}
-}
-
 // Routes returns the configuration in force, or nil before the first.
 func (e *Entry) Routes() *route.Table { return e.routes.Current() }
 
+// RoutesAge returns how long ago the configuration in force was known to be the
+// newest one; ok is false before that was known for the first time.
+func (e *Entry) RoutesAge() (age time.Duration, ok bool) { return e.routes.Age() }
+
 // Limits returns the limits of the configuration in force; none before the first.
 func (e *Entry) Limits() route.Limits {
 	if t := e.routes.Current(); t != nil {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -7,7 +7,8 @@
 	metricJobTime = "jobs.time_us"
 )
 
-// gauges registers the counters of the owner of the current life.
+// gauges registers the counters of the owner of the current life, the age of the
+// configuration, and the links.
 func (e *Entry) gauges() {
 	register := func(name string, read func(owner.Stats) int64) {
 		e.options.Metrics.Gauge(name, func() int64 {
@@ -34,6 +35,20 @@
 	register("tasks.discarded", func(s owner.Stats) int64 { return s.Discarded })
 	register("tasks.moved", func(s owner.Stats) int64 { return s.Moved })
 	register("tasks.stalled", func(s owner.Stats) int64 { return s.Stalled })
+	e.options.Metrics.Gauge("config.version", func() int64 {
+		if t := e.routes.Current(); t != nil {
+			return int64(t.Version)
+		}
+		return 0
+	})
+	// -1 until the configuration was read for the first time.
+	e.options.Metrics.Gauge("config.age_ms", func() int64 {
+		age, ok := e.routes.Age()
+		if !ok {
+			return -1
+		}
+		return age.Milliseconds()
+	})
 	e.options.Metrics.Gauge("gates.linked", func() int64 {
 		if t := e.current.Load(); t != nil {
 			return int64(t.links.Linked())
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -114,11 +114,11 @@
 	defer cancel()
 	key := rowstore.Key{Table: "t", Part: "p", Name: "k"}
 	insert := rowstore.Transaction{Conditions: []rowstore.Condition{{Key: key}}, Puts: []rowstore.Put{{Key: key, Value: []byte("v")}}}
-	alone := NewRelayedStore(turnedAway, somePeers{})
+	alone := NewRelayedStore(turnedAway, somePeers{}, observe.NewMetrics(), logr.Discard())
 	if _, err := alone.Transact(ctx, insert); !errors.Is(err, rowstore.ErrNotDone) {
 		t.Fatalf("without peers: %v, want ErrNotDone", err)
 	}
-	relayed := NewRelayedStore(turnedAway, somePeers{client: peerpb.NewPeerClient(conn)})
+	relayed := NewRelayedStore(turnedAway, somePeers{client: peerpb.NewPeerClient(conn)}, observe.NewMetrics(), logr.Discard())
 	if _, err := relayed.Transact(ctx, insert); err != nil {
 		t.Fatalf("through a peer: %v", err)
 	}
--- a/peer/store.go
+++ b/peer/store.go
@@ -8,9 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"rackspur/observe"
 	"rackspur/peer/peerpb"
 	"rackspur/rowstore"
 )
@@ -112,33 +114,82 @@
 // RelayedStore reaches the store directly, or through peers while the direct
 // way is closed. Calls keep their conditions, so it does not matter who makes them.
 type RelayedStore struct {
-	direct rowstore.Store
-	peers  Peers
+	direct  rowstore.Store
+	peers   Peers
+	metrics *observe.Metrics
+	log     logr.Logger
 
 	mu sync.Mutex
 	// closedSince is the time of the newest failure of the direct way.
 	closedSince time.Time
+	// lostSince is the time of the first failure of the direct way that was logged
+	// and after which no call has been answered.
+	lostSince time.Time
 }
 
 // NewRelayedStore returns a store with a direct way and peers.
-func NewRelayedStore(direct rowstore.Store, peers Peers) *RelayedStore {
-	return &RelayedStore{direct: direct, peers: peers}
+func NewRelayedStore(direct rowstore.Store, peers Peers, m *observe.Metrics, log logr.Logger) *RelayedStore {
+	return &RelayedStore{direct: direct, peers: peers, metrics: m, log: log}
 }
 
+// Metrics of the ways to the store: calls by way, and those that got no answer.
+const (
+	metricDirect       = "store.calls.direct"
+	metricDirectFailed = "store.calls.direct_failed"
+	metricRelayed      = "store.calls.relayed"
+	metricRelayFailed  = "store.calls.relay_failed"
+)
+
 func (r *RelayedStore) directFirst() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return time.Since(r.closedSince) > directPause
 }
 
-func (r *RelayedStore) noteDirect(err error) {
+// noteDirect notes the outcome of a call that was made directly at a time.
+func (r *RelayedStore) noteDirect(kind string, sent time.Time, err error) {
+	r.metrics.Count(metricDirect, 1)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if errors.Is(err, rowstore.ErrNotDone) || errors.Is(err, rowstore.ErrUncertain) {
-		r.closedSince = time.Now()
+	if !unreached(err) {
+		r.closedSince = time.Time{}
+		r.regain()
+		return
+	}
+	r.metrics.Count(metricDirectFailed, 1)
+	r.closedSince = time.Now()
+	if r.lostSince.IsZero() {
+		r.lostSince = r.closedSince
+		r.log.Info("Direct way to the store lost.", "call", kind, "tookMS", time.Since(sent).Milliseconds(), "error", err.Error())
+	}
+}
+
+// regain notes that the direct way works.
+func (r *RelayedStore) regain() {
+	if r.lostSince.IsZero() {
 		return
 	}
-	r.closedSince = time.Time{}
+	r.log.Info("Direct way to the store works again.", "lostMS", time.Since(r.lostSince).Milliseconds())
+	r.lostSince = time.Time{}
+}
+
+// unreached says whether an error tells that the store was not reached or has not
+// answered.
+func unreached(err error) bool {
+	return errors.Is(err, rowstore.ErrNotDone) || errors.Is(err, rowstore.ErrUncertain)
+}
+
+// noteRelay notes the outcome of a call through a peer. Only calls that wait for
+// changes are logged: they are few, and may wait long.
+func (r *RelayedStore) noteRelay(kind string, err error) {
+	r.metrics.Count(metricRelayed, 1)
+	if !unreached(err) {
+		return
+	}
+	r.metrics.Count(metricRelayFailed, 1)
+	if kind == callChanges {
+		r.log.Info("No answer through a peer.", "call", kind, "error", err.Error())
+	}
 }
 
 // Transact implements rowstore.Store.Transact.
@@ -171,21 +222,24 @@
 	tried := false
 	if r.directFirst() {
 		tried = true
+		sent := time.Now()
 		answer, err = direct(ctx)
-		r.noteDirect(err)
+		r.noteDirect(kind, sent, err)
 	}
 	if !errors.Is(err, rowstore.ErrNotDone) {
 		return answer, err
 	}
 	for _, p := range r.peers.Some(relayPeers) {
 		a, peerErr := throughPeer[A](ctx, p, kind, body)
+		r.noteRelay(kind, peerErr)
 		if !errors.Is(peerErr, rowstore.ErrNotDone) {
 			return a, peerErr
 		}
 	}
 	if !tried && ctx.Err() == nil {
+		sent := time.Now()
 		answer, err = direct(ctx)
-		r.noteDirect(err)
+		r.noteDirect(kind, sent, err)
 	}
 	return answer, err
 }
--- a/route/route.go
+++ b/route/route.go
@@ -55,9 +55,11 @@
 	return r, path[len(r.Prefix):], true
 }
 
-// Holder keeps the newest table.
+// Holder keeps the newest table and knows how old that knowledge is.
 type Holder struct {
 	current atomic.Pointer[Table]
+	// confirmed is when the table was known to be the newest one.
+	confirmed atomic.Pointer[time.Time]
 }
 
 // Current returns the newest table, or nil before the first.
@@ -76,3 +78,17 @@
 		}
 	}
 }
+
+// Confirm notes that all tables that stood in the store at a time have been taken
+// in.
+func (h *Holder) Confirm(at time.Time) { h.confirmed.Store(&at) }
+
+// Age returns how long ago the table in force was known to be the newest one; ok
+// is false before that was known for the first time.
+func (h *Holder) Age() (age time.Duration, ok bool) {
+	at := h.confirmed.Load()
+	if at == nil {
+		return 0, false
+	}
+	return time.Since(*at), true
+}
--- a/rowstore/committer.go
+++ b/rowstore/committer.go
@@ -122,7 +122,7 @@
 				return
 			case <-c.wake:
 			}
-			c.pause(ctx, c.delay)
+			wait(ctx, c.delay)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -132,18 +132,6 @@
 	}
 }
 
-func (c *Committer) pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // take removes the next batch from the queue and marks its writes as sent.
 func (c *Committer) take() []*Write {
 	c.mu.Lock()
@@ -189,7 +177,7 @@
 		for _, w := range batch {
 			w.tries++
 		}
-		c.pause(ctx, retryPause)
+		wait(ctx, retryPause)
 		c.requeue(batch)
 	default:
 		c.turnedAway(ctx, batch)
@@ -234,7 +222,7 @@
 		w.Done(Outcome{}, ErrNotDone)
 	}
 	if len(again) > 0 {
-		c.pause(ctx, retryPause)
+		wait(ctx, retryPause)
 		c.requeue(again)
 	}
 }
--- /dev/null
+++ b/rowstore/follow.go
@@ -0,0 +1,145 @@
+package rowstore
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Times of a follower.
+const (
+	// readTimeout is the time for reading a table anew.
+	readTimeout = 700 * time.Millisecond
+	// followPause is the time between a call that failed and the next; it doubles
+	// with each failure in a row, up to mostFollowPause.
+	followPause     = 100 * time.Millisecond
+	mostFollowPause = time.Second
+	// feedWait is how long the store holds a call for changes back.
+	feedWait = 20 * time.Second
+	// feedMargin is the time for the way there and back.
+	feedMargin = 2 * time.Second
+)
+
+// Follower keeps up with a table: it reads the table anew, then waits for its
+// changes. A forgotten history makes it read anew.
+type Follower struct {
+	Store Store
+	Table string
+	// ReadAll reads what is followed and returns the version as of which it stood.
+	ReadAll func(ctx context.Context) (uint64, error)
+	// Change takes in a row that was written or deleted.
+	Change func(Row)
+	// Confirmed, if it is not nil, is called after each answer: everything that
+	// stood in the store when the call was sent has been taken in.
+	Confirmed func(sent time.Time)
+	Log       logr.Logger
+}
+
+// Run follows the table until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	t := &track{Follower: f, confirmed: time.Now()}
+	pause := followPause
+	for ctx.Err() == nil {
+		err := t.next(ctx)
+		switch {
+		case err == nil:
+			pause = followPause
+		case errors.Is(err, ErrHistoryGone):
+			f.Log.Info("History is gone; reading anew.", "table", f.Table, "version", t.version)
+			t.fresh = false
+		default:
+			t.lose(err)
+			wait(ctx, pause)
+			pause = min(2*pause, mostFollowPause)
+		}
+	}
+}
+
+// track is how far a follower has come.
+type track struct {
+	*Follower
+	// fresh says that the table was read and all changes up to version are known.
+	fresh   bool
+	version uint64
+	// sent is when the newest call was sent, confirmed when the newest one that
+	// was answered.
+	sent, confirmed time.Time
+	lost            bool
+}
+
+// next makes the next call.
+func (t *track) next(ctx context.Context) error {
+	t.sent = time.Now()
+	call := t.poll
+	if !t.fresh {
+		call = t.read
+	}
+	if err := call(ctx); err != nil {
+		return err
+	}
+	t.confirm()
+	return nil
+}
+
+func (t *track) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	version, err := t.ReadAll(ctx)
+	if err != nil {
+		return err
+	}
+	t.version = version
+	t.fresh = true
+	return nil
+}
+
+func (t *track) poll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, feedWait+feedMargin)
+	defer cancel()
+	page, err := t.Store.Changes(ctx, t.Table, t.version, feedWait)
+	if err != nil {
+		return err
+	}
+	for _, row := range page.Rows {
+		t.Change(row)
+	}
+	t.version = max(t.version, page.Version)
+	return nil
+}
+
+// confirm notes an answer.
+func (t *track) confirm() {
+	if t.lost {
+		t.Log.Info("Following a table again.", "table", t.Table, "version", t.version, "lostMS", time.Since(t.confirmed).Milliseconds())
+	}
+	t.lost = false
+	t.confirmed = t.sent
+	if t.Confirmed != nil {
+		t.Confirmed(t.sent)
+	}
+}
+
+// lose notes a call without an answer; the first of several in a row is logged.
+func (t *track) lose(err error) {
+	if t.lost {
+		return
+	}
+	t.lost = true
+	t.Log.Info("Lost track of a table.", "table", t.Table, "version", t.version,
+		"waitedMS", time.Since(t.sent).Milliseconds(), "confirmedMS", time.Since(t.confirmed).Milliseconds(), "error", err.Error())
+}
+
+// wait waits for a time or the end of the context.
+func wait(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
