A wait that is never answered: failing tests

The store in memory learns silence: calls of which nothing is heard, and waits that are lost with their connection.

--- /dev/null
+++ b/rowstore/follow_test.go
@@ -0,0 +1,114 @@
+package rowstore
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Bounds of the users' rules at the smallest deployments: a change must be known
+// applyBound after it was made, by whoever has had contact for contactBound.
+const (
+	applyBound   = 2 * time.Second
+	contactBound = 3 * time.Second
+)
+
+// followed is what a follower has taken in.
+type followed struct {
+	mu        sync.Mutex
+	value     string
+	confirmed time.Time
+}
+
+func (f *followed) take(value string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.value = value
+}
+
+func (f *followed) confirm(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.confirmed = at
+}
+
+func (f *followed) now() (value string, confirmed time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.value, f.confirmed
+}
+
+var followedKey = Key{Table: "op", Name: "config"}
+
+// follow follows the row of followedKey.
+func follow(ctx context.Context, s Store) *followed {
+	f := &followed{}
+	follower := Follower{
+		Store: s, Table: followedKey.Table, Confirmed: f.confirm, Log: logr.Discard(),
+		ReadAll: func(ctx context.Context) (uint64, error) {
+			page, err := s.Read(ctx, Query{Table: followedKey.Table})
+			for _, row := range page.Rows {
+				f.take(string(row.Value))
+			}
+			return page.Version, err
+		},
+		Change: func(row Row) { f.take(string(row.Value)) },
+	}
+	go follower.Run(ctx)
+	return f
+}
+
+// silent says nothing to any call.
+func silent(Call) Fault { return FaultSilent }
+
+// The store is silent for a while, several times in a run of minutes, and the value
+// changes each second. Calls that wait as the silence begins never get an answer.
+// Once the store has answered new calls again for contactBound, what is known is
+// never older than applyBound. The time of this test is virtual.
+func TestFollowerAfterSilence(t *testing.T) {
+	for _, length := range []time.Duration{50 * time.Millisecond, 6 * time.Second} {
+		t.Run(length.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { followThroughSilence(t, length) })
+		})
+	}
+}
+
+func followThroughSilence(t *testing.T, length time.Duration) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	m := NewMemory()
+	f := follow(ctx, m)
+	const rounds, seconds = 5, 30
+	for round := range rounds {
+		m.LoseWaiting()
+		m.SetFault(silent)
+		time.Sleep(length)
+		m.SetFault(nil)
+		calm := time.Now()
+		for second := range seconds {
+			change(t, m, fmt.Sprintf("%d.%d", round, second))
+			time.Sleep(time.Second)
+			_, confirmed := f.now()
+			if age := time.Since(confirmed); time.Since(calm) >= contactBound+applyBound && age > applyBound {
+				t.Fatalf("round %d, %v after the silence: what is known is %v old", round, time.Since(calm), age)
+			}
+		}
+		time.Sleep(applyBound)
+		if got, _ := f.now(); got != fmt.Sprintf("%d.%d", round, seconds-1) {
+			t.Fatalf("round %d: %q is known", round, got)
+		}
+	}
+}
+
+// change writes the value that is followed.
+func change(t *testing.T, m *Memory, value string) {
+	t.Helper()
+	if _, err := m.Transact(t.Context(), Transaction{Puts: []Put{{Key: followedKey, Value: []byte(value)}}}); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/rowstore/memory.go
+++ b/rowstore/memory.go
@@ -17,7 +17,9 @@
 	// forgotten is the newest version whose changes are no longer kept.
 	forgotten uint64
 	changed   chan struct{}
-	fault     func(call Call) Fault
+	// lost is closed once the calls that wait for changes are to get no answer.
+	lost  chan struct{}
+	fault func(call Call) Fault
 }
 
 // Call names a kind of call.
@@ -41,13 +43,16 @@
 	FaultRefuse
 	// FaultLoseAnswer: the call takes effect, its answer is lost.
 	FaultLoseAnswer
-	// FaultLoseCall: the call has no effect and gets no answer.
+	// FaultLoseCall: the call has no effect and its connection breaks.
 	FaultLoseCall
+	// FaultSilent: the call has no effect, and nothing is heard of it: its maker
+	// waits as long as its patience lasts.
+	FaultSilent
 )
 
 // NewMemory returns an empty store.
 func NewMemory() *Memory {
-	return &Memory{rows: map[Key]Row{}, changed: make(chan struct{})}
+	return &Memory{rows: map[Key]Row{}, changed: make(chan struct{}), lost: make(chan struct{})}
 }
 
 // SetFault sets the function that decides over each later call; nil serves all.
@@ -57,6 +62,15 @@
 	m.fault = f
 }
 
+// LoseWaiting loses the answers of the calls that wait for changes now, as when
+// their connections are cut without a word: nothing is heard of them any more.
+func (m *Memory) LoseWaiting() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	close(m.lost)
+	m.lost = make(chan struct{})
+}
+
 // Forget drops the history of changes.
 func (m *Memory) Forget() {
 	m.mu.Lock()
@@ -65,7 +79,19 @@
 	m.history = nil
 }
 
+// begin says what happens to a call. It returns once the caller's patience is over
+// if nothing is to be heard of the call.
+func (m *Memory) begin(ctx context.Context, c Call) Fault {
+	fault := m.faultOf(c)
+	if fault == FaultSilent {
+		<-ctx.Done()
+	}
+	return fault
+}
+
 func (m *Memory) faultOf(c Call) Fault {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.fault == nil {
 		return FaultNone
 	}
@@ -73,14 +99,14 @@
 }
 
 // Transact implements Store.Transact.
-func (m *Memory) Transact(_ context.Context, t Transaction) (Outcome, error) {
+func (m *Memory) Transact(ctx context.Context, t Transaction) (Outcome, error) {
+	fault := m.begin(ctx, CallTransact)
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	fault := m.faultOf(CallTransact)
 	switch fault {
 	case FaultRefuse:
 		return Outcome{}, ErrNotDone
-	case FaultLoseCall:
+	case FaultLoseCall, FaultSilent:
 		return Outcome{}, ErrUncertain
 	}
 	out, err := m.apply(t)
@@ -122,12 +148,12 @@
 }
 
 // Read implements Store.Read.
-func (m *Memory) Read(_ context.Context, q Query) (Page, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if f := m.faultOf(CallRead); f != FaultNone {
+func (m *Memory) Read(ctx context.Context, q Query) (Page, error) {
+	if m.begin(ctx, CallRead) != FaultNone {
 		return Page{}, ErrNotDone
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	page := Page{Version: m.version}
 	for k, row := range m.rows {
 		if k.Table == q.Table && k.Part == q.Part && k.Name >= q.From && (q.Until == "" || k.Name < q.Until) {
@@ -146,12 +172,19 @@
 func (m *Memory) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	lost := m.waiting()
 	for {
+		if m.begin(ctx, CallChanges) != FaultNone {
+			return Page{}, ErrNotDone
+		}
 		page, changed, err := m.changesNow(table, after)
 		if err != nil || len(page.Rows) > 0 {
 			return page, err
 		}
 		select {
+		case <-lost:
+			<-ctx.Done()
+			return Page{}, ErrNotDone
 		case <-changed:
 		case <-timer.C:
 			return page, nil
@@ -161,12 +194,17 @@
 	}
 }
 
+// waiting returns a channel that is closed once a call that begins now is to get no
+// answer.
+func (m *Memory) waiting() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.lost
+}
+
 func (m *Memory) changesNow(table string, after uint64) (Page, chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if f := m.faultOf(CallChanges); f != FaultNone {
-		return Page{}, nil, ErrNotDone
-	}
 	if after < m.forgotten {
 		return Page{}, nil, ErrHistoryGone
 	}
