A call that waits for changes is given up after a second

A call whose connection died without a word looked the same as 'nothing has changed', so the box stayed deaf for up to 22 s, long after it was in touch again. Class: waiting without a heartbeat.

Ruled out: late retries (pauses were under 0.2 s), a slow box (404 within 8 ms), the store (other calls of the same box were answered).

Mend, for all tables that are followed and for both ways: the store holds a call for 0.5 s, an unanswered one is given up after 1 s; the pause after a failure is 0.2 s at most.

--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -8,22 +8,28 @@
 	"github.com/go-logr/logr"
 )
 
-// Times of a follower.
+// Times of a follower. What it knows must be at most 2 s old, and must be so again 3 s
+// after trouble on its ways to the store has ended: the users' bounds at the smallest
+// deployments. By then one call that hangs directly and one that hangs through a peer
+// have been given up, one after the other, and the pauses between them are over.
 const (
 	// readTimeout is the time for reading a table anew.
 	readTimeout = 700 * time.Millisecond
+	// feedWait is how long the store holds a call for changes back. It bounds the
+	// age of what is known in calm, at two calls a second for each table.
+	feedWait = 500 * time.Millisecond
+	// feedMargin is the time for the way there and back. A store that is slow takes
+	// a quarter of a second.
+	feedMargin = 500 * time.Millisecond
 	// followPause is the time between a call that failed and the next; it doubles
 	// with each failure in a row, up to mostFollowPause.
 	followPause     = 100 * time.Millisecond
-	mostFollowPause = time.Second
-	// feedWait is how long the store holds a call for changes back.
-	feedWait = 20 * time.Second
-	// feedMargin is the time for the way there and back.
-	feedMargin = 2 * time.Second
+	mostFollowPause = 200 * time.Millisecond
 )
 
 // Follower keeps up with a table: it reads the table anew, then waits for its
-// changes. A forgotten history makes it read anew.
+// changes. A forgotten history makes it read anew. A wait without changes is answered
+// too: a call that is not is given up, since its connection may be dead.
 type Follower struct {
 	Store Store
 	Table string
@@ -49,6 +55,8 @@
 		case errors.Is(err, ErrHistoryGone):
 			f.Log.Info("History is gone; reading anew.", "table", f.Table, "version", t.version)
 			t.fresh = false
+			// A store that forgets may do so again at once.
+			wait(ctx, followPause)
 		default:
 			t.lose(err)
 			wait(ctx, pause)
