A direct read of the store leaves half of its time for peers

A direct read now has half of the time, 0.5 s at most (a slow store answers in 0.25 s); a call through a peer without a deadline is bounded by 2 s, not 31 s.

--- a/peer/follow_test.go
+++ b/peer/silence_test.go
@@ -79,3 +79,33 @@
 		}
 	})
 }
+
+// inProcess calls another process's server without a connection.
+type inProcess struct {
+	peerpb.PeerClient
+	server *Server
+}
+
+func (p inProcess) Store(ctx context.Context, c *peerpb.StoreCall, _ ...grpc.CallOption) (*peerpb.StoreAnswer, error) {
+	return p.server.Store(ctx, c)
+}
+
+// Nothing is heard of calls on the direct way: a read goes through a peer within the
+// time that its caller has. The time of this test is virtual.
+func TestReadBesideSilentDirectWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+		defer cancel()
+		silent, store := rowstore.NewMemory(), rowstore.NewMemory()
+		silent.SetFault(func(rowstore.Call) rowstore.Fault { return rowstore.FaultSilent })
+		key := rowstore.Key{Table: "t", Part: "p", Name: "k"}
+		if _, err := store.Transact(ctx, rowstore.Transaction{Puts: []rowstore.Put{{Key: key, Value: []byte("v")}}}); err != nil {
+			t.Fatal(err)
+		}
+		s := NewRelayedStore(silent, somePeers{client: inProcess{server: &Server{Direct: store}}}, observe.NewMetrics(), logr.Discard())
+		row, ok, err := rowstore.ReadOne(ctx, s, key)
+		if err != nil || !ok || string(row.Value) != "v" {
+			t.Fatalf("read %q, %v, %v", row.Value, ok, err)
+		}
+	})
+}
--- a/peer/store.go
+++ b/peer/store.go
@@ -107,6 +107,11 @@
 	relayMargin = 50 * time.Millisecond
 	// relayPeers is how many peers are asked at most.
 	relayPeers = 2
+	// mostDirectRead is the longest time for a direct read; a store that is slow
+	// answers in a quarter of a second.
+	mostDirectRead = 500 * time.Millisecond
+	// mostRelay is the time for a call through a peer whose caller names no deadline.
+	mostRelay = 2 * time.Second
 	// leastRelay is the shortest time left for which a peer is asked.
 	leastRelay = 30 * time.Millisecond
 )
@@ -202,6 +207,8 @@
 // Read implements rowstore.Store.Read.
 func (r *RelayedStore) Read(ctx context.Context, q rowstore.Query) (rowstore.Page, error) {
 	return reach(ctx, r, callRead, q, func(ctx context.Context) (rowstore.Page, error) {
+		ctx, cancel := leaveTime(ctx)
+		defer cancel()
 		return r.direct.Read(ctx, q)
 	})
 }
@@ -214,6 +221,16 @@
 	})
 }
 
+// leaveTime bounds a direct read, so that of the time that its caller has at least
+// half is left for peers.
+func leaveTime(ctx context.Context) (context.Context, context.CancelFunc) {
+	bound := mostDirectRead
+	if deadline, ok := ctx.Deadline(); ok {
+		bound = min(bound, time.Until(deadline)/2)
+	}
+	return context.WithTimeout(ctx, bound)
+}
+
 // reach makes a call directly, then through peers as long as nothing was done.
 // A call that may have been done is not made again here: its maker decides.
 func reach[A any](ctx context.Context, r *RelayedStore, kind string, body any, direct func(context.Context) (A, error)) (A, error) {
@@ -277,9 +294,6 @@
 	return answer, nil
 }
 
-// mostRelay is the time for a call without a deadline.
-const mostRelay = 31 * time.Second
-
 // notSent tells an error of a call that surely did not reach the peer's handler
 // from one that may have: a broken connection is the latter.
 func notSent(err error) error {
