The soak checks that changes of the configuration come into force

Now the configuration changes each second, with a route that only the newest version has; links may fall silent (open connections carry nothing any more, new ones work); and after the faults every entry must serve the newest version's route and not the one before it. A run may have several rounds with the same processes.

--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -99,11 +99,15 @@
 	return d
 }
 
-// configure writes a version of the configuration.
+// configure writes a version of the configuration. Each has the route of all jobs and
+// one of its own.
 func (d *deployment) configure(version int) {
-	value := fmt.Sprintf(`{"version":%d,"routes":[{"name":"checks","host":%q,"pathPrefix":%q,"timeoutMs":1500,"targetLatencyMs":60,"service":%q,"attempts":%d,"stretch":1.6}],`+
-		`"services":[{"name":%q,"enforcesCapacity":true}],"limits":{"maxBodyBytes":262144}}`,
-		version, platformHost, platformPrefix, platformService, platformAttempts, platformService)
+	route := func(name, prefix string) string {
+		return fmt.Sprintf(`{"name":%q,"host":%q,"pathPrefix":%q,"timeoutMs":1500,"targetLatencyMs":60,"service":%q,"attempts":%d,"stretch":1.6}`,
+			name, platformHost, prefix, platformService, platformAttempts)
+	}
+	value := fmt.Sprintf(`{"version":%d,"routes":[%s,%s],"services":[{"name":%q,"enforcesCapacity":true}],"limits":{"maxBodyBytes":262144}}`,
+		version, route("checks", platformPrefix), route("own", versionPrefix(version)), platformService)
 	put := rowstore.Transaction{Puts: []rowstore.Put{{Key: rowstore.Key{Table: "op", Name: "config"}, Value: []byte(value)}}}
 	written := holdsWithin(patience, func() bool {
 		_, err := d.store.Transact(context.Background(), put)
@@ -114,6 +118,9 @@
 	}
 }
 
+// versionPrefix is the path of the route that only one version of the configuration has.
+func versionPrefix(version int) string { return fmt.Sprintf("/version-%d/", version) }
+
 // machineIP returns an address of the loopback range that no other test uses.
 func machineIP(kind, i int) string {
 	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()%128, os.Getpid()/128%250, 20*kind+i+2)
@@ -217,7 +224,12 @@
 // ask makes a client's call at an entry and returns the status and the state in
 // the answer; status 0 says that there was no answer.
 func (m *machine) ask(method, id string, body []byte) (status int, state string) {
-	req, err := http.NewRequest(method, "http://"+m.inward.address+platformPrefix+id, bytes.NewReader(body))
+	return m.askPath(method, platformPrefix+id, body)
+}
+
+// askPath makes a client's call to a path.
+func (m *machine) askPath(method, path string, body []byte) (status int, state string) {
+	req, err := http.NewRequest(method, "http://"+m.inward.address+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
--- a/test/proxy_test.go
+++ b/test/proxy_test.go
@@ -17,6 +17,8 @@
 	faults faults
 	held   chan struct{}
 	conns  map[net.Conn]struct{}
+	// served counts the connections; those up to muted carry nothing any more.
+	served, muted int
 }
 
 // faults says what the proxy does. The zero value passes everything.
@@ -84,6 +86,28 @@
 	p.held = make(chan struct{})
 }
 
+// muteAll makes the connections that are open carry nothing from now on: no side
+// hears of it. New ones work.
+func (p *proxy) muteAll() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.muted = p.served
+}
+
+// number returns the number of a new connection.
+func (p *proxy) number() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.served++
+	return p.served
+}
+
+func (p *proxy) mute(number int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return number <= p.muted
+}
+
 // breakAll ends all connections.
 func (p *proxy) breakAll() {
 	p.mu.Lock()
@@ -120,6 +144,7 @@
 		reset(client)
 		return
 	}
+	number := p.number()
 	p.track(client, true)
 	p.track(server, true)
 	defer p.track(client, false)
@@ -135,11 +160,11 @@
 	wg.Add(2)
 	go func() {
 		defer wg.Done()
-		p.up(client, server, twin)
+		p.up(client, server, twin, number)
 	}()
 	go func() {
 		defer wg.Done()
-		p.down(client, server)
+		p.down(client, server, number)
 	}()
 	wg.Wait()
 }
@@ -177,11 +202,14 @@
 }
 
 // up carries the bytes towards the server.
-func (p *proxy) up(client, server, twin net.Conn) {
+func (p *proxy) up(client, server, twin net.Conn, number int) {
 	defer closeWrite(server)
 	passed := 0
 	for x := range p.pieces(client) {
 		x.await()
+		if p.mute(number) {
+			continue
+		}
 		f := p.get()
 		if len(x.data) > 0 && !f.CutUp {
 			if _, err := server.Write(x.data); err != nil {
@@ -200,10 +228,13 @@
 }
 
 // down carries the bytes from the server.
-func (p *proxy) down(client, server net.Conn) {
+func (p *proxy) down(client, server net.Conn, number int) {
 	defer client.Close()
 	for x := range p.pieces(server) {
 		x.await()
+		if p.mute(number) {
+			continue
+		}
 		f := p.get()
 		if f.ResetOnDown && len(x.data) > 0 {
 			reset(client)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -24,6 +24,7 @@
 	soakSeedVariable    = "RACKSPUR_SOAK_SEED"
 	soakSeedsVariable   = "RACKSPUR_SOAK_SEEDS"
 	soakSecondsVariable = "RACKSPUR_SOAK_SECONDS"
+	soakRoundsVariable  = "RACKSPUR_SOAK_ROUNDS"
 )
 
 // soakSeeds are played in each run: one without a known failure, and each that
@@ -31,6 +32,8 @@
 var soakSeeds = []uint64{
 	1,             // no failure known
 	1064252533387, // SIGHUP right after a start ended the process: it was not caught yet
+	1074007552760, // a silent connection to the store left an entry without changes for 22 s
+	25474278447,   // the same
 }
 
 // Times of the soak.
@@ -40,6 +43,12 @@
 	soakTries    = 12
 	soakCallers  = 24
 	soakJobPause = 15 * time.Millisecond
+	// soakChange is the time between two changes of the configuration.
+	soakChange = time.Second
+	// soakInForce is the time in which the newest configuration is in force at all
+	// entries once the faults have ended: twice the users' bound, 3 s of contact and
+	// 2 s for the change, since the test's machine may be busy.
+	soakInForce = 10 * time.Second
 )
 
 func soakNumber(name string, otherwise uint64) uint64 {
@@ -53,9 +62,11 @@
 // TestSoak runs the program's roles as processes while they are stopped, killed,
 // paused and cut off, the store misbehaves and executors crash, and checks what
 // clients and executors have seen. A seed fixes the faults; their moments differ
-// a little from run to run.
+// a little from run to run. A run may have several rounds: the faults end, what must
+// hold then is checked, and the same processes go on.
 func TestSoak(t *testing.T) {
 	length := time.Duration(soakNumber(soakSecondsVariable, 6)) * time.Second
+	rounds := int(soakNumber(soakRoundsVariable, 1))
 	seeds := soakSeeds
 	if seed := soakNumber(soakSeedVariable, 0); seed != 0 {
 		seeds = []uint64{seed}
@@ -64,7 +75,7 @@
 		seeds = append(seeds, rand.Uint64N(1<<40))
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, seed, length) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, seed, length, rounds) })
 	}
 }
 
@@ -84,19 +95,20 @@
 // soakRun is one run of the soak.
 type soakRun struct {
 	*deployment
-	random  *rand.Rand
-	mu      sync.Mutex
-	jobs    []*soakJob
-	faults  sync.WaitGroup
-	version atomic.Int64
-	log     []string
-	began   time.Time
+	random *rand.Rand
+	mu     sync.Mutex
+	jobs   []*soakJob
+	faults sync.WaitGroup
+	// version is the newest configuration; versionMu is held while it is written.
+	versionMu sync.Mutex
+	version   int
+	log       []string
+	began     time.Time
 }
 
-func soak(t *testing.T, seed uint64, length time.Duration) {
+func soak(t *testing.T, seed uint64, length time.Duration, rounds int) {
 	t.Logf("seed %d; again with %s=%d", seed, soakSeedVariable, seed)
-	r := &soakRun{deployment: newDeployment(t, 3, 4), random: rand.New(rand.NewPCG(seed, seed)), began: time.Now()}
-	r.version.Store(1)
+	r := &soakRun{deployment: newDeployment(t, 3, 4), random: rand.New(rand.NewPCG(seed, seed)), began: time.Now(), version: 1}
 	t.Cleanup(func() {
 		if t.Failed() {
 			for _, line := range r.log {
@@ -104,10 +116,20 @@
 			}
 		}
 	})
+	for range rounds {
+		r.round(length)
+	}
+	r.settle()
+	r.check()
+}
+
+// round sends jobs and strikes for a time, then lets the faults end.
+func (r *soakRun) round(length time.Duration) {
+	changes := r.change()
 	var callers sync.WaitGroup
 	slots := make(chan struct{}, soakCallers)
-	for n := 0; time.Since(r.began) < length; n++ {
-		j := &soakJob{id: fmt.Sprintf("%016x", n+1), tasks: 1 + r.random.IntN(8), bestEffort: r.random.IntN(2) == 0}
+	for end := time.Now().Add(length); time.Now().Before(end); {
+		j := &soakJob{id: fmt.Sprintf("%016x", len(r.jobs)+1), tasks: 1 + r.random.IntN(8), bestEffort: r.random.IntN(2) == 0}
 		r.jobs = append(r.jobs, j)
 		first, cancel := r.random.IntN(len(r.entries)), r.random.IntN(12) == 0
 		if r.random.IntN(20) == 0 {
@@ -127,10 +149,63 @@
 	}
 	r.faults.Wait()
 	r.store.SetFault(nil)
-	callers.Wait()
 	r.checkAlive()
-	r.settle()
-	r.check()
+	r.checkInForce()
+	changes()
+	callers.Wait()
+}
+
+// change changes the configuration again and again until the function that it returns
+// is called.
+func (r *soakRun) change() (stop func()) {
+	stopped, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		ticker := time.NewTicker(soakChange)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-stopped:
+				return
+			case <-ticker.C:
+				r.newVersion()
+			}
+		}
+	}()
+	return func() {
+		close(stopped)
+		<-done
+	}
+}
+
+// newVersion writes the next version of the configuration and returns it.
+func (r *soakRun) newVersion() int {
+	r.versionMu.Lock()
+	defer r.versionMu.Unlock()
+	r.version++
+	r.configure(r.version)
+	return r.version
+}
+
+// checkInForce checks that every entry serves the newest configuration, while more of
+// them come.
+func (r *soakRun) checkInForce() {
+	limit := time.Now().Add(soakInForce)
+	for _, e := range r.entries {
+		if !holdsWithin(time.Until(limit), func() bool { return r.inForce(e) }) {
+			r.t.Errorf("%s hears of no changes %v after the faults have ended", e.name, soakInForce)
+		}
+	}
+}
+
+// inForce says whether an entry serves the route of the newest version, and none of
+// the version before.
+func (r *soakRun) inForce(e *machine) bool {
+	r.versionMu.Lock()
+	defer r.versionMu.Unlock()
+	newest, _ := e.askPath(http.MethodGet, versionPrefix(r.version), nil)
+	before, _ := e.askPath(http.MethodGet, versionPrefix(r.version-1), nil)
+	return newest == http.StatusOK && before == http.StatusNotFound
 }
 
 func pause(d time.Duration) {
@@ -180,7 +255,7 @@
 	m := machines[r.random.IntN(len(machines))]
 	agent := r.agents[r.random.IntN(len(r.agents))]
 	lasts := time.Duration(100+r.random.IntN(2000)) * time.Millisecond
-	kind, variant := r.random.IntN(9), r.random.IntN(5)
+	kind, variant := r.random.IntN(9), r.random.IntN(6)
 	r.faults.Add(1)
 	go func() {
 		defer r.faults.Done()
@@ -218,8 +293,7 @@
 		r.note("crash of the executor of %s", agent.name)
 		r.newLife(agent)
 	case 6:
-		r.note("version %d of the configuration", r.version.Add(1))
-		r.configure(int(r.version.Load()))
+		r.note("version %d of the configuration", r.newVersion())
 	default:
 		r.linkFault(variant, m, lasts)
 	}
@@ -272,6 +346,11 @@
 	if p == nil {
 		name, p = "store", m.store
 	}
+	if variant == 5 {
+		r.note("%s connections of %s are silent", name, m.name)
+		p.muteAll()
+		return
+	}
 	all := [...]faults{{Delay: 40 * time.Millisecond}, {CutUp: true}, {CutDown: true}, {Refuse: true}, {}}
 	r.note("%s link of %s: %+v for %v", name, m.name, all[variant], lasts)
 	p.set(all[variant])
