--- a/config/store.go
+++ b/config/store.go
@@ -9,6 +9,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"rackspur/internal/wait"
 	"rackspur/store"
 	"rackspur/wire"
 )
@@ -114,14 +115,7 @@
 		if try == resolveTries || ctx.Err() != nil {
 			return nil, eris.Wrapf(ErrUnavailable, "change %s may or may not be accepted: %v", next.ChangeID, cause)
 		}
-		pause(ctx, time.Duration(try+1)*100*time.Millisecond)
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
+		wait.For(ctx, time.Duration(try+1)*100*time.Millisecond)
 	}
 }
 
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/status"
 
 	"rackspur/id"
+	"rackspur/internal/wait"
 	"rackspur/wire"
 )
 
@@ -65,7 +66,7 @@
 			return nil, unreachable(err)
 		}
 		conn.ResetConnectBackoff()
-		sleep(ctx, retryPause)
+		wait.For(ctx, retryPause)
 	}
 }
 
@@ -92,13 +93,6 @@
 	return errUnreachable
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // forward brings a submission to its home and returns what callers are told.
 func (e *Entry) forward(ctx context.Context, v id.ID, r *wire.SubmitRequest) *wire.SubmitReply {
 	wait := time.Duration(r.GetDeadlineMs())*time.Millisecond + homeMargin
--- a/member/life.go
+++ b/member/life.go
@@ -6,6 +6,7 @@
 	"errors"
 	"time"
 
+	"rackspur/internal/wait"
 	"rackspur/rowstore"
 )
 
@@ -98,7 +99,7 @@
 			// An earlier try took effect: names of lives are not used twice.
 			return rowstore.Condition{Key: key, Version: out.Current[0].Version}, nil
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 	return rowstore.Condition{}, ctx.Err()
 }
--- a/member/member.go
+++ b/member/member.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
+	"rackspur/internal/wait"
 	"rackspur/rowstore"
 )
 
@@ -63,7 +64,7 @@
 			log.Info("Registered.", "node", d.Node, "incarnation", d.Incarnation)
 			return
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 }
 
@@ -133,12 +134,3 @@
 	defer cancel()
 	return f(callCtx)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/member/watch.go
+++ b/member/watch.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"rackspur/internal/wait"
 	"rackspur/rowstore"
 )
 
@@ -146,7 +147,7 @@
 		if err == nil {
 			return nil
 		}
-		sleep(ctx, pause)
+		wait.For(ctx, pause)
 	}
 	return ctx.Err()
 }
--- a/node/ask.go
+++ b/node/ask.go
@@ -245,12 +245,3 @@
 	}
 	return clients
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -12,6 +12,7 @@
 
 	"rackspur/gate"
 	"rackspur/internal/standin"
+	"rackspur/internal/wait"
 	"rackspur/job"
 	"rackspur/observe"
 	"rackspur/owner"
@@ -113,7 +114,7 @@
 func (c *cluster) beat(ctx context.Context, a *Agent, e *standin.Executor) {
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
 		a.Driver().Heartbeat(gate.Heartbeat{Life: e.Life, Service: testService, Capacity: e.Capacity, Sequence: sequence})
-		sleep(ctx, 300*time.Millisecond)
+		wait.For(ctx, 300*time.Millisecond)
 	}
 }
 
@@ -159,7 +160,7 @@
 		if time.Now().After(deadline) {
 			c.t.Fatalf("waited in vain: %s", what)
 		}
-		sleep(context.Background(), 5*time.Millisecond)
+		wait.For(context.Background(), 5*time.Millisecond)
 	}
 }
 
--- a/node/random_test.go
+++ b/node/random_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -10,6 +11,7 @@
 	"time"
 
 	"rackspur/gate"
+	"rackspur/internal/wait"
 	"rackspur/job"
 	"rackspur/owner"
 	"rackspur/rowstore"
@@ -81,7 +83,7 @@
 		if random.IntN(12) == 0 {
 			c.fault(random)
 		}
-		sleepFor(time.Duration(10+random.IntN(30)) * time.Millisecond)
+		wait.For(context.Background(), time.Duration(10+random.IntN(30))*time.Millisecond)
 	}
 	c.store.SetFault(nil)
 	for _, e := range c.executors {
@@ -106,7 +108,7 @@
 			l.mu.Unlock()
 			return
 		}
-		sleepFor(100 * time.Millisecond)
+		wait.For(context.Background(), 100*time.Millisecond)
 	}
 }
 
@@ -144,12 +146,6 @@
 	}
 }
 
-func sleepFor(d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	<-t.C
-}
-
 // check waits until every accepted job has ended and checks what was seen.
 func (l *ledger) check(t *testing.T, c *cluster) {
 	t.Helper()
--- a/node/recall.go
+++ b/node/recall.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"rackspur/gate"
+	"rackspur/internal/wait"
 	"rackspur/rowstore"
 )
 
@@ -82,7 +83,7 @@
 			return
 		}
 		s.log.V(1).Info("Executor's description not kept yet.", "error", err.Error())
-		sleep(ctx, recallPause)
+		wait.For(ctx, recallPause)
 		if len(s.driver.Described()) > 0 {
 			return
 		}
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 
+	"rackspur/internal/wait"
 	"rackspur/job"
 	"rackspur/member"
 	"rackspur/owner"
@@ -19,7 +20,7 @@
 				t.takeOver(o)
 			}
 		}
-		sleep(t.ctx, pollPause)
+		wait.For(t.ctx, pollPause)
 	}
 }
 
@@ -74,7 +75,7 @@
 			}
 			return true
 		}
-		sleep(t.ctx, tickPause)
+		wait.For(t.ctx, tickPause)
 	}
 	return false
 }
@@ -103,7 +104,7 @@
 		rows, _, err := rowstore.ReadAll(ctx, t.entry.store, rowstore.Query{Table: owner.TableJobs, Part: owner.PartName(part)})
 		cancel()
 		if err != nil {
-			sleep(t.ctx, 5*tickPause)
+			wait.For(t.ctx, 5*tickPause)
 			continue
 		}
 		var found []owner.Adopted
@@ -172,7 +173,7 @@
 			t.judgeForeign(ctx, id)
 			cancel()
 		}
-		sleep(t.ctx, pollPause)
+		wait.For(t.ctx, pollPause)
 	}
 }
 
--- a/node/term.go
+++ b/node/term.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"rackspur/internal/wait"
 	"rackspur/member"
 	"rackspur/owner"
 	"rackspur/peer"
@@ -145,7 +146,7 @@
 // renew renews the lease until the life ends.
 func (t *term) renew() {
 	for {
-		sleep(t.ctx, member.RenewPause)
+		wait.For(t.ctx, member.RenewPause)
 		if t.ctx.Err() != nil {
 			return
 		}
--- a/peer/links.go
+++ b/peer/links.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/metadata"
 
 	"rackspur/gate"
+	"rackspur/internal/wait"
 	"rackspur/member"
 	"rackspur/observe"
 	"rackspur/peer/peerpb"
@@ -135,7 +136,7 @@
 	backoff := leastBackoff
 	for try := 0; ctx.Err() == nil; try++ {
 		if !l.owner.Alive() {
-			sleep(ctx, leastBackoff)
+			wait.For(ctx, leastBackoff)
 			continue
 		}
 		linkCtx, cancel, d := l.begin(ctx, g)
@@ -175,10 +176,6 @@
 	return false
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	await(ctx, nil, d)
-}
-
 // link keeps one link until it fails; worked says whether it has brought a frame.
 func (l *Links) link(ctx context.Context, d member.Daemon, relay string) (worked bool) {
 	address := d.Address
--- a/rowstore/committer.go
+++ b/rowstore/committer.go
@@ -6,6 +6,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"rackspur/internal/wait"
 )
 
 // Bounds of one transaction of the committer: below the store's own limits.
@@ -122,7 +124,7 @@
 				return
 			case <-c.wake:
 			}
-			wait(ctx, c.delay)
+			wait.For(ctx, c.delay)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -177,7 +179,7 @@
 		for _, w := range batch {
 			w.tries++
 		}
-		wait(ctx, retryPause)
+		wait.For(ctx, retryPause)
 		c.requeue(batch)
 	default:
 		c.turnedAway(ctx, batch)
@@ -222,7 +224,7 @@
 		w.Done(Outcome{}, ErrNotDone)
 	}
 	if len(again) > 0 {
-		wait(ctx, retryPause)
+		wait.For(ctx, retryPause)
 		c.requeue(again)
 	}
 }
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"rackspur/internal/wait"
 )
 
 // Times of a follower. What it knows must be at most 2 s old, and must be so again 3 s
@@ -56,10 +58,10 @@
 			f.Log.Info("History is gone; reading anew.", "table", f.Table, "version", t.version)
 			t.fresh = false
 			// A store that forgets may do so again at once.
-			wait(ctx, followPause)
+			wait.For(ctx, followPause)
 		default:
 			t.lose(err)
-			wait(ctx, pause)
+			wait.For(ctx, pause)
 			pause = min(2*pause, mostFollowPause)
 		}
 	}
@@ -138,16 +140,3 @@
 	t.Log.Info("Lost track of a table.", "table", t.Table, "version", t.version,
 		"waitedMS", time.Since(t.sent).Milliseconds(), "confirmedMS", time.Since(t.confirmed).Milliseconds(), "error", err.Error())
 }
-
-// wait waits for a time or the end of the context.
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
