--- a/test/kinddays/long.go
+++ b/test/kinddays/long.go
@@ -33,6 +33,9 @@
 	}
 	for range leastEntries + r.IntN(mostEntries-leastEntries+1) {
 		k := kinds[r.IntN(len(kinds))]
+		if k.healthOnly {
+			continue
+		}
 		out := &faults
 		if k.planned {
 			out = &planned
