--- a/test/kinddays/long.go
+++ b/test/kinddays/long.go
@@ -17,6 +17,13 @@
 	mostLasts    = 9
 )
 
+// removed is the variant in which machines leave for good. By default all do, and
+// nobody is left to serve.
+const (
+	removed      = "remove"
+	removedShare = 0.3
+)
+
 // Numbers of entries of a long day.
 const (
 	leastEntries = 7
@@ -54,5 +61,8 @@
 	if how != "" {
 		line += fmt.Sprintf(", how = %q", how)
 	}
+	if how == removed {
+		line += fmt.Sprintf(", share = %.1f", removedShare)
+	}
 	return line + " },\n"
 }
