A question for a job's state waits for an end that is being written

Cause of the loss: callers ask for the state as the last task ends; the answer waited 40 ms for the end, which at p90 is known 10 ms and durable 32 ms later; then it said 'running' and the caller asked again only much later.

Now the answer waits 40 ms for any job, and 0.5 s (or the caller's deadline) once the end is known and being written.

Best-effort jobs have no such question.

--- a/node/ask.go
+++ b/node/ask.go
@@ -27,14 +27,21 @@
 	ErrUnsure = eris.New("node: state of the job can't be told now")
 )
 
-// endPatience is how long a question for a state waits for the end of a job.
-const endPatience = 40 * time.Millisecond
+// Times that a question for a state waits for the end of a job. Callers ask as the last
+// task ends and ask again only much later.
+const (
+	// endPatience holds for any job: it takes about 10 ms until an end is known here.
+	endPatience = 40 * time.Millisecond
+	// finalPatience holds once the end is known and being written, which takes 20 ms,
+	// and 0.5 s if the store is slow.
+	finalPatience = 500 * time.Millisecond
+)
 
 // JobState returns the state of a job, whoever owns it.
 func (e *Entry) JobState(ctx context.Context, id job.ID) (job.State, error) {
 	if t := e.current.Load(); t != nil {
-		waitCtx, cancel := context.WithTimeout(ctx, endPatience)
-		state, ok := t.owner.AwaitEnd(waitCtx, id)
+		waitCtx, cancel := context.WithTimeout(ctx, finalPatience)
+		state, ok := t.owner.AwaitEnd(waitCtx, id, endPatience)
 		cancel()
 		if ok {
 			return state, nil
--- a/owner/ask.go
+++ b/owner/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"rackspur/job"
 )
@@ -25,23 +26,51 @@
 	return j.state(), true
 }
 
-// AwaitEnd returns the state of a job as State does, and waits for its end as
-// long as the context allows if its last tasks are about to be.
-func (o *Owner) AwaitEnd(ctx context.Context, id job.ID) (job.State, bool) {
+// AwaitEnd returns the state of a job as State does, and waits for the job's end:
+// patience long for any job, and as long as the context allows once its end is
+// being written.
+func (o *Owner) AwaitEnd(ctx context.Context, id job.ID, patience time.Duration) (job.State, bool) {
+	ended, ok := o.endOf(id)
+	if !ok {
+		return o.State(id)
+	}
+	timer := time.NewTimer(patience)
+	defer timer.Stop()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	case <-timer.C:
+		if !o.ending(id) {
+			break
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+		}
+	}
+	return o.State(id)
+}
+
+// endOf returns a channel that is closed at the end of a job; ok is false if the
+// job has ended or is not known.
+func (o *Owner) endOf(id job.ID) (ended <-chan struct{}, ok bool) {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	j := o.jobs[id]
 	if j == nil || j.phase == jobInserting {
-		defer o.mu.Unlock()
-		return o.stateOf(id)
+		return nil, false
 	}
 	wait := make(chan struct{})
 	j.waiters = append(j.waiters, wait)
-	o.mu.Unlock()
-	select {
-	case <-wait:
-	case <-ctx.Done():
-	}
-	return o.State(id)
+	return wait, true
+}
+
+// ending says whether the end of a job is being written.
+func (o *Owner) ending(id job.ID) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	j := o.jobs[id]
+	return j != nil && j.phase == jobEnding
 }
 
 // Cancel cancels a job and calls done with whether its end is durable; known is
