--- a/cli/platform.go
+++ b/cli/platform.go
@@ -112,9 +112,13 @@
 }
 
 func platformOptions(s *platform.Settings, log logr.Logger) node.Options {
+	parts, told := s.Parts()
+	if !told {
+		log.Info("The settings tell no rates of the store; jobs stand in one part.", "node", s.Node)
+	}
 	return node.Options{
 		Node: s.Node, Zone: s.Zone, Listen: s.InternalAddress(), Seeds: s.SeedAddresses(),
-		Parts: s.Parts(), MaxHold: s.MaxHold(), KeepFinished: s.KeepFinished(),
+		Parts: parts, MaxHold: s.MaxHold(), KeepFinished: s.KeepFinished(),
 		Store: platform.NewStore(s), Metrics: observe.NewMetrics(), Log: log.WithValues("node", s.Node),
 	}
 }
