The ways to the store and the soak in files of one job each

peer/store.go held the calls on the wire, the relay and the record of the direct way; the soak its run, faults and checks. Moved, nothing changed; the direct way is a type of its own.

--- /dev/null
+++ b/test/soak_check_test.go
@@ -0,0 +1,150 @@
+package test
+
+import (
+	"net/http"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/internal/standin"
+	"rackspur/job"
+)
+
+// checkInForce checks that every entry serves the newest configuration, while more of
+// them come.
+func (r *soakRun) checkInForce() {
+	limit := time.Now().Add(soakInForce)
+	for _, e := range r.entries {
+		if !holdsWithin(time.Until(limit), func() bool { return r.inForce(e) }) {
+			r.t.Errorf("%s hears of no changes %v after the faults have ended", e.name, soakInForce)
+		}
+	}
+}
+
+// inForce says whether an entry serves the route of the newest version, and none of
+// the version before.
+func (r *soakRun) inForce(e *machine) bool {
+	r.versionMu.Lock()
+	defer r.versionMu.Unlock()
+	newest, _ := e.askPath(http.MethodGet, versionPrefix(r.version), nil)
+	before, _ := e.askPath(http.MethodGet, versionPrefix(r.version-1), nil)
+	return newest == http.StatusOK && before == http.StatusNotFound
+}
+
+// checkAlive tells of processes that have ended by themselves, and starts them
+// again as the platform does.
+func (r *soakRun) checkAlive() {
+	for _, m := range append(append([]*machine(nil), r.entries...), r.agents...) {
+		select {
+		case <-m.done:
+			r.t.Errorf("%s has ended by itself: %v", m.name, m.cmd.ProcessState)
+			m.restart()
+		default:
+		}
+	}
+}
+
+// settle waits until every kept job that was accepted has ended.
+func (r *soakRun) settle() {
+	limit := time.Now().Add(2 * patience)
+	for _, j := range r.jobs {
+		if !j.accepted || j.bestEffort {
+			continue
+		}
+		ended := holdsWithin(time.Until(limit), func() bool {
+			status, state := r.entries[0].ask(http.MethodGet, j.id, nil)
+			if status == http.StatusGone {
+				r.t.Errorf("job %s was accepted and is unknown", j.id)
+				return true
+			}
+			j.state = state
+			return status == http.StatusOK && job.State(state).Final()
+		})
+		if !ended {
+			r.t.Errorf("job %s never ended; state %q", j.id, j.state)
+		}
+	}
+}
+
+// check checks the promises by what clients and executors have seen.
+func (r *soakRun) check() {
+	byJob := map[string]map[job.TaskName][]standin.Span{}
+	for task, spans := range r.spans() {
+		id := string(task.Job)
+		if byJob[id] == nil {
+			byJob[id] = map[job.TaskName][]standin.Span{}
+		}
+		byJob[id][task] = spans
+	}
+	accepted, refused, runs := 0, 0, 0
+	for _, j := range r.jobs {
+		if j.accepted {
+			accepted++
+		}
+		if j.refused {
+			refused++
+		}
+		for task, spans := range byJob[j.id] {
+			runs += len(spans)
+			r.checkTask(j, task, spans)
+		}
+		r.checkJob(j, byJob[j.id])
+	}
+	r.t.Logf("%d jobs, %d accepted, %d refused, %d runs, %d faults", len(r.jobs), accepted, refused, runs, len(r.log))
+	if accepted == 0 {
+		r.t.Error("no job was accepted")
+	}
+}
+
+// checkTask checks the runs of one task.
+func (r *soakRun) checkTask(j *soakJob, task job.TaskName, spans []standin.Span) {
+	for i, s := range spans {
+		if !j.cancelled.IsZero() && s.Started.After(j.cancelled.Add(soakCancel)) {
+			r.t.Errorf("%v started long after its job was cancelled", task)
+		}
+		if i == 0 {
+			continue
+		}
+		before := spans[i-1]
+		if before.End == 0 || s.Started.Before(before.Ended) {
+			r.t.Errorf("two runs of %v at one time: %+v and %+v", task, before, s)
+		}
+		if !j.bestEffort && before.End == gate.EndDone && before.Noted {
+			r.t.Errorf("%v started after a noted end: %+v and %+v", task, before, s)
+		}
+	}
+}
+
+// checkJob checks what a client was told of a job.
+func (r *soakRun) checkJob(j *soakJob, tasks map[job.TaskName][]standin.Span) {
+	if j.refused && len(tasks) > 0 {
+		r.t.Errorf("job %s was refused and ran: %v", j.id, tasks)
+	}
+	done, exhausted := 0, false
+	for _, spans := range tasks {
+		failed, ended := 0, false
+		for _, s := range spans {
+			ended = ended || s.End == gate.EndDone
+			if s.End == gate.EndFailed {
+				failed++
+			}
+		}
+		if ended {
+			done++
+		}
+		exhausted = exhausted || failed >= platformAttempts
+	}
+	switch job.State(j.state) {
+	case job.StateCompleted:
+		if done != j.tasks {
+			r.t.Errorf("job %s is completed with %d of %d tasks done", j.id, done, j.tasks)
+		}
+	case job.StateFailed:
+		if !exhausted {
+			r.t.Errorf("job %s is failed and no task of it has failed %d times", j.id, platformAttempts)
+		}
+	case job.StateCancelled:
+		if j.cancelled.IsZero() {
+			r.t.Logf("job %s is cancelled; no cancel was answered with success", j.id)
+		}
+	}
+}
