--- a/test/platform_test.go
+++ b/test/platform_test.go
@@ -320,3 +320,36 @@
 		t.Errorf("after a file that can't be used: %d", status)
 	}
 }
+
+// TestEntryStartsInOutage starts an entry while the store turns everybody away: it takes
+// no connections and says that it does not know the routes yet, not that there are none;
+// when the store is back it serves, though nothing tells it so.
+func TestEntryStartsInOutage(t *testing.T) {
+	d := newDeployment(t, 2, 2)
+	e := d.entries[0]
+	ready := func() bool { return answers("http://" + e.ip + ":" + platformReadinessPort + "/v1/ready") }
+	for i, entry := range d.entries {
+		waitFor(t, "a job is served", func() bool {
+			status, _ := entry.ask(http.MethodPost, fmt.Sprintf("%015xb", i), platformJob(2, true))
+			return status == http.StatusOK
+		})
+	}
+	d.store.SetFault(func(rowstore.Call) rowstore.Fault { return rowstore.FaultRefuse })
+	e.kill()
+	e.restart()
+	waitFor(t, "the entry refuses a job", func() bool {
+		status, _ := e.ask(http.MethodPost, "00000000000000ab", platformJob(2, true))
+		return status == http.StatusServiceUnavailable
+	})
+	if ready() {
+		t.Error("an entry without a configuration says that it is ready")
+	}
+	if status, _ := d.entries[1].ask(http.MethodPost, "00000000000000ac", platformJob(2, true)); status != http.StatusOK {
+		t.Errorf("a best-effort job at an entry that has its configuration: %d", status)
+	}
+	d.store.SetFault(nil)
+	waitFor(t, "the entry is ready", ready)
+	if status, _ := e.ask(http.MethodPost, "00000000000000ad", platformJob(2, true)); status != http.StatusOK {
+		t.Errorf("a job after the outage: %d", status)
+	}
+}
