A follower goes on from the last change that it was given

A page of the feed with more behind it names the newest version of the store; going on from that passes the rest over until the next change. PROTOCOL gives the limit of 500 rows or 1 MB for reads and leaves open whether the feed has it: sixteen large configurations (64 KB a row) in a deaf spell would reach it.

TestFollowerOfShortFeed fails without it.

--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -115,10 +115,20 @@
 	for _, row := range page.Rows {
 		t.Change(row)
 	}
-	t.version = max(t.version, page.Version)
+	t.version = max(t.version, next(page))
 	return nil
 }
 
+// next returns the version that a follower goes on from. The store may give only the
+// first of many changes at once: the newest version tells how far it has come only if
+// there were none.
+func next(p Page) uint64 {
+	if len(p.Rows) == 0 {
+		return p.Version
+	}
+	return p.Rows[len(p.Rows)-1].Version
+}
+
 // confirm notes an answer.
 func (t *track) confirm() {
 	if t.lost {
--- a/rowstore/follow_test.go
+++ b/rowstore/follow_test.go
@@ -112,3 +112,38 @@
 		t.Fatal(err)
 	}
 }
+
+// shortFeed gives few changed rows at once, and names the newest version all the same.
+type shortFeed struct{ *Memory }
+
+func (s shortFeed) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (Page, error) {
+	page, err := s.Memory.Changes(ctx, table, after, wait)
+	const most = 2
+	if len(page.Rows) > most {
+		page.Rows, page.More = page.Rows[:most], true
+	}
+	return page, err
+}
+
+// Changes beyond what the store gives at once are not passed over. Time is virtual.
+func TestFollowerOfShortFeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		m := NewMemory()
+		f := follow(ctx, shortFeed{m})
+		time.Sleep(time.Second)
+		// The follower is held up while five changes are made.
+		m.SetFault(silent)
+		m.LoseWaiting()
+		time.Sleep(time.Millisecond)
+		m.SetFault(nil)
+		for i := range 5 {
+			change(t, m, fmt.Sprint(i))
+		}
+		time.Sleep(contactBound + applyBound)
+		if got, _ := f.now(); got != "4" {
+			t.Errorf("%q is known, want the newest value", got)
+		}
+	})
+}
