What a newcomer would stumble over: the follower, the relay, the question for a state

A page with more behind it no longer counts as confirmed; a peer is not asked, nor counted as failed, when there is no time left for it (the new logs told of two that were never asked). Nested selects and a second try in one function are functions of their own.

--- a/owner/ask.go
+++ b/owner/ask.go
@@ -34,21 +34,21 @@
 	if !ok {
 		return o.State(id)
 	}
-	timer := time.NewTimer(patience)
-	defer timer.Stop()
+	first, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	await(first, ended)
+	if o.ending(id) {
+		await(ctx, ended)
+	}
+	return o.State(id)
+}
+
+// await waits for an event, at most until the context ends.
+func await(ctx context.Context, event <-chan struct{}) {
 	select {
-	case <-ended:
+	case <-event:
 	case <-ctx.Done():
-	case <-timer.C:
-		if !o.ending(id) {
-			break
-		}
-		select {
-		case <-ended:
-		case <-ctx.Done():
-		}
 	}
-	return o.State(id)
 }
 
 // endOf returns a channel that is closed at the end of a job; ok is false if the
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -24,7 +24,7 @@
 
 // Times of the way through peers.
 const (
-	// relayMargin is added to the time that a peer is given for a call.
+	// relayMargin is left of a caller's time for the way back from a peer.
 	relayMargin = 50 * time.Millisecond
 	// relayPeers is how many peers are asked at most.
 	relayPeers = 2
@@ -37,6 +37,14 @@
 	leastRelay = 30 * time.Millisecond
 )
 
+// Metrics of the ways to the store: calls by way, and those that got no answer.
+const (
+	metricDirect       = "store.calls.direct"
+	metricDirectFailed = "store.calls.direct_failed"
+	metricRelayed      = "store.calls.relayed"
+	metricRelayFailed  = "store.calls.relay_failed"
+)
+
 // RelayedStore reaches the store directly, or through peers while the direct
 // way is closed. Calls keep their conditions, so it does not matter who makes them.
 type RelayedStore struct {
@@ -52,14 +60,6 @@
 	return &RelayedStore{direct: direct, way: directWay{log: log}, peers: peers, metrics: m, log: log}
 }
 
-// Metrics of the ways to the store: calls by way, and those that got no answer.
-const (
-	metricDirect       = "store.calls.direct"
-	metricDirectFailed = "store.calls.direct_failed"
-	metricRelayed      = "store.calls.relayed"
-	metricRelayFailed  = "store.calls.relay_failed"
-)
-
 // noteDirect notes the outcome of a call that was made directly at a time.
 func (r *RelayedStore) noteDirect(kind string, sent time.Time, err error) {
 	r.metrics.Count(metricDirect, 1)
@@ -140,7 +140,11 @@
 		return answer, err
 	}
 	for _, p := range r.peers.Some(relayPeers) {
-		a, peerErr := throughPeer[A](ctx, p, kind, body)
+		left := relayTime(ctx)
+		if left < leastRelay {
+			break
+		}
+		a, peerErr := throughPeer[A](ctx, p, left, kind, body)
 		r.noteRelay(kind, peerErr)
 		if !errors.Is(peerErr, rowstore.ErrNotDone) {
 			return a, peerErr
@@ -154,16 +158,17 @@
 	return answer, err
 }
 
-// throughPeer makes a call through a peer.
-func throughPeer[A any](ctx context.Context, p peerpb.PeerClient, kind string, body any) (A, error) {
-	var answer A
-	left := mostRelay
+// relayTime returns the time that a peer may take for a call.
+func relayTime(ctx context.Context) time.Duration {
 	if deadline, ok := ctx.Deadline(); ok {
-		left = time.Until(deadline) - relayMargin
-	}
-	if left < leastRelay {
-		return answer, rowstore.ErrNotDone
+		return time.Until(deadline) - relayMargin
 	}
+	return mostRelay
+}
+
+// throughPeer makes a call through a peer, which may take the time given.
+func throughPeer[A any](ctx context.Context, p peerpb.PeerClient, left time.Duration, kind string, body any) (A, error) {
+	var answer A
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return answer, rowstore.ErrInvalid
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -39,8 +39,8 @@
 	ReadAll func(ctx context.Context) (uint64, error)
 	// Change takes in a row that was written or deleted.
 	Change func(Row)
-	// Confirmed, if it is not nil, is called after each answer: everything that
-	// stood in the store when the call was sent has been taken in.
+	// Confirmed, if it is not nil, is called once everything that stood in the store
+	// when a call was sent has been taken in.
 	Confirmed func(sent time.Time)
 	Log       logr.Logger
 }
@@ -86,43 +86,49 @@
 	if !t.fresh {
 		call = t.read
 	}
-	if err := call(ctx); err != nil {
+	complete, err := call(ctx)
+	if err != nil {
 		return err
 	}
-	t.confirm()
+	if complete {
+		t.confirm()
+	}
 	return nil
 }
 
-func (t *track) read(ctx context.Context) error {
+// read reads the table anew. It is complete: nothing older is left to be read.
+func (t *track) read(ctx context.Context) (complete bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	version, err := t.ReadAll(ctx)
 	if err != nil {
-		return err
+		return false, err
 	}
 	t.version = version
 	t.fresh = true
-	return nil
+	return true, nil
 }
 
-func (t *track) poll(ctx context.Context) error {
+// poll waits for changes and takes them in. It is not complete if the store has more
+// of them.
+func (t *track) poll(ctx context.Context) (complete bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, feedWait+feedMargin)
 	defer cancel()
 	page, err := t.Store.Changes(ctx, t.Table, t.version, feedWait)
 	if err != nil {
-		return err
+		return false, err
 	}
 	for _, row := range page.Rows {
 		t.Change(row)
 	}
-	t.version = max(t.version, next(page))
-	return nil
+	t.version = max(t.version, resumeFrom(page))
+	return !page.More, nil
 }
 
-// next returns the version that a follower goes on from. The store may give only the
+// resumeFrom returns the version that a follower goes on from. The store may give only the
 // first of many changes at once: the newest version tells how far it has come only if
 // there were none.
-func next(p Page) uint64 {
+func resumeFrom(p Page) uint64 {
 	if len(p.Rows) == 0 {
 		return p.Version
 	}
