A state asked at another entry than the job's owner waits for the end too

Callers' connections then end at other entries than those that own their jobs; these asked the owner, whose answer did not wait for the end, and passed 'running' on.

Ruled out: take-over (no jobs were taken over after second 10), the store (calm from 15 s). TestStateAskedElsewhereWaits fails without it (none of 20 questions was held).

--- a/node/ask.go
+++ b/node/ask.go
@@ -39,13 +39,8 @@
 
 // JobState returns the state of a job, whoever owns it.
 func (e *Entry) JobState(ctx context.Context, id job.ID) (job.State, error) {
-	if t := e.current.Load(); t != nil {
-		waitCtx, cancel := context.WithTimeout(ctx, finalPatience)
-		state, ok := t.owner.AwaitEnd(waitCtx, id, endPatience)
-		cancel()
-		if ok {
-			return state, nil
-		}
+	if state, ok := e.State(ctx, id); ok {
+		return state, nil
 	}
 	record, err := e.readRecord(ctx, id)
 	switch {
@@ -172,7 +167,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(ctx, answerTime(q))
 	defer cancel()
 	a, err := client.Ask(ctx, q)
 	if err != nil {
@@ -181,6 +176,15 @@
 	return a, err
 }
 
+// answerTime is how long another entry daemon may take for a question: one for a state
+// waits there for an end that is about to be.
+func answerTime(q *peerpb.Question) time.Duration {
+	if q.GetKind() == peerpb.Question_STATE {
+		return finalPatience + askTimeout
+	}
+	return askTimeout
+}
+
 // askClient is a connection to another entry daemon.
 type askClient struct {
 	conn *grpc.ClientConn
--- a/node/entry.go
+++ b/node/entry.go
@@ -257,13 +257,15 @@
 	return ""
 }
 
-// State implements peer.Asked.State.
-func (e *Entry) State(id job.ID) (job.State, bool) {
+// State implements peer.Asked.State. It waits for an end that is about to be.
+func (e *Entry) State(ctx context.Context, id job.ID) (job.State, bool) {
 	t := e.current.Load()
 	if t == nil {
 		return "", false
 	}
-	return t.owner.State(id)
+	ctx, cancel := context.WithTimeout(ctx, finalPatience)
+	defer cancel()
+	return t.owner.AwaitEnd(ctx, id, endPatience)
 }
 
 // Cancel implements peer.Asked.Cancel.
--- a/peer/server.go
+++ b/peer/server.go
@@ -67,7 +67,8 @@
 // Asked answers questions of other owners.
 type Asked interface {
 	Incarnation() string
-	State(id job.ID) (job.State, bool)
+	// State returns the state of a job of this process, and may wait for its end.
+	State(ctx context.Context, id job.ID) (job.State, bool)
 	Cancel(id job.ID, done func(ok bool)) bool
 	Pending(queue string) int
 }
@@ -244,7 +245,7 @@
 	a := &peerpb.Answer{Incarnation: s.Owner.Incarnation()}
 	switch q.GetKind() {
 	case peerpb.Question_STATE:
-		state, ok := s.Owner.State(job.ID(q.GetJob()))
+		state, ok := s.Owner.State(ctx, job.ID(q.GetJob()))
 		a.Known, a.State = ok, string(state)
 	case peerpb.Question_CANCEL:
 		s.cancel(ctx, q, a)
