A direct read with little time keeps all of it

Half of the time is now kept for peers only where a read has a second or more, which are the questions of clients: these are not tried again, the short ones are, by the other way.

--- a/peer/relay.go
+++ b/peer/relay.go
@@ -28,8 +28,8 @@
 	relayMargin = 50 * time.Millisecond
 	// relayPeers is how many peers are asked at most.
 	relayPeers = 2
-	// mostDirectRead is the longest time for a direct read; a store that is slow
-	// answers in a quarter of a second.
+	// mostDirectRead is the longest time for a direct read if as much is left for
+	// peers; a store that is slow answers in a quarter of a second.
 	mostDirectRead = 500 * time.Millisecond
 	// mostRelay is the time for a call through a peer whose caller names no deadline.
 	mostRelay = 2 * time.Second
@@ -114,14 +114,15 @@
 	})
 }
 
-// leaveTime bounds a direct read, so that of the time that its caller has at least
-// half is left for peers.
+// leaveTime bounds a direct read of a caller that has time for a second way. Those that
+// have less try again by themselves, and a read that is broken off early may be the one
+// that a store which comes back would have answered.
 func leaveTime(ctx context.Context) (context.Context, context.CancelFunc) {
-	bound := mostDirectRead
-	if deadline, ok := ctx.Deadline(); ok {
-		bound = min(bound, time.Until(deadline)/2)
+	deadline, ok := ctx.Deadline()
+	if ok && time.Until(deadline) < 2*mostDirectRead {
+		return ctx, func() {}
 	}
-	return context.WithTimeout(ctx, bound)
+	return context.WithTimeout(ctx, mostDirectRead)
 }
 
 // reach makes a call directly, then through peers as long as nothing was done.
