A test waits for the final write, not for a time

Cause: TestAwaitEndOfEndingJob slept for twice the time of the write; it now waits for the write itself. One comment of ours says entry box for entry daemon.

--- a/node/ask.go
+++ b/node/ask.go
@@ -176,7 +176,7 @@
 	return a, err
 }
 
-// answerTime is how long another entry daemon may take for a question: one for a state
+// answerTime is how long another entry box may take for a question: one for a state
 // waits there for an end that is about to be.
 func answerTime(q *peerpb.Question) time.Duration {
 	if q.GetKind() == peerpb.Question_STATE {
--- a/owner/ask_test.go
+++ b/owner/ask_test.go
@@ -32,9 +32,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				b := newBench(t)
 				id := b.runKept(test.ended)
+				durable := make(chan struct{})
 				if test.ended {
 					final := b.writer.take()
-					time.AfterFunc(test.written, func() { final[len(final)-1].Done(rowstore.Outcome{Version: 2}, nil) })
+					time.AfterFunc(test.written, func() {
+						final[len(final)-1].Done(rowstore.Outcome{Version: 2}, nil)
+						close(durable)
+					})
 				}
 				ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
 				defer cancel()
@@ -43,7 +47,9 @@
 				if !ok || state != test.want || time.Since(asked) != test.took {
 					t.Errorf("%q, %v after %v, want %q after %v", state, ok, time.Since(asked), test.want, test.took)
 				}
-				time.Sleep(2 * test.written)
+				if test.ended {
+					<-durable
+				}
 			})
 		})
 	}
