--- a/peer/relay.go
+++ b/peer/relay.go
@@ -128,14 +128,17 @@
 // reach makes a call directly, then through peers as long as nothing was done.
 // A call that may have been done is not made again here: its maker decides.
 func reach[A any](ctx context.Context, r *RelayedStore, kind string, body any, direct func(context.Context) (A, error)) (A, error) {
-	var answer A
-	err := rowstore.ErrNotDone
-	tried := false
-	if r.way.first() {
-		tried = true
+	tryDirect := func() (A, error) {
 		sent := time.Now()
-		answer, err = direct(ctx)
+		answer, err := direct(ctx)
 		r.noteDirect(kind, sent, err)
+		return answer, err
+	}
+	var answer A
+	err := rowstore.ErrNotDone
+	directFirst := r.way.first()
+	if directFirst {
+		answer, err = tryDirect()
 	}
 	if !errors.Is(err, rowstore.ErrNotDone) {
 		return answer, err
@@ -151,10 +154,8 @@
 			return a, peerErr
 		}
 	}
-	if !tried && ctx.Err() == nil {
-		sent := time.Now()
-		answer, err = direct(ctx)
-		r.noteDirect(kind, sent, err)
+	if !directFirst && ctx.Err() == nil {
+		return tryDirect()
 	}
 	return answer, err
 }
