--- a/peer/relay.go
+++ b/peer/relay.go
@@ -128,17 +128,14 @@
 // reach makes a call directly, then through peers as long as nothing was done.
 // A call that may have been done is not made again here: its maker decides.
 func reach[A any](ctx context.Context, r *RelayedStore, kind string, body any, direct func(context.Context) (A, error)) (A, error) {
-	tryDirect := func() (A, error) {
-		sent := time.Now()
-		answer, err := direct(ctx)
-		r.noteDirect(kind, sent, err)
-		return answer, err
-	}
 	var answer A
 	err := rowstore.ErrNotDone
-	directFirst := r.way.first()
-	if directFirst {
-		answer, err = tryDirect()
+	tried := false
+	if r.way.first() {
+		tried = true
+		sent := time.Now()
+		answer, err = direct(ctx)
+		r.noteDirect(kind, sent, err)
 	}
 	if !errors.Is(err, rowstore.ErrNotDone) {
 		return answer, err
@@ -154,8 +151,10 @@
 			return a, peerErr
 		}
 	}
-	if !directFirst && ctx.Err() == nil {
-		return tryDirect()
+	if !tried && ctx.Err() == nil {
+		sent := time.Now()
+		answer, err = direct(ctx)
+		r.noteDirect(kind, sent, err)
 	}
 	return answer, err
 }
