--- /dev/null
+++ b/test/kinddays/long.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+)
+
+// Times of a long day, in seconds.
+const (
+	longLength = 72
+	// longChanges is when the last change of the configuration comes.
+	longChanges = 69
+	// longTroubles is when the last trouble begins: it is over before the day is.
+	longTroubles = 62
+	leastLasts   = 2
+	mostLasts    = 9
+)
+
+// Numbers of entries of a long day.
+const (
+	leastEntries = 7
+	mostEntries  = 14
+)
+
+// longDay returns the file of a long day.
+func longDay(seed uint64) string {
+	r := rand.New(rand.NewPCG(seed, seed))
+	var planned, faults strings.Builder
+	for at := 1; at <= longChanges; at++ {
+		how := []string{"timeout", "route", "idle"}[r.IntN(3)]
+		fmt.Fprintf(&planned, "  { kind = \"config_change\", at = %d.0, how = %q },\n", at, how)
+	}
+	for range leastEntries + r.IntN(mostEntries-leastEntries+1) {
+		k := kinds[r.IntN(len(kinds))]
+		out := &faults
+		if k.planned {
+			out = &planned
+		}
+		out.WriteString(k.entry(r))
+	}
+	return dayFile(fmt.Sprintf("long-%d", seed), seed, planned.String(), faults.String())
+}
+
+// entry returns an entry of a long day: a variant at any moment, for any time.
+func (k kind) entry(r *rand.Rand) string {
+	at := 2 + r.Float64()*(longTroubles-2)
+	lasts := leastLasts + r.Float64()*(mostLasts-leastLasts)
+	how := k.variants[r.IntN(len(k.variants))]
+	line := fmt.Sprintf("  { kind = %q, at = %.2f, for_s = %.1f", k.name, at, lasts)
+	if how != "" {
+		line += fmt.Sprintf(", how = %q", how)
+	}
+	return line + " },\n"
+}
