Entry boxes link to a share of the gates

Change: rendezvous hashing gives each gate 8 owners (all below 32 gates an owner); more gates while tasks wait for room or half of the share can't be reached, all while kept jobs are taken over. A gate with fewer than 3 owners asks entry boxes for links (new call Invite). A take-over that has found no jobs asks no gate. Ruled out so far: all-to-all with fewer frames (still E x A links and connections).

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -268,6 +268,13 @@
 	return d.gate.OpenOwners()
 }
 
+// LinkedOwners returns the owners that are linked.
+func (d *Driver) LinkedOwners() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gate.LinkedOwners()
+}
+
 // Drain makes the gate take no more orders and waits until it is idle.
 func (d *Driver) Drain(ctx context.Context) {
 	d.do(func(_ Time, g *Gate) Actions {
--- a/gate/report.go
+++ b/gate/report.go
@@ -89,6 +89,17 @@
 	return n
 }
 
+// LinkedOwners returns the owners that are linked.
+func (g *Gate) LinkedOwners() []string {
+	var linked []string
+	for name, o := range g.owners {
+		if o.open {
+			linked = append(linked, name)
+		}
+	}
+	return linked
+}
+
 // Flush returns the frame to send to an owner now; ok is false if its link is
 // not the newest or the owner's life is over.
 func (g *Gate) Flush(now Time, owner string, link uint64) (f Frame, ok bool) {
--- a/node/agent.go
+++ b/node/agent.go
@@ -59,6 +59,8 @@
 	go member.Register(ctx, store, a.daemon, a.log)
 	kept := &descriptions{store: store, node: a.options.Node, driver: a.driver, log: a.log}
 	go kept.run(ctx)
+	seeker := &ownerSeeker{store: store, gate: a.driver, daemon: a.daemon, metrics: a.options.Metrics, log: a.log}
+	go seeker.run(ctx)
 	a.driver.Run(ctx)
 	return nil
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -130,7 +130,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	server := rpc.NewServer(e.options.Metrics)
 	peerpb.RegisterPeerServer(server, &peer.Server{
-		Node: e.options.Node, Owner: e, Direct: e.options.Store, Metrics: e.options.Metrics, Log: e.log,
+		Node: e.options.Node, Owner: e, Inviter: e, Direct: e.options.Store, Metrics: e.options.Metrics, Log: e.log,
 	})
 	go func() { _ = server.Serve(e.listener) }()
 	defer server.Stop()
@@ -163,20 +163,16 @@
 	e.daemons[d.Node] = d
 	e.mu.Unlock()
 	if t := e.current.Load(); t != nil {
-		t.keep(d)
-		t.owner.SetEntries(e.entries())
+		t.found(d)
 	}
 }
 
-// entries returns the number of entry daemons of the membership.
-func (e *Entry) entries() int {
-	n := 0
-	for _, d := range e.known() {
-		if d.Role == member.RoleEntry {
-			n++
-		}
+// Invited implements peer.Inviter.Invited.
+func (e *Entry) Invited(d member.Daemon) {
+	if t := e.current.Load(); t != nil {
+		t.owner.AddGate(d.Node, d.Zone)
+		t.fleet.Invited(d)
 	}
-	return n
 }
 
 // known returns the daemons of the membership.
@@ -198,9 +194,8 @@
 	t := e.newTerm(ctx, incarnation)
 	e.current.Store(t)
 	for _, d := range e.known() {
-		t.keep(d)
+		t.found(d)
 	}
-	t.owner.SetEntries(e.entries())
 	go member.Register(ctx, e.store, t.daemon, e.log)
 	t.run(ctx)
 }
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -71,7 +71,7 @@
 		if err == nil {
 			for _, d := range daemons {
 				t.entry.found(d)
-				t.keep(d)
+				t.found(d)
 			}
 			return true
 		}
--- a/node/term.go
+++ b/node/term.go
@@ -23,6 +23,7 @@
 	life   *member.Life
 	owner  *owner.Owner
 	links  *peer.Links
+	fleet  *peer.Fleet
 	// writers are there once the life stands in the store.
 	writers atomic.Pointer[[]*rowstore.Committer]
 	watcher *member.Watcher
@@ -57,6 +58,7 @@
 		Ended:     func(took time.Duration) { e.options.Metrics.Time(metricJobTime, took.Microseconds()) },
 	}, t)
 	t.links = peer.NewLinks(incarnation, t.owner, e.options.Metrics, e.log)
+	t.fleet = peer.NewFleet(daemon, t.links, t.owner, e.log)
 	return t
 }
 
@@ -92,13 +94,13 @@
 	return true
 }
 
-// keep keeps a link to a daemon if it has a gate.
-func (t *term) keep(d member.Daemon) {
-	if d.Role != member.RoleAgent {
-		return
+// found takes in a daemon of the membership.
+func (t *term) found(d member.Daemon) {
+	if d.Role == member.RoleAgent {
+		t.owner.AddGate(d.Node, d.Zone)
 	}
-	t.owner.AddGate(d.Node, d.Zone)
-	t.links.Keep(t.ctx, d)
+	t.fleet.Found(d)
+	t.owner.SetEntries(t.fleet.Entries())
 }
 
 // fenced ends the life: another daemon may have taken its jobs.
@@ -118,6 +120,7 @@
 func (t *term) run(ctx context.Context) {
 	defer t.end()
 	go t.serveKept()
+	go t.fleet.Run(t.ctx)
 	ticker := time.NewTicker(tickPause)
 	defer ticker.Stop()
 	for {
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -45,7 +45,7 @@
 // expectedWait is how long the work that waits ahead of a job takes on its part
 // of the capacity, in thousandths of a core.
 func (o *Owner) expectedWait(j *liveJob, capacity int) time.Duration {
-	return time.Duration(o.workAhead(j) / float64(capacity) * float64(o.entries) * float64(time.Second))
+	return time.Duration(o.workAhead(j) / float64(capacity) * o.sharers() * float64(time.Second))
 }
 
 // roomFor returns the capacity of the gates that a job may use and the room
--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -34,7 +34,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.adopted = append(o.adopted, lives...)
-	o.adoptionBegun = o.options.Now()
+	o.reading++
 	for _, v := range o.gates {
 		v.busy = true
 		v.adopt = append(v.adopt, lives...)
@@ -42,11 +42,16 @@
 	}
 }
 
-// Adopt takes over jobs of lives that are over.
+// Adopt takes over jobs of lives that are over, for which StartAdoption was called.
+// Without jobs no gate has to be asked: nothing depends on what it would tell.
 func (o *Owner) Adopt(lives []string, from Time, jobs []Adopted) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.options.Now()
+	o.reading--
+	if len(jobs) == 0 {
+		return
+	}
 	a := &adoption{lives: lives, from: from, asked: map[string]bool{}}
 	for _, v := range o.gates {
 		a.asked[v.name] = true
--- a/owner/busy.go
+++ b/owner/busy.go
@@ -18,7 +18,7 @@
 		return
 	}
 	o.busyReviewed = now
-	adopting := len(o.adoptions) > 0 || (o.adoptionBegun != 0 && now-o.adoptionBegun < adoptionTime)
+	adopting := len(o.adoptions) > 0 || o.reading > 0
 	for _, v := range o.gateOrder {
 		v.busy = adopting
 	}
@@ -31,9 +31,12 @@
 	}
 }
 
-// Times of the look at which gates runs are.
-const (
-	busyPause = 100 * time.Millisecond
-	// adoptionTime is how long a take-over may take until the jobs are read.
-	adoptionTime = 20 * time.Second
-)
+// busyPause is the time between two looks at which gates runs are.
+const busyPause = 100 * time.Millisecond
+
+// Adopting says whether runs of jobs that are taken over may be at any gate.
+func (o *Owner) Adopting() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.adoptions) > 0
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -107,10 +107,12 @@
 	stats   Stats
 	// busyReviewed is when it was last looked at which gates runs are.
 	busyReviewed Time
-	// adoptionBegun is when a take-over last began, 0 before the first.
-	adoptionBegun Time
-	swept         Time
-	log           logr.Logger
+	// reading is how many take-overs have begun whose jobs are still being read.
+	reading int
+	swept   Time
+	// shortSince is since when tasks wait for room; 0 while none does.
+	shortSince Time
+	log        logr.Logger
 }
 
 // Stats are counters of an owner.
@@ -212,6 +214,7 @@
 	o.reviewDropped(now)
 	o.reviewWaiting(now)
 	o.place(now)
+	o.reviewShortage(now)
 	o.reviewBusy(now)
 	o.forgetEnded(now)
 }
--- a/peer/links.go
+++ b/peer/links.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +61,8 @@
 // gateLink is a gate to which a link is kept.
 type gateLink struct {
 	daemon member.Daemon
+	// end ends the keeping of links.
+	end context.CancelFunc
 	// breakOff ends the link that is up or being made.
 	breakOff context.CancelFunc
 	// changed is poked when another process has taken the gate's place.
@@ -78,7 +82,8 @@
 	defer l.mu.Unlock()
 	g := l.gates[d.Node]
 	if g == nil {
-		g = &gateLink{daemon: d, breakOff: func() {}, changed: make(chan struct{}, 1)}
+		ctx, end := context.WithCancel(ctx)
+		g = &gateLink{daemon: d, end: end, breakOff: func() {}, changed: make(chan struct{}, 1)}
 		l.gates[d.Node] = g
 		go l.keep(ctx, g)
 		return
@@ -90,6 +95,30 @@
 	g.daemon = d
 }
 
+// Drop closes the link to a gate and makes no more.
+func (l *Links) Drop(node string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if g := l.gates[node]; g != nil {
+		g.end()
+		delete(l.gates, node)
+	}
+}
+
+// Kept returns the gates that links are kept to.
+func (l *Links) Kept() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.gates))
+}
+
+// Up says whether the link to a gate has brought a frame.
+func (l *Links) Up(node string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.up[node] != nil
+}
+
 // begin returns the daemon that the next link goes to, and that link's context.
 func (l *Links) begin(ctx context.Context, g *gateLink) (context.Context, context.CancelFunc, member.Daemon) {
 	l.mu.Lock()
@@ -120,8 +149,8 @@
 	defer l.mu.Unlock()
 	var addresses []string
 	for name := range l.up {
-		if name != node {
-			addresses = append(addresses, l.gates[name].daemon.Address)
+		if g := l.gates[name]; g != nil && name != node {
+			addresses = append(addresses, g.daemon.Address)
 		}
 	}
 	if len(addresses) == 0 {
@@ -213,7 +242,7 @@
 	wake := make(chan struct{}, 1)
 	l.owner.LinkUp(node, number, poker(wake))
 	defer l.owner.LinkDown(node, number)
-	defer l.setUp(node, nil)
+	defer l.setDown(node, conn)
 	for {
 		f, err := stream.Recv()
 		if err != nil {
@@ -232,11 +261,16 @@
 func (l *Links) setUp(node string, conn *grpc.ClientConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if conn == nil {
+	l.up[node] = conn
+}
+
+// setDown takes in that a link has ended, unless another has taken its place.
+func (l *Links) setDown(node string, conn *grpc.ClientConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.up[node] == conn {
 		delete(l.up, node)
-		return
 	}
-	l.up[node] = conn
 }
 
 // sendOrders sends frames whenever there is something to send, and heartbeats.
--- a/peer/server.go
+++ b/peer/server.go
@@ -16,6 +16,7 @@
 
 	"rackspur/gate"
 	"rackspur/job"
+	"rackspur/member"
 	"rackspur/observe"
 	"rackspur/peer/peerpb"
 	"rackspur/rowstore"
@@ -73,6 +74,11 @@
 	Pending(queue string) int
 }
 
+// Inviter takes in the gates that ask for links.
+type Inviter interface {
+	Invited(d member.Daemon)
+}
+
 // Server serves the other processes.
 type Server struct {
 	peerpb.UnimplementedPeerServer
@@ -82,6 +88,8 @@
 	Gate Gate
 	// Owner is nil where no owner is served.
 	Owner Asked
+	// Inviter is nil where no links are made.
+	Inviter Inviter
 	// Direct is the direct way to the store.
 	Direct  rowstore.Store
 	Metrics *observe.Metrics
@@ -268,3 +276,14 @@
 		a.Failed = true
 	}
 }
+
+// Invite implements peerpb.PeerServer.Invite.
+func (s *Server) Invite(_ context.Context, i *peerpb.Invitation) (*peerpb.Invited, error) {
+	if s.Inviter == nil {
+		return nil, status.Error(codes.FailedPrecondition, "no links are made here")
+	}
+	s.Inviter.Invited(member.Daemon{
+		Node: i.GetNode(), Role: member.RoleAgent, Zone: i.GetZone(), Address: i.GetAddress(), Incarnation: i.GetIncarnation(),
+	})
+	return &peerpb.Invited{}, nil
+}
--- /dev/null
+++ b/peer/share_test.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+
+	"rackspur/member"
+)
+
+func testFleet(entries, gates int) ([]string, []member.Daemon) {
+	var names []string
+	for i := range entries {
+		names = append(names, fmt.Sprintf("edge-zone-%d-%d", i%5, i))
+	}
+	var all []member.Daemon
+	for i := range gates {
+		all = append(all, member.Daemon{Node: fmt.Sprintf("side-zone-%d-%d", i%5, i), Zone: fmt.Sprintf("zone-%d", i%5)})
+	}
+	return names, all
+}
+
+func testEntry(name string) member.Daemon {
+	return member.Daemon{Node: name, Zone: "zone-0"}
+}
+
+// Every gate has the same number of owners at every size, and the links of an
+// owner do not grow with the fleet.
+func TestShare(t *testing.T) {
+	for _, c := range []struct{ entries, gates, owners, mostLinks int }{
+		{4, 11, 4, 11},
+		{12, 67, 8, 60},
+		{55, 240, 8, 60},
+		{110, 480, 8, 60},
+	} {
+		t.Run(fmt.Sprintf("%d entries, %d gates", c.entries, c.gates), func(t *testing.T) {
+			entries, gates := testFleet(c.entries, c.gates)
+			owners := map[string]int{}
+			for _, e := range entries {
+				s := newShare(testEntry(e), entries, gates)
+				if s.base == 0 || s.base > c.mostLinks {
+					t.Errorf("%s links to %d gates", e, s.base)
+				}
+				if len(s.gates) != c.gates {
+					t.Errorf("%s knows %d gates", e, len(s.gates))
+				}
+				for _, g := range s.gates[:s.base] {
+					owners[g.Node]++
+				}
+			}
+			for _, g := range gates {
+				if owners[g.Node] != c.owners {
+					t.Errorf("%s has %d owners, want %d", g.Node, owners[g.Node], c.owners)
+				}
+			}
+		})
+	}
+}
+
+// An entry box that comes or goes changes few links of the others.
+func TestShareChangesLittle(t *testing.T) {
+	entries, gates := testFleet(55, 240)
+	changed, all := 0, 0
+	for _, e := range entries[1:] {
+		with := newShare(testEntry(e), entries, gates)
+		without := newShare(testEntry(e), entries[1:], gates)
+		had := map[string]bool{}
+		for _, g := range with.gates[:with.base] {
+			had[g.Node] = true
+		}
+		all += with.base
+		for _, g := range without.gates[:without.base] {
+			if !had[g.Node] {
+				changed++
+			}
+		}
+	}
+	if changed == 0 || changed > all/10 {
+		t.Errorf("%d of %d links are new after one entry box was lost", changed, all)
+	}
+}
+
+// Beyond the share, gates of the own failure domain come first: they may be all
+// that can be reached.
+func TestShareOrder(t *testing.T) {
+	entries, gates := testFleet(55, 240)
+	s := newShare(testEntry(entries[0]), entries, gates)
+	others := false
+	for _, g := range s.gates[s.base:] {
+		if g.Zone != "zone-0" {
+			others = true
+			continue
+		}
+		if others {
+			t.Fatalf("%s of the own domain comes after one of another", g.Node)
+		}
+	}
+}
