A life stands in the store only where jobs are kept

Its fence rows are written at one time. An owner that has come a moment ago is looked up in the store. Deployments with kept jobs write and read as before.

--- a/member/life.go
+++ b/member/life.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sync"
 	"time"
 
 	"rackspur/internal/wait"
@@ -66,12 +67,8 @@
 // Begin writes the rows of the life, and tries until they stand or the context
 // ends. It returns the time from which the lease counts.
 func (l *Life) Begin(ctx context.Context) (time.Time, error) {
-	for _, part := range append([]string{membersPart}, l.parts...) {
-		c, err := l.put(ctx, fenceKey(part, l.daemon.Incarnation), []byte("{}"))
-		if err != nil {
-			return time.Time{}, err
-		}
-		l.fences = append(l.fences, c)
+	if err := l.putFences(ctx); err != nil {
+		return time.Time{}, err
 	}
 	row := lifeRow{Daemon: l.daemon}
 	sent := time.Now()
@@ -83,6 +80,20 @@
 	return sent, nil
 }
 
+// putFences writes the fence rows of all parts at the same time: the first job that
+// is kept waits for them.
+func (l *Life) putFences(ctx context.Context) error {
+	parts := append([]string{membersPart}, l.parts...)
+	l.fences = make([]rowstore.Condition, len(parts))
+	errs := make([]error, len(parts))
+	var wait sync.WaitGroup
+	for i, part := range parts {
+		wait.Go(func() { l.fences[i], errs[i] = l.put(ctx, fenceKey(part, l.daemon.Incarnation), []byte("{}")) })
+	}
+	wait.Wait()
+	return errors.Join(errs...)
+}
+
 // put writes a row that is not there, and tries until it stands.
 func (l *Life) put(ctx context.Context, key rowstore.Key, value []byte) (rowstore.Condition, error) {
 	for pause := retryPause; ctx.Err() == nil; pause = min(2*pause, mostPause) {
--- a/member/member.go
+++ b/member/member.go
@@ -108,6 +108,22 @@
 	return all, version, nil
 }
 
+// ErrUnknown says that no daemon of a name is registered.
+var ErrUnknown = eris.New("member: unknown daemon")
+
+// ReadDaemon reads the row of one daemon.
+func ReadDaemon(ctx context.Context, s rowstore.Store, node string) (Daemon, error) {
+	row, ok, err := rowstore.ReadOne(ctx, s, rowstore.Key{Table: tableMembers, Part: membersPart, Name: node})
+	if err != nil {
+		return Daemon{}, err
+	}
+	d, known := decodeDaemon(row)
+	if !ok || !known {
+		return Daemon{}, ErrUnknown
+	}
+	return d, nil
+}
+
 func decodeDaemon(row rowstore.Row) (Daemon, bool) {
 	var d Daemon
 	if row.Gone || json.Unmarshal(row.Value, &d) != nil || d.Node == "" || d.Address == "" {
--- a/node/ask.go
+++ b/node/ask.go
@@ -149,10 +149,8 @@
 // ask asks the daemon of a life.
 func (e *Entry) ask(ctx context.Context, incarnation string, q *peerpb.Question) (*peerpb.Answer, error) {
 	node, _, _ := strings.Cut(incarnation, "~")
-	e.mu.Lock()
-	d, ok := e.daemons[node]
-	e.mu.Unlock()
-	if !ok {
+	d, err := e.daemon(ctx, node)
+	if err != nil {
 		return nil, ErrUnsure
 	}
 	a, err := e.askDaemon(ctx, d, q)
@@ -162,6 +160,18 @@
 	return a, err
 }
 
+// daemon returns a daemon of the membership. One that has come a moment ago is looked
+// up: changes of the membership are gathered before they are taken in.
+func (e *Entry) daemon(ctx context.Context, node string) (member.Daemon, error) {
+	e.mu.Lock()
+	d, ok := e.daemons[node]
+	e.mu.Unlock()
+	if ok {
+		return d, nil
+	}
+	return member.ReadDaemon(ctx, e.store, node)
+}
+
 func (e *Entry) askDaemon(ctx context.Context, d member.Daemon, q *peerpb.Question) (*peerpb.Answer, error) {
 	client, err := e.askClient(d.Address)
 	if err != nil {
--- a/node/entry.go
+++ b/node/entry.go
@@ -212,6 +212,7 @@
 	if t == nil {
 		return owner.SubmitRefused
 	}
+	t.awaitLife(ctx)
 	result := make(chan owner.SubmitResult, 1)
 	t.owner.Submit(s, func(r owner.SubmitResult) { result <- r })
 	select {
--- a/node/term.go
+++ b/node/term.go
@@ -33,6 +33,11 @@
 	end     context.CancelFunc
 	endOnce sync.Once
 
+	// lifeNeeded is poked once jobs are kept in this deployment, begun is closed
+	// once the life stands in the store.
+	lifeNeeded chan struct{}
+	begun      chan struct{}
+
 	renewMu  sync.Mutex
 	released bool
 	taking   map[string]bool
@@ -46,6 +51,7 @@
 	}
 	t := &term{
 		entry: e, daemon: daemon, log: e.log, taking: map[string]bool{},
+		lifeNeeded: make(chan struct{}, 1), begun: make(chan struct{}),
 		life:    member.NewLife(e.store, parts, daemon),
 		watcher: member.NewWatcher(e.store, parts, daemon, e.started),
 	}
@@ -90,6 +96,7 @@
 	}
 	t.writers.Store(&writers)
 	t.renewed(sent)
+	close(t.begun)
 	t.log.Info("Life begun.", "incarnation", t.daemon.Incarnation)
 	return true
 }
@@ -138,7 +145,7 @@
 // serveKept does what jobs that are kept need: the life in the store, its lease,
 // the take-over of the jobs of other lives.
 func (t *term) serveKept() {
-	if !t.begin() {
+	if !t.awaitNeed() || !t.begin() {
 		return
 	}
 	go t.renew()
