Links of a process are woken at the same moments; fewer looks at times

Cause: each link had timers of its own for reports and heartbeats, the owner looked at its times 100 times a second and the gate 20 times, whatever there was to do.

Change: one pulse a process wakes all links; a link sends what is due then. The owner looks each 30 ms while nothing waits (10 ms else), the gate each 100 ms.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -9,8 +9,9 @@
 	"github.com/go-logr/logr"
 )
 
-// tickPause is the time between two looks at the gate's times.
-const tickPause = 50 * time.Millisecond
+// tickPause is the time between two looks at the gate's times. What ends or starts is
+// looked at with each answer of the target; the rest are silences of 0.3 s and more.
+const tickPause = 100 * time.Millisecond
 
 // Driver carries out what a Gate decides.
 type Driver struct {
@@ -268,6 +269,21 @@
 	return d.gate.OpenOwners()
 }
 
+// OnReport sets what is called when there is a new report for all owners. It is
+// called with the gate locked.
+func (d *Driver) OnReport(changed func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gate.OnReport(changed)
+}
+
+// Reported counts the changes of the report.
+func (d *Driver) Reported() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gate.Reported()
+}
+
 // LinkedOwners returns the owners that are linked.
 func (d *Driver) LinkedOwners() []string {
 	d.mu.Lock()
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -161,6 +161,9 @@
 	orders  uint64
 	owners  map[string]*ownerState
 	adopted map[string]string
+	// reported counts the changes of the report, onReport is told of each.
+	reported uint64
+	onReport func()
 
 	seen   int64
 	listed map[int64]*run
--- a/gate/report.go
+++ b/gate/report.go
@@ -55,13 +55,20 @@
 	o.poke()
 }
 
-// tellAll wakes the links of all owners, to send the report anew.
+// tellAll has the report sent anew to all owners.
 func (g *Gate) tellAll() {
-	for _, o := range g.owners {
-		o.poke()
+	g.reported++
+	if g.onReport != nil {
+		g.onReport()
 	}
 }
 
+// OnReport sets what is called when there is a new report for all owners.
+func (g *Gate) OnReport(changed func()) { g.onReport = changed }
+
+// Reported counts the changes of the report.
+func (g *Gate) Reported() uint64 { return g.reported }
+
 // Pending says whether there is more to send to an owner than a report.
 func (g *Gate) Pending(owner string) bool {
 	o := g.owners[owner]
--- a/node/entry.go
+++ b/node/entry.go
@@ -66,7 +66,10 @@
 
 // Times of an entry daemon.
 const (
+	// tickPause is the time between two looks at the owner's times while tasks or
+	// answers wait, calmPause while none do: each look wakes the process.
 	tickPause = 10 * time.Millisecond
+	calmPause = 30 * time.Millisecond
 	pollPause = 400 * time.Millisecond
 	// commitDelay is how long the first of several writes waits for others.
 	commitDelay = time.Millisecond
--- a/node/term.go
+++ b/node/term.go
@@ -128,17 +128,13 @@
 	defer t.end()
 	go t.serveKept()
 	go t.fleet.Run(t.ctx)
-	ticker := time.NewTicker(tickPause)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.ctx.Done():
-			return
-		case <-ticker.C:
-			t.owner.Tick()
+	for ctx.Err() == nil && t.ctx.Err() == nil {
+		pause := calmPause
+		if t.owner.Waiting() {
+			pause = tickPause
 		}
+		wait.For(t.ctx, pause)
+		t.owner.Tick()
 	}
 }
 
--- a/owner/drop.go
+++ b/owner/drop.go
@@ -42,6 +42,8 @@
 		d.answer(BestEffortResult{})
 	case len(d.unsure) == 0:
 		d.answer(BestEffortResult{Refused: true})
+	default:
+		o.unanswered++
 	}
 }
 
@@ -81,6 +83,7 @@
 // reviewDropped answers for given up jobs whose gates have not told in time, and
 // forgets old ones.
 func (o *Owner) reviewDropped(now Time) {
+	o.unanswered = 0
 	for id, d := range o.dropped {
 		if now-d.at > withdrawPatience {
 			d.answer(BestEffortResult{})
@@ -88,5 +91,8 @@
 		if now-d.at > rememberEnded {
 			delete(o.dropped, id)
 		}
+		if len(d.callers) > 0 {
+			o.unanswered++
+		}
 	}
 }
--- a/owner/drop_test.go
+++ b/owner/drop_test.go
@@ -167,3 +167,28 @@
 		}
 	}
 }
+
+// The owner's times are looked at often while tasks or answers wait, and only then.
+func TestWaiting(t *testing.T) {
+	b := newBench(t)
+	if b.owner.Waiting() {
+		t.Error("waits without jobs")
+	}
+	link := b.connect("gate-1")
+	ticket := b.owner.RunBestEffort(testSubmission("00000000000000aa", 200), time.Minute, func(BestEffortResult) {})
+	if !b.owner.Waiting() {
+		t.Error("200 tasks do not wait for a single gate")
+	}
+	b.flush("gate-1", link)
+	b.owner.RunBestEffort(testSubmission("00000000000000aa", 200), time.Minute, func(BestEffortResult) {})
+	b.owner.Leave("00000000000000aa", ticket)
+	b.owner.drop(b.owner.jobs["00000000000000aa"])
+	if !b.owner.Waiting() {
+		t.Error("does not wait for the gate's word on what was given up")
+	}
+	b.now += withdrawPatience + time.Millisecond
+	b.owner.Tick()
+	if b.owner.Waiting() {
+		t.Error("waits after the last answer")
+	}
+}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -110,6 +110,9 @@
 	// reading is how many take-overs have begun whose jobs are still being read.
 	reading int
 	swept   Time
+	// unanswered is how many jobs were given up whose callers waited at the newest
+	// look, or have begun to since.
+	unanswered int
 	// shortSince is since when tasks wait for room; 0 while none does.
 	shortSince Time
 	log        logr.Logger
@@ -219,6 +222,13 @@
 	o.forgetEnded(now)
 }
 
+// Waiting says whether tasks wait for room, or callers for the word of gates.
+func (o *Owner) Waiting() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.waiting.len() > 0 || o.unanswered > 0
+}
+
 // forgetEnded drops ended jobs that were kept long enough.
 func (o *Owner) forgetEnded(now Time) {
 	if now-o.swept < time.Second {
--- a/peer/links.go
+++ b/peer/links.go
@@ -52,6 +52,9 @@
 	// firstFrameTimeout is how long a new link may take to bring a frame.
 	firstFrameTimeout time.Duration
 
+	// pulse has the heartbeats of all links sent at the same moments.
+	pulse *pulse
+
 	mu    sync.Mutex
 	gates map[string]*gateLink
 	// up has the connections of the links that have brought a frame.
@@ -71,7 +74,8 @@
 
 // NewLinks returns links of an owner's life.
 func NewLinks(incarnation string, o Owner, m *observe.Metrics, log logr.Logger) *Links {
-	return &Links{incarnation: incarnation, owner: o, metrics: m, log: log, firstFrameTimeout: firstFrameTimeout, gates: map[string]*gateLink{}, up: map[string]*grpc.ClientConn{}}
+	beats := newPulse(func() (least, most time.Duration) { return heartbeat, heartbeat })
+	return &Links{pulse: beats, incarnation: incarnation, owner: o, metrics: m, log: log, firstFrameTimeout: firstFrameTimeout, gates: map[string]*gateLink{}, up: map[string]*grpc.ClientConn{}}
 }
 
 // Keep keeps a link to a daemon's gate until the context ends. If another process
@@ -276,6 +280,8 @@
 // sendOrders sends frames whenever there is something to send, and heartbeats.
 func (l *Links) sendOrders(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[peerpb.OwnerFrame, peerpb.GateFrame], node string, number uint64, wake <-chan struct{}) {
 	defer cancel()
+	beat := make(chan struct{}, 1)
+	defer l.pulse.join(poker(beat))()
 	for ctx.Err() == nil {
 		f, ok := l.owner.Flush(node, number)
 		if !ok {
@@ -284,11 +290,29 @@
 		if stream.Send(toOwnerFrame(f)) != nil {
 			return
 		}
+		l.awaitDue(ctx, node, wake, beat)
+	}
+}
+
+// awaitDue waits until a frame is to be sent: there is something to send, or one
+// of the beats, which come each heartbeat, is the last before the time.
+func (l *Links) awaitDue(ctx context.Context, node string, wake, beat <-chan struct{}) {
+	sent := time.Now()
+	for {
+		select {
+		case <-wake:
+			return
+		case <-ctx.Done():
+			return
+		case <-beat:
+		}
 		pause := idleHeartbeat
 		if l.owner.Busy(node) {
 			pause = heartbeat
 		}
-		await(ctx, wake, pause)
+		if time.Since(sent) >= pause-heartbeat/2 {
+			return
+		}
 	}
 }
 
--- a/peer/server.go
+++ b/peer/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -63,6 +64,11 @@
 	HasRuns(owner string) bool
 	// OpenOwners returns the number of owners that are linked.
 	OpenOwners() int
+	// OnReport sets what is called when there is a new report for all owners. It
+	// must not call the gate.
+	OnReport(changed func())
+	// Reported counts the changes of the report.
+	Reported() uint64
 }
 
 // Asked answers questions of other owners.
@@ -94,6 +100,9 @@
 	Direct  rowstore.Store
 	Metrics *observe.Metrics
 	Log     logr.Logger
+
+	pulseOnce sync.Once
+	pulse     *pulse
 }
 
 // Link implements peerpb.PeerServer.Link.
@@ -121,6 +130,7 @@
 		return status.Error(codes.Aborted, "the link is not the newest")
 	}
 	defer s.Gate.Disconnect(owner, link)
+	defer s.reportPulse().join(poker(wake))()
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	failed := make(chan error, 1)
@@ -144,10 +154,25 @@
 	}
 }
 
+// reportPulse returns the pulse of the links, which beats as long as there are any.
+func (s *Server) reportPulse() *pulse {
+	s.pulseOnce.Do(func() {
+		s.pulse = newPulse(s.reportTiming)
+		s.Gate.OnReport(s.pulse.hasten)
+	})
+	return s.pulse
+}
+
+// reportTiming returns the shortest and the longest time between two moments at
+// which links are woken to report.
+func (s *Server) reportTiming() (least, most time.Duration) {
+	return s.reportPause(), heartbeat
+}
+
 // sendReports sends frames whenever there is something to tell, and heartbeats.
 func (s *Server) sendReports(ctx context.Context, stream grpc.BidiStreamingServer[peerpb.OwnerFrame, peerpb.GateFrame], owner string, link uint64, wake <-chan struct{}) error {
-	sent := time.Time{}
 	for {
+		reported := s.Gate.Reported()
 		f, ok := s.Gate.Flush(owner, link)
 		if !ok {
 			return ErrLink
@@ -155,17 +180,33 @@
 		if err := stream.Send(toGateFrame(f)); err != nil {
 			return err
 		}
-		sent = time.Now()
-		await(ctx, wake, s.gateHeartbeat(owner))
-		if ctx.Err() != nil {
-			return ctx.Err()
-		}
-		if !s.Gate.Pending(owner) {
-			awaitPending(ctx, wake, s.reportPause()-time.Since(sent), func() bool { return s.Gate.Pending(owner) })
+		sent := time.Now()
+		for !s.due(owner, sent, reported) {
+			select {
+			case <-wake:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
 		}
 	}
 }
 
+// due says whether a frame is to be sent to an owner whose last one was sent at a
+// time with so many changes of the report.
+func (s *Server) due(owner string, sent time.Time, reported uint64) bool {
+	since := time.Since(sent)
+	switch {
+	case s.Gate.Pending(owner):
+		return true
+	case since < s.reportPause()/2:
+		return false
+	case s.Gate.Reported() != reported:
+		return true
+	}
+	// The next beat may be a whole one later.
+	return since >= s.gateHeartbeat(owner)-heartbeat/2
+}
+
 // reportPause returns the time between two frames to an owner that hold a report only.
 func (s *Server) reportPause() time.Duration {
 	return max(reportPause, time.Duration(s.Gate.OpenOwners())*time.Second/reportRate)
@@ -179,18 +220,6 @@
 	return min(max(idleReport, s.reportPause()), mostIdleReport)
 }
 
-// awaitPending waits for a time, or until something is pending.
-func awaitPending(ctx context.Context, wake <-chan struct{}, d time.Duration, pending func() bool) {
-	end := time.Now().Add(d)
-	for {
-		left := time.Until(end)
-		if left <= 0 || ctx.Err() != nil || pending() {
-			return
-		}
-		await(ctx, wake, left)
-	}
-}
-
 // await waits for a wake-up, a time, or the end of the context.
 func await(ctx context.Context, wake <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
--- a/peer/server_test.go
+++ b/peer/server_test.go
@@ -17,6 +17,8 @@
 func (g countedGate) Pending(string) bool                        { return false }
 func (g countedGate) HasRuns(owner string) bool                  { return owner == "with-runs" }
 func (g countedGate) OpenOwners() int                            { return g.owners }
+func (g countedGate) OnReport(func())                            {}
+func (g countedGate) Reported() uint64                           { return 0 }
 
 // What a gate sends as reports only stays below a rate, however many owners it has.
 func TestReportPause(t *testing.T) {
--- a/test/capacity_test.go
+++ b/test/capacity_test.go
@@ -43,18 +43,24 @@
 	messages float64
 }
 
-// usageOf reads a process's usage.
-func usageOf(b *testing.B, n *node) usage {
-	b.Helper()
-	pid := strconv.Itoa(n.cmd.Process.Pid)
-	stat, err := os.ReadFile(filepath.Join("/proc", pid, "stat"))
+// processorTime reads the processor time that a process has used so far.
+func processorTime(t testing.TB, pid int) time.Duration {
+	t.Helper()
+	stat, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "stat"))
 	if err != nil {
-		b.Fatal(err)
+		t.Fatal(err)
 	}
 	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
 	user, _ := strconv.Atoi(fields[statUser])
 	system, _ := strconv.Atoi(fields[statSystem])
-	u := usage{cpu: time.Duration(user+system) * time.Second / ticksPerSecond}
+	return time.Duration(user+system) * time.Second / ticksPerSecond
+}
+
+// usageOf reads a process's usage.
+func usageOf(b *testing.B, n *node) usage {
+	b.Helper()
+	u := usage{cpu: processorTime(b, n.cmd.Process.Pid)}
+	pid := strconv.Itoa(n.cmd.Process.Pid)
 	status, err := os.ReadFile(filepath.Join("/proc", pid, "status"))
 	if err != nil {
 		b.Fatal(err)
