A link with runs whose connection goes silent is given up after 0.35 s

Cause: when open connections go silent for good, an owner goes on sending orders over a dead link for 0.9 s (frameTimeout), and refuses what waits behind them. Change: a gate with runs of an owner is heard of each 125 to 188 ms, so that a link may be given up after 0.35 s without a frame; one that ends soon again has twice as long.

--- a/peer/links.go
+++ b/peer/links.go
@@ -51,6 +51,8 @@
 	counter     atomic.Uint64
 	// firstFrameTimeout is how long a new link may take to bring a frame.
 	firstFrameTimeout time.Duration
+	// frameTimeout is how long a link without runs may be without a frame.
+	frameTimeout time.Duration
 
 	// pulse has the heartbeats of all links sent at the same moments.
 	pulse *pulse
@@ -70,12 +72,24 @@
 	breakOff context.CancelFunc
 	// changed is poked when another process has taken the gate's place.
 	changed chan struct{}
+	// busyTimeout is how long the next link may be without a frame while the gate
+	// has runs of the owner.
+	busyTimeout time.Duration
+}
+
+// ended takes in how long a link that had worked has lasted: one that ends soon
+// again may be slow rather than silent.
+func (g *gateLink) ended(lasted time.Duration) {
+	g.busyTimeout = min(2*g.busyTimeout, frameTimeout)
+	if lasted > settledAfter {
+		g.busyTimeout = busyFrameTimeout
+	}
 }
 
 // NewLinks returns links of an owner's life.
 func NewLinks(incarnation string, o Owner, m *observe.Metrics, log logr.Logger) *Links {
 	beats := newPulse(func() (least, most time.Duration) { return heartbeat, heartbeat })
-	return &Links{pulse: beats, incarnation: incarnation, owner: o, metrics: m, log: log, firstFrameTimeout: firstFrameTimeout, gates: map[string]*gateLink{}, up: map[string]*grpc.ClientConn{}}
+	return &Links{pulse: beats, incarnation: incarnation, owner: o, metrics: m, log: log, firstFrameTimeout: firstFrameTimeout, frameTimeout: frameTimeout, gates: map[string]*gateLink{}, up: map[string]*grpc.ClientConn{}}
 }
 
 // Keep keeps a link to a daemon's gate until the context ends. If another process
@@ -87,7 +101,7 @@
 	g := l.gates[d.Node]
 	if g == nil {
 		ctx, end := context.WithCancel(ctx)
-		g = &gateLink{daemon: d, end: end, breakOff: func() {}, changed: make(chan struct{}, 1)}
+		g = &gateLink{daemon: d, end: end, breakOff: func() {}, changed: make(chan struct{}, 1), busyTimeout: busyFrameTimeout}
 		l.gates[d.Node] = g
 		go l.keep(ctx, g)
 		return
@@ -177,9 +191,11 @@
 		if try%2 == 1 {
 			relay = l.relayFor(d.Node)
 		}
-		worked := l.link(linkCtx, d, relay)
+		begun := time.Now()
+		worked := l.link(linkCtx, d, relay, g.busyTimeout)
 		cancel()
 		if worked {
+			g.ended(time.Since(begun))
 			l.log.Info("Lost the link to a gate.", "gate", d.Node, "relay", relay)
 		}
 		pause := backoff
@@ -210,7 +226,7 @@
 }
 
 // link keeps one link until it fails; worked says whether it has brought a frame.
-func (l *Links) link(ctx context.Context, d member.Daemon, relay string) (worked bool) {
+func (l *Links) link(ctx context.Context, d member.Daemon, relay string, busyTimeout time.Duration) (worked bool) {
 	address := d.Address
 	if relay != "" {
 		address = relay
@@ -228,8 +244,8 @@
 		stop := time.AfterFunc(relayedFor, cancel)
 		defer stop.Stop()
 	}
-	watchdog := time.AfterFunc(l.firstFrameTimeout, cancel)
-	defer watchdog.Stop()
+	watch := &frameWatch{timer: time.AfterFunc(l.firstFrameTimeout, cancel), timeout: l.frameTimeout, busyTimeout: busyTimeout}
+	defer watch.timer.Stop()
 	stream, err := peerpb.NewPeerClient(conn).Link(streamCtx)
 	if err != nil {
 		return false
@@ -239,10 +255,10 @@
 	if stream.Send(&peerpb.OwnerFrame{Hello: hello}) != nil {
 		return false
 	}
-	return l.serve(ctx, cancel, stream, d.Node, number, conn, watchdog)
+	return l.serve(ctx, cancel, stream, d.Node, number, conn, watch)
 }
 
-func (l *Links) serve(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[peerpb.OwnerFrame, peerpb.GateFrame], node string, number uint64, conn *grpc.ClientConn, watchdog *time.Timer) (worked bool) {
+func (l *Links) serve(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[peerpb.OwnerFrame, peerpb.GateFrame], node string, number uint64, conn *grpc.ClientConn, watch *frameWatch) (worked bool) {
 	wake := make(chan struct{}, 1)
 	l.owner.LinkUp(node, number, poker(wake))
 	defer l.owner.LinkDown(node, number)
@@ -252,12 +268,12 @@
 		if err != nil {
 			return worked
 		}
-		watchdog.Reset(frameTimeout)
 		l.owner.OnFrame(node, number, fromGateFrame(f))
+		watch.heard(l.owner.Busy(node))
 		if !worked {
 			worked = true
 			l.setUp(node, conn)
-			go l.sendOrders(ctx, cancel, stream, node, number, wake)
+			go l.sendOrders(ctx, cancel, stream, node, number, wake, watch)
 		}
 	}
 }
@@ -278,7 +294,7 @@
 }
 
 // sendOrders sends frames whenever there is something to send, and heartbeats.
-func (l *Links) sendOrders(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[peerpb.OwnerFrame, peerpb.GateFrame], node string, number uint64, wake <-chan struct{}) {
+func (l *Links) sendOrders(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[peerpb.OwnerFrame, peerpb.GateFrame], node string, number uint64, wake <-chan struct{}, watch *frameWatch) {
 	defer cancel()
 	beat := make(chan struct{}, 1)
 	defer l.pulse.join(poker(beat))()
@@ -290,6 +306,7 @@
 		if stream.Send(toOwnerFrame(f)) != nil {
 			return
 		}
+		watch.sent(len(f.Starts) > 0)
 		l.awaitDue(ctx, node, wake, beat)
 	}
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -33,9 +33,12 @@
 
 // Times of links.
 const (
-	// heartbeat is the longest time between two frames in each direction while the
-	// gate has runs of the owner.
+	// heartbeat is the longest time between two frames of an owner while the gate has
+	// runs of it.
 	heartbeat = 250 * time.Millisecond
+	// reportHeartbeat is the same for frames of the gate. Its half is added where a
+	// frame was sent shortly before a beat.
+	reportHeartbeat = 125 * time.Millisecond
 	// idleReport and mostIdleReport bound the time between two frames of a gate
 	// that has no runs of the owner. The owner's next order carries the newest of
 	// them, which must be younger than the contact time.
@@ -51,6 +54,14 @@
 	reportRate  = 120
 	// frameTimeout is how long a link may be without a frame.
 	frameTimeout = 900 * time.Millisecond
+	// busyFrameTimeout is the same while the gate has runs of the owner: a connection
+	// that has gone silent for good holds up all that is sent over it. It leaves a
+	// gate two frames of reportHeartbeat, late by half of one, and 40 ms for the way;
+	// a link that ends soon again has twice as long, up to frameTimeout.
+	busyFrameTimeout = 350 * time.Millisecond
+	// settledAfter is how long a link must have lasted for the next to have the
+	// shorter time again.
+	settledAfter = 5 * time.Second
 )
 
 // Gate is the gate of a process.
@@ -166,7 +177,8 @@
 // reportTiming returns the shortest and the longest time between two moments at
 // which links are woken to report.
 func (s *Server) reportTiming() (least, most time.Duration) {
-	return s.reportPause(), heartbeat
+	least = s.reportPause()
+	return least, max(least, reportHeartbeat)
 }
 
 // sendReports sends frames whenever there is something to tell, and heartbeats.
@@ -204,7 +216,7 @@
 		return true
 	}
 	// The next beat may be a whole one later.
-	return since >= s.gateHeartbeat(owner)-heartbeat/2
+	return since >= s.gateHeartbeat(owner)-reportHeartbeat/2
 }
 
 // reportPause returns the time between two frames to an owner that hold a report only.
@@ -215,7 +227,7 @@
 // gateHeartbeat returns the longest time to the next frame to an owner.
 func (s *Server) gateHeartbeat(owner string) time.Duration {
 	if s.Gate.HasRuns(owner) {
-		return heartbeat
+		return reportHeartbeat
 	}
 	return min(max(idleReport, s.reportPause()), mostIdleReport)
 }
--- a/peer/server_test.go
+++ b/peer/server_test.go
@@ -39,8 +39,8 @@
 func TestGateHeartbeat(t *testing.T) {
 	for _, owners := range []int{1, 11, 70, 1000} {
 		s := &Server{Gate: countedGate{owners: owners}}
-		if got := s.gateHeartbeat("with-runs"); got != heartbeat {
-			t.Errorf("%d owners: %v with runs, want %v", owners, got, heartbeat)
+		if got := s.gateHeartbeat("with-runs"); got != reportHeartbeat {
+			t.Errorf("%d owners: %v with runs, want %v", owners, got, reportHeartbeat)
 		}
 		if got := s.gateHeartbeat("without"); got < idleReport || got > mostIdleReport || got >= frameTimeout {
 			t.Errorf("%d owners: %v without runs", owners, got)
