Late heartbeats of an older life, and silent connections to a target

Cause: a gate whose process was started anew did not know the lives before; a heartbeat of one of these that was held up made it drop the life that runs. And a call that was sent again could go over the next of several connections that had all gone silent.

--- a/gate/executor.go
+++ b/gate/executor.go
@@ -114,6 +114,21 @@
 	Hold(ctx context.Context, life string, c HoldCall) (Answer, HoldAnswer, error)
 }
 
+// newConnectionKey marks a context; see OnNewConnection.
+type newConnectionKey struct{}
+
+// OnNewConnection returns a context whose calls are made over a new connection: an
+// earlier call got no answer, maybe since all open connections have gone silent.
+func OnNewConnection(ctx context.Context) context.Context {
+	return context.WithValue(ctx, newConnectionKey{}, true)
+}
+
+// WantsNewConnection says whether a call is to be made over a new connection.
+func WantsNewConnection(ctx context.Context) bool {
+	wants, _ := ctx.Value(newConnectionKey{}).(bool)
+	return wants
+}
+
 // Heartbeat is what an executor says of itself.
 type Heartbeat struct {
 	Life     string
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -128,6 +128,8 @@
 	labels    []string
 	known     bool
 	draining  bool
+	// claimant is the newest heartbeat of a life that is not the one that answers.
+	claimant Heartbeat
 	// recalled is what an earlier process knew of the executor.
 	recalled Description
 	leaving  bool
@@ -216,6 +218,10 @@
 	if g.pastLives[b.Life] {
 		return Actions{}, false
 	}
+	if b.Life != g.life && g.answersAs(now) {
+		g.claimant = b
+		return Actions{HoldNow: true}, true
+	}
 	if b.Life != g.life {
 		g.newLife(now, b.Life)
 	} else if b.Sequence < g.sequence {
@@ -234,6 +240,26 @@
 	return g.startFromQueue(now, Actions{HoldNow: g.fence == 0}), true
 }
 
+// answersAs says whether the target has just answered calls that name the life that
+// is known. A heartbeat of another life may then be one that was held up: an earlier
+// process of this gate knew that life, and this one does not. The answer to the next
+// call decides.
+func (g *Gate) answersAs(now Time) bool {
+	return g.known && g.life != "" && !g.executorSilent(now)
+}
+
+// takeClaimant takes in the newest heartbeat of another life, once calls to the one
+// that was known are turned away.
+func (g *Gate) takeClaimant(now Time) Actions {
+	b := g.claimant
+	g.claimant = Heartbeat{}
+	if b.Life == "" || b.Life == g.life {
+		return Actions{}
+	}
+	a, _ := g.OnHeartbeat(now, b)
+	return a
+}
+
 // newLife takes in that another life of the executor has begun: what ran on the
 // old one is over. The life that the gate found when it started takes its name
 // from the first heartbeat.
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -103,6 +103,9 @@
 			g.newLife(now, "")
 			g.rejectQueue("executor left")
 			g.tellAll()
+			a := g.takeClaimant(now)
+			a.HoldNow = true
+			return a
 		}
 	}
 	return g.Tick(now)
--- a/gate/holdloop.go
+++ b/gate/holdloop.go
@@ -14,6 +14,9 @@
 	holdTimeout = 250 * time.Millisecond
 	// mostHolds is how many holds are under way at most.
 	mostHolds = 4
+	// freshHold is how many holds are overdue when the next is made over a new
+	// connection: the open ones may have gone silent.
+	freshHold = 2
 	// unnotedPause is the time between two holds while ends wait to be noted.
 	unnotedPause = 15 * time.Millisecond
 	failurePause = 60 * time.Millisecond
@@ -71,6 +74,9 @@
 	c := l.newest()
 	c.due = time.Now().Add(l.driver.rto.timeout())
 	c.overdue = true
+	if len(l.underWay) == freshHold {
+		ctx = OnNewConnection(ctx)
+	}
 	l.send(ctx)
 }
 
--- a/gate/retry.go
+++ b/gate/retry.go
@@ -14,6 +14,9 @@
 	// triesInSilence is how many times it is sent while the executor answers
 	// nothing at all: three in a row are lost by chance only where calls mostly are.
 	triesInSilence = 3
+	// freshTry is the try that is made over a new connection: the first two may have
+	// been sent over connections that have gone silent.
+	freshTry = 3
 	// orderTimeout is how long an order may go unanswered before the gate looks
 	// for what became of it.
 	orderTimeout = 60 * time.Millisecond
@@ -75,6 +78,9 @@
 
 func (c *retriedCall) send(ctx context.Context) {
 	c.tries++
+	if c.tries == freshTry {
+		ctx = OnNewConnection(ctx)
+	}
 	c.open++
 	go func() {
 		sent := time.Now()
--- a/gate/retry_test.go
+++ b/gate/retry_test.go
@@ -169,3 +169,18 @@
 		}
 	})
 }
+
+// An order that is answered over a new connection only is done all the same.
+func TestOrderOverNewConnection(t *testing.T) {
+	e := &rtoEstimator{}
+	e.answered(time.Microsecond)
+	c := newRetriedCall(e, func(ctx context.Context) (Answer, error) {
+		if WantsNewConnection(ctx) {
+			return Answer{}, nil
+		}
+		return hangs(ctx)
+	})
+	if _, err := c.run(t.Context()); err != nil {
+		t.Errorf("error %v after %d tries", err, c.tries)
+	}
+}
