Tests of the choice of links and of a gate that seeks owners

The fleet's links are an interface beside it, so that widening, cuts, take-overs, invitations and links with runs are tested without connections.

--- /dev/null
+++ b/node/seek_test.go
@@ -0,0 +1,60 @@
+package node
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"rackspur/member"
+	"rackspur/observe"
+	"rackspur/peer/peerpb"
+	"rackspur/rowstore"
+	"rackspur/rpc"
+)
+
+// A gate whose owners are gone gets links to the entry boxes that are left, also if
+// none of them has it in its share; those that are gone for good cost a try only.
+func TestGateWithoutOwnersInvites(t *testing.T) {
+	c := newIdleCluster(t, 2, 1, quickWork)
+	gone := member.Daemon{Node: "entry-gone", Role: member.RoleEntry, Address: "127.0.0.1:1", Incarnation: "entry-gone~a"}
+	member.Register(t.Context(), c.store, gone, logr.Discard())
+	s := &ownerSeeker{store: c.store, daemon: member.Daemon{Node: "agent-lonely", Address: "127.0.0.1:2", Incarnation: "agent-lonely~a"}, metrics: observe.NewMetrics(), log: logr.Discard()}
+	if n := s.seek(t.Context(), nil); n != 2 {
+		t.Errorf("%d entry boxes invited, want both that live", n)
+	}
+	for i := range 2 {
+		c.until("the invited gate is known", func() bool { return c.entry(i).current.Load().owner.Knows("agent-lonely") })
+	}
+	linked := []string{c.entry(0).Incarnation()}
+	if n := s.seek(t.Context(), linked); n != 1 {
+		t.Errorf("%d entry boxes invited beside a linked one, want 1", n)
+	}
+}
+
+// While the store serves nobody no entry box is known; the search goes on after that.
+func TestSeekerOutage(t *testing.T) {
+	c := newIdleCluster(t, 1, 1, quickWork)
+	c.store.SetFault(func(rowstore.Call) rowstore.Fault { return rowstore.FaultRefuse })
+	s := &ownerSeeker{store: c.store, metrics: observe.NewMetrics(), log: logr.Discard()}
+	if n := s.seek(t.Context(), nil); n != 0 {
+		t.Errorf("%d entry boxes invited without the membership", n)
+	}
+	c.store.SetFault(nil)
+	if n := s.seek(t.Context(), nil); n != 1 {
+		t.Errorf("%d entry boxes invited after the outage, want 1", n)
+	}
+}
+
+// An agent takes no invitations.
+func TestAgentRefusesInvitation(t *testing.T) {
+	c := newIdleCluster(t, 1, 1, quickWork)
+	conn, err := rpc.Dial(c.agents[0].daemon.daemon.Address, observe.NewMetrics())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := peerpb.NewPeerClient(conn).Invite(context.Background(), &peerpb.Invitation{Node: "x"}); err == nil {
+		t.Error("an agent has taken an invitation")
+	}
+}
--- a/owner/view.go
+++ b/owner/view.go
@@ -50,6 +50,13 @@
 	o.view(name).zone = zone
 }
 
+// Knows says whether a gate is a member, or has asked for a link.
+func (o *Owner) Knows(name string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.gates[name] != nil
+}
+
 // view returns the view of a gate, a new one if there is none.
 func (o *Owner) view(name string) *gateView {
 	v := o.gates[name]
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -37,12 +37,23 @@
 	Busy(gate string) bool
 }
 
+// linkKeeper keeps the links that a fleet has chosen.
+type linkKeeper interface {
+	Keep(ctx context.Context, d member.Daemon)
+	Drop(node string)
+	// Kept returns the gates that links are kept to.
+	Kept() []string
+	// Up says whether the link to a gate works, Linked how many do.
+	Up(node string) bool
+	Linked() int
+}
+
 // Fleet chooses the gates that an owner is linked to: its share, more while that
 // has no room or can't be reached, all while jobs are taken over, and those that
 // have asked for a link.
 type Fleet struct {
 	self  member.Daemon
-	links *Links
+	links linkKeeper
 	needs Needs
 	log   logr.Logger
 	// changed is poked when something was found.
@@ -65,7 +76,7 @@
 }
 
 // NewFleet returns a fleet of which nothing is known yet but the own entry box.
-func NewFleet(self member.Daemon, l *Links, n Needs, log logr.Logger) *Fleet {
+func NewFleet(self member.Daemon, l linkKeeper, n Needs, log logr.Logger) *Fleet {
 	return &Fleet{
 		self: self, links: l, needs: n, log: log, changed: make(chan struct{}, 1),
 		entries: map[string]bool{self.Node: true}, gates: map[string]member.Daemon{}, invited: map[string]time.Time{},
