Links are doubted rather than ended; ends of unknown jobs are judged without a life

A link with runs was ended after 0.35 s without a frame also where the entry box was slow. Now a new connection is made then; only if that works before a frame comes is the old one silent. After a restart of all boxes links were broken off 0.3 s later, when the membership told of the processes that they had already reached. Tests: TestForeignEndsWithoutLife failed (lease left to lapse after 7 s), TestSlowLinkLasts, TestLinkToNewProcessStays. TestPulse raced with its own timers and now keeps its times under a lock.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -284,6 +284,13 @@
 	return d.gate.Reported()
 }
 
+// Lapsing says whether the target's lease is left to lapse.
+func (d *Driver) Lapsing() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gate.Lapsing()
+}
+
 // LinkedOwners returns the owners that are linked.
 func (d *Driver) LinkedOwners() []string {
 	d.mu.Lock()
--- a/node/agent.go
+++ b/node/agent.go
@@ -51,7 +51,7 @@
 func (a *Agent) Run(ctx context.Context) error {
 	server := rpc.NewServer(a.options.Metrics)
 	peerpb.RegisterPeerServer(server, &peer.Server{
-		Node: a.options.Node, Gate: a.driver, Direct: a.options.Store, Metrics: a.options.Metrics, Log: a.log,
+		Node: a.options.Node, Incarnation: a.daemon.Incarnation, Gate: a.driver, Direct: a.options.Store, Metrics: a.options.Metrics, Log: a.log,
 	})
 	go func() { _ = server.Serve(a.listener) }()
 	defer server.Stop()
--- a/node/need_test.go
+++ b/node/need_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"rackspur/gate"
 	"rackspur/internal/wait"
 	"rackspur/job"
 	"rackspur/member"
@@ -88,3 +89,25 @@
 		t.Errorf("%d writes in %v without any job", writes, 2*member.RenewPause)
 	}
 }
+
+// Ends of jobs that nobody knows any more are noted also where no job is kept: a gate
+// that waits for a word on them lets the whole lease of its target lapse in the end.
+func TestForeignEndsWithoutLife(t *testing.T) {
+	c := newIdleCluster(t, 1, 1, func(job.RunName) (time.Duration, gate.EndKind) { return 200 * time.Millisecond, gate.EndDone })
+	go c.entry(0).RunBestEffort(context.Background(), testJob(1, 3, true))
+	c.until("it runs", func() bool { return len(c.spans()) == 3 })
+	c.restartEntry(0)
+	c.restartAgent(0)
+	driver := c.agents[0].daemon.driver
+	c.until("the ends are noted", func() bool {
+		if driver.Lapsing() {
+			t.Fatal("the lease was left to lapse")
+		}
+		for _, spans := range c.spans() {
+			if !spans[0].Noted {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/node/term.go
+++ b/node/term.go
@@ -128,6 +128,7 @@
 	defer t.end()
 	go t.serveKept()
 	go t.fleet.Run(t.ctx)
+	go t.answerForeign()
 	for ctx.Err() == nil && t.ctx.Err() == nil {
 		pause := calmPause
 		if t.owner.Waiting() {
@@ -145,8 +146,7 @@
 		return
 	}
 	go t.renew()
-	go t.watch()
-	t.answerForeign()
+	t.watch()
 }
 
 // renew renews the lease until the life ends.
--- a/peer/links.go
+++ b/peer/links.go
@@ -70,20 +70,11 @@
 	end context.CancelFunc
 	// breakOff ends the link that is up or being made.
 	breakOff context.CancelFunc
+	// reached is the incarnation of the process that the link has reached; "" while
+	// none has told it.
+	reached string
 	// changed is poked when another process has taken the gate's place.
 	changed chan struct{}
-	// busyTimeout is how long the next link may be without a frame while the gate
-	// has runs of the owner.
-	busyTimeout time.Duration
-}
-
-// ended takes in how long a link that had worked has lasted: one that ends soon
-// again may be slow rather than silent.
-func (g *gateLink) ended(lasted time.Duration) {
-	g.busyTimeout = min(2*g.busyTimeout, frameTimeout)
-	if lasted > settledAfter {
-		g.busyTimeout = busyFrameTimeout
-	}
 }
 
 // NewLinks returns links of an owner's life.
@@ -94,19 +85,21 @@
 
 // Keep keeps a link to a daemon's gate until the context ends. If another process
 // has taken the place of one that is known, the link to that one is broken off: a
-// machine that has lost power does not say that it is gone.
+// machine that has lost power does not say that it is gone. A link that has reached
+// the new process already is kept: after a restart of all boxes most have, before the
+// membership tells of it.
 func (l *Links) Keep(ctx context.Context, d member.Daemon) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	g := l.gates[d.Node]
 	if g == nil {
 		ctx, end := context.WithCancel(ctx)
-		g = &gateLink{daemon: d, end: end, breakOff: func() {}, changed: make(chan struct{}, 1), busyTimeout: busyFrameTimeout}
+		g = &gateLink{daemon: d, end: end, breakOff: func() {}, changed: make(chan struct{}, 1)}
 		l.gates[d.Node] = g
 		go l.keep(ctx, g)
 		return
 	}
-	if g.daemon.Incarnation != d.Incarnation {
+	if g.daemon.Incarnation != d.Incarnation && g.reached != d.Incarnation {
 		g.breakOff()
 		poker(g.changed)()
 	}
@@ -143,6 +136,7 @@
 	defer l.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
 	g.breakOff = cancel
+	g.reached = ""
 	return ctx, cancel, g.daemon
 }
 
@@ -191,11 +185,9 @@
 		if try%2 == 1 {
 			relay = l.relayFor(d.Node)
 		}
-		begun := time.Now()
-		worked := l.link(linkCtx, d, relay, g.busyTimeout)
+		worked := l.link(linkCtx, d, relay)
 		cancel()
 		if worked {
-			g.ended(time.Since(begun))
 			l.log.Info("Lost the link to a gate.", "gate", d.Node, "relay", relay)
 		}
 		pause := backoff
@@ -226,7 +218,7 @@
 }
 
 // link keeps one link until it fails; worked says whether it has brought a frame.
-func (l *Links) link(ctx context.Context, d member.Daemon, relay string, busyTimeout time.Duration) (worked bool) {
+func (l *Links) link(ctx context.Context, d member.Daemon, relay string) (worked bool) {
 	address := d.Address
 	if relay != "" {
 		address = relay
@@ -244,8 +236,9 @@
 		stop := time.AfterFunc(relayedFor, cancel)
 		defer stop.Stop()
 	}
-	watch := &frameWatch{timer: time.AfterFunc(l.firstFrameTimeout, cancel), timeout: l.frameTimeout, busyTimeout: busyTimeout}
-	defer watch.timer.Stop()
+	connect := func(ctx context.Context) bool { return reachable(ctx, address, l.metrics) }
+	watch := newFrameWatch(l.firstFrameTimeout, l.frameTimeout, connect, cancel)
+	defer watch.stop()
 	stream, err := peerpb.NewPeerClient(conn).Link(streamCtx)
 	if err != nil {
 		return false
@@ -272,16 +265,20 @@
 		watch.heard(l.owner.Busy(node))
 		if !worked {
 			worked = true
-			l.setUp(node, conn)
+			l.setUp(node, conn, f.GetIncarnation())
 			go l.sendOrders(ctx, cancel, stream, node, number, wake, watch)
 		}
 	}
 }
 
-func (l *Links) setUp(node string, conn *grpc.ClientConn) {
+// setUp takes in that a link works, and which process it has reached.
+func (l *Links) setUp(node string, conn *grpc.ClientConn, incarnation string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.up[node] = conn
+	if g := l.gates[node]; g != nil {
+		g.reached = incarnation
+	}
 }
 
 // setDown takes in that a link has ended, unless another has taken its place.
--- a/peer/links_test.go
+++ b/peer/links_test.go
@@ -69,3 +69,24 @@
 	l.Keep(ctx, member.Daemon{Node: "agent-1", Address: gateServer(t, "agent-1", countedGate{}), Incarnation: "agent-1~b"})
 	until(t, "the new process is linked", func() bool { return owner.frames.Load() > 0 })
 }
+
+// A link that has reached the new process by itself is not broken off when the
+// membership tells of that process.
+func TestLinkToNewProcessStays(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	owner := &linkedOwner{}
+	l := NewLinks("entry-1~a", owner, observe.NewMetrics(), logr.Discard())
+	at := listen(t)
+	serveOn(t, at, &Server{Node: "agent-1", Incarnation: "agent-1~b", Gate: countedGate{}, Metrics: observe.NewMetrics(), Log: logr.Discard()})
+	d := member.Daemon{Node: "agent-1", Address: at.Addr().String(), Incarnation: "agent-1~a"}
+	l.Keep(ctx, d)
+	until(t, "the link works", func() bool { return l.Up("agent-1") })
+	d.Incarnation = "agent-1~b"
+	l.Keep(ctx, d)
+	before := owner.frames.Load()
+	until(t, "more frames come", func() bool { return owner.frames.Load() > before+1 })
+	if n := l.counter.Load(); n != 1 {
+		t.Errorf("%d links were made, want the first one to stay", n)
+	}
+}
--- a/peer/pulse_test.go
+++ b/peer/pulse_test.go
@@ -1,42 +1,67 @@
 package peer
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 )
 
+// beatLog has the times at which a link was woken.
+type beatLog struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (l *beatLog) note() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.times = append(l.times, time.Now())
+}
+
+// take returns the times that were noted since the last call.
+func (l *beatLog) take() []time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	times := l.times
+	l.times = nil
+	return times
+}
+
 // Links are woken at the same moments, not more often than is allowed and not less
 // often than is needed. Time is virtual.
 func TestPulse(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const least, most = 50 * time.Millisecond, 400 * time.Millisecond
 		p := newPulse(func() (time.Duration, time.Duration) { return least, most })
-		var beats [2][]time.Time
-		for i := range beats {
-			defer p.join(func() { beats[i] = append(beats[i], time.Now()) })()
-		}
-		begun := time.Now()
+		var one, other beatLog
+		defer p.join(one.note)()
+		defer p.join(other.note)()
+		// The first beat may come before the second link has joined.
+		time.Sleep(time.Millisecond)
+		one.take()
+		other.take()
 		time.Sleep(2 * time.Second)
-		synctest.Wait()
-		if n := len(beats[0]); n < 5 || n > 7 {
+		idle := one.take()
+		if n := len(idle); n < 4 || n > 6 {
 			t.Errorf("%d beats in two idle seconds", n)
 		}
-		busy := len(beats[0])
 		for range 1000 {
 			p.hasten()
 			time.Sleep(time.Millisecond)
 		}
-		synctest.Wait()
-		if n := len(beats[0]) - busy; n < 18 || n > 21 {
+		busy := one.take()
+		if n := len(busy); n < 18 || n > 21 {
 			t.Errorf("%d beats in a second with news", n)
 		}
-		for i, at := range beats[0] {
-			if !beats[1][i].Equal(at) {
-				t.Fatalf("beat %d: links were woken at %v and %v", i, at.Sub(begun), beats[1][i].Sub(begun))
+		all := append(idle, busy...)
+		for i, at := range other.take() {
+			if !all[i].Equal(at) {
+				t.Fatalf("beat %d: links were woken at %v and %v", i, all[i], at)
 			}
-			if i > 1 && at.Sub(beats[0][i-1]) < least {
-				t.Errorf("beat %d came %v after the one before", i, at.Sub(beats[0][i-1]))
+			if i > 0 && at.Sub(all[i-1]) < least {
+				t.Errorf("beat %d came %v after the one before", i, at.Sub(all[i-1]))
 			}
 		}
 	})
@@ -45,20 +70,20 @@
 // A pulse that all links have left beats no more.
 func TestPulseRests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		asked := 0
+		var asked atomic.Int32
 		p := newPulse(func() (time.Duration, time.Duration) {
-			asked++
+			asked.Add(1)
 			return time.Millisecond, time.Millisecond
 		})
 		leave := p.join(func() {})
 		time.Sleep(10 * time.Millisecond)
 		leave()
 		time.Sleep(10 * time.Millisecond)
-		asked = 0
+		asked.Store(0)
 		p.hasten()
 		time.Sleep(time.Second)
-		if asked != 0 {
-			t.Errorf("%d beats without links", asked)
+		if n := asked.Load(); n != 0 {
+			t.Errorf("%d beats without links", n)
 		}
 	})
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -54,14 +54,11 @@
 	reportRate  = 120
 	// frameTimeout is how long a link may be without a frame.
 	frameTimeout = 900 * time.Millisecond
-	// busyFrameTimeout is the same while the gate has runs of the owner: a connection
-	// that has gone silent for good holds up all that is sent over it. It leaves a
-	// gate two frames of reportHeartbeat, late by half of one, and 40 ms for the way;
-	// a link that ends soon again has twice as long, up to frameTimeout.
+	// busyFrameTimeout is how long until a link is doubted while the gate has runs of
+	// the owner: a connection that has gone silent for good holds up all that is sent
+	// over it. It leaves a gate two frames of reportHeartbeat, the second late by half
+	// of that, and 40 ms for the way.
 	busyFrameTimeout = 350 * time.Millisecond
-	// settledAfter is how long a link must have lasted for the next to have the
-	// shorter time again.
-	settledAfter = 5 * time.Second
 )
 
 // Gate is the gate of a process.
@@ -101,6 +98,8 @@
 	peerpb.UnimplementedPeerServer
 	// Node is the name of this process's machine.
 	Node string
+	// Incarnation names this process.
+	Incarnation string
 	// Gate is nil where no gate is served.
 	Gate Gate
 	// Owner is nil where no owner is served.
@@ -183,13 +182,17 @@
 
 // sendReports sends frames whenever there is something to tell, and heartbeats.
 func (s *Server) sendReports(ctx context.Context, stream grpc.BidiStreamingServer[peerpb.OwnerFrame, peerpb.GateFrame], owner string, link uint64, wake <-chan struct{}) error {
+	incarnation := s.Incarnation
 	for {
 		reported := s.Gate.Reported()
 		f, ok := s.Gate.Flush(owner, link)
 		if !ok {
 			return ErrLink
 		}
-		if err := stream.Send(toGateFrame(f)); err != nil {
+		frame := toGateFrame(f)
+		// The first frame of a link tells which process has answered.
+		frame.Incarnation, incarnation = incarnation, ""
+		if err := stream.Send(frame); err != nil {
 			return err
 		}
 		sent := time.Now()
--- a/peer/silentlink_test.go
+++ b/peer/silentlink_test.go
@@ -6,11 +6,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
 
 	"rackspur/gate"
+	"rackspur/internal/wait"
 	"rackspur/member"
 	"rackspur/observe"
 )
@@ -78,7 +80,7 @@
 func (busyGate) Flush(string, uint64) (gate.Frame, bool) { return gate.Frame{}, true }
 
 // A connection that has gone silent for good while runs are at the gate is given up
-// within busyFrameTimeout, and the next link works at once.
+// as soon as a new one works.
 func TestSilentLink(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -109,17 +111,36 @@
 	}
 }
 
-// Links that end soon one after the other are given more time each.
-func TestLinkTimeoutGrows(t *testing.T) {
-	g := &gateLink{busyTimeout: busyFrameTimeout}
-	for range 5 {
-		g.ended(time.Second)
-	}
-	if g.busyTimeout != frameTimeout {
-		t.Errorf("%v after five short links, want %v", g.busyTimeout, frameTimeout)
-	}
-	g.ended(settledAfter + time.Second)
-	if g.busyTimeout != busyFrameTimeout {
-		t.Errorf("%v after a long link, want %v", g.busyTimeout, busyFrameTimeout)
-	}
+// A gate that is slow is not taken for a silent connection: its frame comes before a
+// new connection is made, which takes as long.
+func TestSlowLinkLasts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const slowness = 200 * time.Millisecond
+		var ended atomic.Bool
+		var connects atomic.Int32
+		w := newFrameWatch(firstFrameTimeout, frameTimeout, func(ctx context.Context) bool {
+			connects.Add(1)
+			wait.For(ctx, slowness)
+			return ctx.Err() == nil
+		}, func() { ended.Store(true) })
+		for range 20 {
+			w.heard(true)
+			time.Sleep(busyFrameTimeout + slowness - time.Millisecond)
+		}
+		if ended.Load() || connects.Load() != 20 {
+			t.Fatalf("ended %v after %d new connections", ended.Load(), connects.Load())
+		}
+		w.heard(false)
+		time.Sleep(frameTimeout - time.Millisecond)
+		if ended.Load() {
+			t.Fatal("ended without runs before its time")
+		}
+		w.sent(true)
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		if !ended.Load() {
+			t.Fatal("not ended without any frame")
+		}
+		w.stop()
+	})
 }
