--- a/gate/retry_test.go
+++ b/gate/retry_test.go
@@ -141,30 +141,31 @@
 // gives these the time for a late answer. Time is virtual.
 func TestOrderLeavesNoTimer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var contexts []context.Context
-		c := newRetriedCall(&rtoEstimator{}, func(ctx context.Context) (Answer, error) {
-			contexts = append(contexts, ctx)
+		contexts := make(chan context.Context, 2)
+		first := newRetriedCall(&rtoEstimator{}, func(ctx context.Context) (Answer, error) {
+			contexts <- ctx
 			if len(contexts) == 2 {
 				return Answer{}, nil
 			}
 			return hangs(ctx)
 		})
-		_, _ = c.run(t.Context())
-		if contexts[0].Err() != nil {
+		_, _ = first.run(t.Context())
+		open := <-contexts
+		<-contexts
+		if open.Err() != nil {
 			t.Error("the open try was broken off at once")
 		}
 		time.Sleep(lateAnswer)
 		synctest.Wait()
-		if contexts[0].Err() == nil {
+		if open.Err() == nil {
 			t.Error("the open try goes on")
 		}
-		contexts = nil
-		c = newRetriedCall(&rtoEstimator{}, func(ctx context.Context) (Answer, error) {
-			contexts = append(contexts, ctx)
+		second := newRetriedCall(&rtoEstimator{}, func(ctx context.Context) (Answer, error) {
+			contexts <- ctx
 			return Answer{}, nil
 		})
-		_, _ = c.run(t.Context())
-		if contexts[0].Err() == nil {
+		_, _ = second.run(t.Context())
+		if answered := <-contexts; answered.Err() == nil {
 			t.Error("an answered order waits for a timer")
 		}
 	})
--- a/rowstore/follow_test.go
+++ b/rowstore/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -160,10 +161,10 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		m := NewMemory()
-		calls := 0
+		var calls atomic.Int32
 		m.SetFault(func(c Call) Fault {
 			if c == CallChanges {
-				calls++
+				calls.Add(1)
 			}
 			return FaultNone
 		})
@@ -173,7 +174,7 @@
 		follower.Gather = 250 * time.Millisecond
 		go follower.Run(ctx)
 		time.Sleep(time.Second)
-		calls = 0
+		calls.Store(0)
 		change(t, m, "first")
 		time.Sleep(time.Millisecond)
 		if got, _ := f.now(); got != "first" {
@@ -187,13 +188,13 @@
 		if got, _ := f.now(); got != "289" {
 			t.Errorf("%q is known, want the newest value", got)
 		}
-		if calls > 4 {
-			t.Errorf("%d calls for 291 changes within 0.3 s", calls)
+		if n := calls.Load(); n > 4 {
+			t.Errorf("%d calls for 291 changes within 0.3 s", n)
 		}
-		calls = 0
+		calls.Store(0)
 		time.Sleep(20 * time.Second)
-		if calls > 11 {
-			t.Errorf("%d calls in 20 calm seconds, want one each %v", calls, follower.Wait)
+		if n := calls.Load(); n > 11 {
+			t.Errorf("%d calls in 20 calm seconds, want one each %v", n, follower.Wait)
 		}
 	})
 }
