An owner says how often it wants reports

Cause: while there is news a gate told each owner each 67 ms, so that an entry box with 35 gates woke 525 times a second for reports alone, against 82 starts. Change: the pause grows with the gates of the owner, so that it gets 300 reports a second at most (35 gates: 117 ms; 11 gates: 37 ms, 33 before). Test: TestOwnersReportPause.

--- a/peer/links.go
+++ b/peer/links.go
@@ -250,13 +250,22 @@
 		return false
 	}
 	number := l.counter.Add(1)
-	hello := &peerpb.OwnerHello{Incarnation: l.incarnation, Link: number, Gate: d.Node}
+	hello := &peerpb.OwnerHello{Incarnation: l.incarnation, Link: number, Gate: d.Node, ReportPauseMs: uint32(l.reportPause().Milliseconds())}
 	if stream.Send(&peerpb.OwnerFrame{Hello: hello}) != nil {
 		return false
 	}
 	return l.serve(ctx, cancel, stream, d.Node, number, conn, watch)
 }
 
+// reportPause is how far apart the owner wants reports of a gate to be at least: all
+// that gates tell wakes its process.
+func (l *Links) reportPause() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	pause := time.Duration(len(l.gates)) * time.Second / ownerReportRate
+	return min(max(reportPause, pause), mostReportPause)
+}
+
 func (l *Links) serve(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[peerpb.OwnerFrame, peerpb.GateFrame], node string, number uint64, conn *grpc.ClientConn, watch *frameWatch) (worked bool) {
 	wake := make(chan struct{}, 1)
 	l.owner.LinkUp(node, number, poker(wake))
@@ -300,7 +309,7 @@
 func (l *Links) sendOrders(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[peerpb.OwnerFrame, peerpb.GateFrame], node string, number uint64, wake <-chan struct{}, watch *frameWatch) {
 	defer cancel()
 	beat := make(chan struct{}, 1)
-	defer l.pulse.join(poker(beat))()
+	defer l.pulse.join(poker(beat), 0)()
 	for ctx.Err() == nil {
 		f, ok := l.owner.Flush(node, number)
 		if !ok {
--- a/peer/links_test.go
+++ b/peer/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -90,3 +91,20 @@
 		t.Errorf("%d links were made, want the first one to stay", n)
 	}
 }
+
+// What an owner gets as reports only does not grow with the number of its gates.
+func TestOwnersReportPause(t *testing.T) {
+	for _, gates := range []int{0, 4, 11, 35, 240} {
+		l := NewLinks("entry-1~a", &linkedOwner{}, observe.NewMetrics(), logr.Discard())
+		for i := range gates {
+			l.gates[fmt.Sprint(i)] = &gateLink{}
+		}
+		pause := l.reportPause()
+		if pause < reportPause || pause > mostReportPause {
+			t.Errorf("%d gates: pause %v", gates, pause)
+		}
+		if rate := float64(gates) * float64(time.Second) / float64(pause); pause < mostReportPause && rate > ownerReportRate+10 {
+			t.Errorf("%d gates: %.0f reports a second, want %d or fewer", gates, rate, ownerReportRate)
+		}
+	}
+}
--- a/peer/pulse.go
+++ b/peer/pulse.go
@@ -14,7 +14,7 @@
 	timing func() (least, most time.Duration)
 
 	mu    sync.Mutex
-	wakes map[uint64]func()
+	links map[uint64]pulseLink
 	count uint64
 	timer *time.Timer
 	// last is when the newest beat was, due when the next will be, least how far
@@ -23,23 +23,31 @@
 	least     time.Duration
 }
 
+// pulseLink is a link that has joined a pulse.
+type pulseLink struct {
+	wake func()
+	// pause is how far apart beats must be at least for the link.
+	pause time.Duration
+}
+
 // newPulse returns a pulse that beats while links have joined it.
 func newPulse(timing func() (least, most time.Duration)) *pulse {
-	return &pulse{timing: timing, wakes: map[uint64]func(){}}
+	return &pulse{timing: timing, links: map[uint64]pulseLink{}}
 }
 
-// join has a link woken with each beat, until it leaves.
-func (p *pulse) join(wake func()) (leave func()) {
+// join has a link woken with each beat, until it leaves. Beats are as far apart as
+// one of the links puts up with at least.
+func (p *pulse) join(wake func(), pause time.Duration) (leave func()) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.count++
 	number := p.count
-	p.wakes[number] = wake
+	p.links[number] = pulseLink{wake: wake, pause: pause}
 	p.arm(time.Now())
 	return func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		delete(p.wakes, number)
+		delete(p.links, number)
 	}
 }
 
@@ -47,7 +55,7 @@
 func (p *pulse) hasten() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.wakes) == 0 {
+	if len(p.links) == 0 {
 		return
 	}
 	at := p.last.Add(p.least)
@@ -75,12 +83,14 @@
 	least, most := p.timing()
 	p.mu.Lock()
 	p.last = time.Now()
-	p.least = least
 	p.due = time.Time{}
-	wakes := make([]func(), 0, len(p.wakes))
-	for _, wake := range p.wakes {
-		wakes = append(wakes, wake)
+	shortest := most
+	wakes := make([]func(), 0, len(p.links))
+	for _, l := range p.links {
+		shortest = min(shortest, l.pause)
+		wakes = append(wakes, l.wake)
 	}
+	p.least = max(least, shortest)
 	if len(wakes) > 0 {
 		p.arm(p.last.Add(most))
 	}
--- a/peer/pulse_test.go
+++ b/peer/pulse_test.go
@@ -36,8 +36,8 @@
 		const least, most = 50 * time.Millisecond, 400 * time.Millisecond
 		p := newPulse(func() (time.Duration, time.Duration) { return least, most })
 		var one, other beatLog
-		defer p.join(one.note)()
-		defer p.join(other.note)()
+		defer p.join(one.note, least)()
+		defer p.join(other.note, most)()
 		// The first beat may come before the second link has joined.
 		time.Sleep(time.Millisecond)
 		one.take()
@@ -75,7 +75,7 @@
 			asked.Add(1)
 			return time.Millisecond, time.Millisecond
 		})
-		leave := p.join(func() {})
+		leave := p.join(func() {}, 0)
 		time.Sleep(10 * time.Millisecond)
 		leave()
 		time.Sleep(10 * time.Millisecond)
--- a/peer/server.go
+++ b/peer/server.go
@@ -49,9 +49,14 @@
 	idleHeartbeat = 2 * time.Second
 	// reportPause is the shortest time between two frames to an owner that hold a
 	// report only. With many owners it is longer, so that the gate sends
-	// reportRate such frames a second at most to all of them together.
-	reportPause = 30 * time.Millisecond
-	reportRate  = 120
+	// reportRate such frames a second at most to all of them together, and with
+	// many gates, so that an owner gets ownerReportRate of them at most.
+	reportPause     = 30 * time.Millisecond
+	reportRate      = 120
+	ownerReportRate = 300
+	// mostReportPause bounds that: placing needs views that are younger than the run
+	// of a short task, or two.
+	mostReportPause = 150 * time.Millisecond
 	// frameTimeout is how long a link may be without a frame.
 	frameTimeout = 900 * time.Millisecond
 	// busyFrameTimeout is how long until a link is doubted while the gate has runs of
@@ -140,13 +145,14 @@
 		return status.Error(codes.Aborted, "the link is not the newest")
 	}
 	defer s.Gate.Disconnect(owner, link)
-	defer s.reportPulse().join(poker(wake))()
+	pause := max(s.reportPause(), time.Duration(hello.GetReportPauseMs())*time.Millisecond)
+	defer s.reportPulse().join(poker(wake), pause)()
 	ctx, cancel := context.WithCancel(stream.Context())
 	defer cancel()
 	failed := make(chan error, 1)
 	go func() {
 		defer cancel()
-		failed <- s.sendReports(ctx, stream, owner, link, wake)
+		failed <- s.sendReports(ctx, stream, owner, link, wake, pause)
 	}()
 	for {
 		f, err := stream.Recv()
@@ -181,7 +187,7 @@
 }
 
 // sendReports sends frames whenever there is something to tell, and heartbeats.
-func (s *Server) sendReports(ctx context.Context, stream grpc.BidiStreamingServer[peerpb.OwnerFrame, peerpb.GateFrame], owner string, link uint64, wake <-chan struct{}) error {
+func (s *Server) sendReports(ctx context.Context, stream grpc.BidiStreamingServer[peerpb.OwnerFrame, peerpb.GateFrame], owner string, link uint64, wake <-chan struct{}, pause time.Duration) error {
 	incarnation := s.Incarnation
 	for {
 		reported := s.Gate.Reported()
@@ -196,7 +202,7 @@
 			return err
 		}
 		sent := time.Now()
-		for !s.due(owner, sent, reported) {
+		for !s.due(owner, pause, sent, reported) {
 			select {
 			case <-wake:
 			case <-ctx.Done():
@@ -207,13 +213,14 @@
 }
 
 // due says whether a frame is to be sent to an owner whose last one was sent at a
-// time with so many changes of the report.
-func (s *Server) due(owner string, sent time.Time, reported uint64) bool {
+// time with so many changes of the report. Half of its pause must have passed, since
+// beats come at that distance at least.
+func (s *Server) due(owner string, pause time.Duration, sent time.Time, reported uint64) bool {
 	since := time.Since(sent)
 	switch {
 	case s.Gate.Pending(owner):
 		return true
-	case since < s.reportPause()/2:
+	case since < pause/2:
 		return false
 	case s.Gate.Reported() != reported:
 		return true
