--- a/peer/silentlink_test.go
+++ b/peer/silentlink_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,62 +10,12 @@
 	"github.com/go-logr/logr"
 
 	"rackspur/gate"
+	"rackspur/internal/standin"
 	"rackspur/internal/wait"
 	"rackspur/member"
 	"rackspur/observe"
 )
 
-// muteListener is a listener whose open connections can go silent for good, while
-// new ones work.
-type muteListener struct {
-	net.Listener
-	mu    sync.Mutex
-	conns []*muteConn
-}
-
-func (l *muteListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	m := &muteConn{Conn: c}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.conns = append(l.conns, m)
-	return m, nil
-}
-
-// muteAll makes the open connections silent.
-func (l *muteListener) muteAll() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, c := range l.conns {
-		c.muted.Store(true)
-	}
-}
-
-// muteConn loses what is written and what comes once it is muted.
-type muteConn struct {
-	net.Conn
-	muted atomic.Bool
-}
-
-func (c *muteConn) Read(b []byte) (int, error) {
-	for {
-		n, err := c.Conn.Read(b)
-		if err != nil || !c.muted.Load() {
-			return n, err
-		}
-	}
-}
-
-func (c *muteConn) Write(b []byte) (int, error) {
-	if c.muted.Load() {
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
 // busyOwner has runs at its gate.
 type busyOwner struct{ linkedOwner }
 
@@ -84,7 +32,7 @@
 func TestSilentLink(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	at := &muteListener{Listener: listen(t)}
+	at := &standin.MuteListener{Listener: listen(t)}
 	serveOn(t, at, &Server{Node: "agent-1", Gate: busyGate{}, Metrics: observe.NewMetrics(), Log: logr.Discard()})
 	owner := &busyOwner{}
 	l := NewLinks("entry-1~a", owner, observe.NewMetrics(), logr.Discard())
@@ -92,7 +40,7 @@
 	l.frameTimeout = time.Hour
 	l.Keep(ctx, member.Daemon{Node: "agent-1", Address: at.Addr().String(), Incarnation: "agent-1~a"})
 	until(t, "the link settles", func() bool { return owner.frames.Load() > 5 })
-	at.muteAll()
+	at.MuteAll()
 	until(t, "another link is made", func() bool { return l.counter.Load() == 2 })
 	before := owner.frames.Load()
 	until(t, "frames come over it", func() bool { return owner.frames.Load() > before })
