--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -149,6 +149,24 @@
 	}
 }
 
+// A run that a restarted gate found may end without having been claimed, since its job
+// was lost with its owner. The owners that are linked are told of the end, so that one
+// of them judges it.
+func TestEndOfUnclaimedRunIsTold(t *testing.T) {
+	b := newBench(t)
+	found := testRun("aa", 0, 1)
+	b.hold(HoldAnswer{Running: []Running{{Name: found, Percent: 10}}})
+	b.states()
+	b.hold(HoldAnswer{Finished: []Ended{{Number: 1, Name: found, Kind: EndDone}}})
+	if s := b.states()[found]; s.End != EndDone {
+		t.Fatalf("state %+v, want the end told", s)
+	}
+	b.verdict(found, VerdictNote)
+	if b.gate.seen != 1 {
+		t.Errorf("noted up to %d, want 1", b.gate.seen)
+	}
+}
+
 // A gate that has just started tells no inventory before its executor has listed
 // what runs: its owners would start anew what runs already.
 func TestNoLinkBeforeSurvey(t *testing.T) {
--- a/gate/report.go
+++ b/gate/report.go
@@ -45,10 +45,22 @@
 	Adopted   []string
 }
 
-// tell puts a run's state into its owner's outbox.
+// tell puts a run's state into its owner's outbox. All owners are told of a run that
+// nobody has claimed: its job may be lost, and its end must be judged all the same.
 func (g *Gate) tell(r *run) {
-	o := g.owners[r.owner]
-	if o == nil || !o.open {
+	if r.owner == "" {
+		for _, o := range g.owners {
+			o.tell(r)
+		}
+		return
+	}
+	if o := g.owners[r.owner]; o != nil {
+		o.tell(r)
+	}
+}
+
+func (o *ownerState) tell(r *run) {
+	if !o.open {
 		return
 	}
 	o.states = append(o.states, r)
--- a/owner/place.go
+++ b/owner/place.go
@@ -91,7 +91,7 @@
 		return 0, false
 	}
 	free := v.free()
-	room := free.Plus(job.Resources{CPU: max(capacity.CPU*queueShare(t)/1000, t.step.Need.CPU), Memory: capacity.Memory, GPU: capacity.GPU})
+	room := free.Plus(job.Resources{CPU: capacity.CPU * queueShare(t) / 1000, Memory: capacity.Memory, GPU: capacity.GPU})
 	if !room.Fits(t.step.Need) {
 		return 0, false
 	}
