--- a/test/kinddays/main.go
+++ b/test/kinddays/main.go
@@ -61,7 +61,7 @@
 	{name: "core_cut", variants: []string{"", "all", "near", "one_way", "reset", "leader race", "lure", "relieve", "seeds"}},
 	{name: "clock_step", variants: []string{"", "back", "ahead"}},
 	{name: "lossy", variants: []string{""}},
-	{name: "reset_conns", variants: []string{""}},
+	{name: "reset_conns", variants: []string{"", "silent"}},
 	{name: "hup", variants: []string{""}},
 	{name: "platform_down", variants: []string{"", "busy", "reset", "silent lapse", "nodes", "nodes busy", "nodes many", "nodes leader", "nodes reset revoke", "nodes revoke meet"}},
 	{name: "platform_slow", variants: []string{""}},
