Log lines tell why a run is stopped, by whom a job was taken in, what a new agent finds

Cause: of two runs at one time the logs could not tell which owner had taken the job in, on what proof of contact a gate let a run go on, how much of the target's lease was left, and what an agent's new process found at its target. Change: the gate keeps such events for its driver to log: stops with their reason, the contact's age and the lease left, runs of an earlier process and their claims. An owner tells of each best-effort job that lasts more than a second, 20 a second at most. No decision changes.

--- a/gate/contact.go
+++ b/gate/contact.go
@@ -21,6 +21,14 @@
 	return g.silent(now, r)
 }
 
+// overdueReason says why a run that is overdue is stopped.
+func overdueReason(r *run) StopReason {
+	if r.owner == "" {
+		return StopUnclaimed
+	}
+	return StopOwnerSilent
+}
+
 // Tick looks at times: silent owners, stops to send again, runs that stand still.
 func (g *Gate) Tick(now Time) Actions {
 	g.loseAll(now)
@@ -34,14 +42,14 @@
 			g.reject(r, "owner silent")
 		case phaseEnded:
 			if r.bestEffort {
-				g.abandon(r)
+				g.abandon(now, r)
 				g.advanceSeen()
 				continue
 			}
 			g.judgeOrphan(now, r)
 		default:
 			if !r.stop {
-				r.stop = true
+				g.stopRun(now, r, overdueReason(r))
 				r.overBy = now + stopPatience
 			}
 			if r.overBy != 0 && now > r.overBy && !g.lapsing {
@@ -65,7 +73,7 @@
 	if r.owner == "" && now-r.found < orphanPatience*g.options.Contact {
 		return
 	}
-	g.discard(r)
+	g.discard(now, r)
 	g.advanceSeen()
 }
 
--- a/gate/driver.go
+++ b/gate/driver.go
@@ -41,10 +41,27 @@
 func (d *Driver) do(event func(now Time, g *Gate) Actions) {
 	d.mu.Lock()
 	a := event(d.now(), d.gate)
+	events := d.gate.TakeEvents()
 	d.mu.Unlock()
+	d.tellEvents(events)
 	d.carryOut(a)
 }
 
+// eventMessages are the log lines of events.
+var eventMessages = map[EventKind]string{
+	EventStop:    "Run is stopped.",
+	EventFound:   "Found a run of an earlier process.",
+	EventClaimed: "Run of an earlier process is claimed.",
+}
+
+// tellEvents writes a line for each event.
+func (d *Driver) tellEvents(events []Event) {
+	for _, e := range events {
+		d.log.Info(eventMessages[e.Kind], "job", e.Run.Job, "step", e.Run.Step, "index", e.Run.Index, "run", e.Run.Run, "owner", e.Owner,
+			"reason", string(e.Reason), "contactAgeMS", e.ContactAge.Milliseconds(), "leaseLeftMS", e.LeaseLeft.Milliseconds())
+	}
+}
+
 func (d *Driver) carryOut(a Actions) {
 	for _, c := range a.Starts {
 		go d.start(a.Life, c)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -172,6 +172,8 @@
 	// lapsing is set while the lease is left to lapse.
 	lapsing bool
 	health  health
+	// events are what has happened since they were last taken.
+	events []Event
 }
 
 // New returns a gate that knows nothing yet.
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -119,7 +119,7 @@
 	g.health.ended(now, r)
 	if r.discarded {
 		r.discarded = false
-		g.discard(r)
+		g.discard(now, r)
 	}
 	g.tell(r)
 	g.tellAll()
--- a/gate/lists.go
+++ b/gate/lists.go
@@ -69,7 +69,7 @@
 		}
 		switch {
 		case r.phase == phaseUnsure && r.unsureSince < h.sent && !r.stop:
-			r.stop = true
+			g.stopRun(now, r, StopUnanswered)
 		case g.neverStarted(r, h):
 			g.lose(now, r, EndRejected, "unanswered")
 		case r.phase == phaseRunning && r.runningSince < h.sent:
@@ -120,6 +120,7 @@
 func (g *Gate) strange(now Time, name job.RunName) *run {
 	r := &run{RunName: name, phase: phaseStarting, started: now, found: now}
 	g.runs[name] = r
+	g.note(now, EventFound, r, "")
 	for _, o := range g.owners {
 		o.inventory = true
 		o.poke()
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -114,13 +114,13 @@
 	o.contact = max(o.contact, min(f.Echo, now))
 	o.keptContact = max(o.keptContact, min(f.KeptEcho, now))
 	o.received = f.Sequence
-	g.adopt(owner, f.Adopt)
+	g.adopt(now, owner, f.Adopt)
 	for _, v := range f.Verdicts {
 		g.judge(now, owner, v)
 	}
 	var a Actions
 	for _, name := range f.Stops {
-		g.stopOrder(owner, name)
+		g.stopOrder(now, owner, name)
 	}
 	for _, order := range f.Starts {
 		g.accept(now, owner, order)
@@ -133,7 +133,7 @@
 }
 
 // adopt takes over the runs of lives that are over.
-func (g *Gate) adopt(owner string, lives []string) {
+func (g *Gate) adopt(now Time, owner string, lives []string) {
 	if len(lives) == 0 {
 		return
 	}
@@ -146,7 +146,7 @@
 			}
 			r.owner = owner
 			if r.bestEffort {
-				g.abandon(r)
+				g.abandon(now, r)
 			}
 		}
 	}
@@ -155,7 +155,7 @@
 }
 
 // abandon ends a run whose job is gone with its owner.
-func (g *Gate) abandon(r *run) {
+func (g *Gate) abandon(now Time, r *run) {
 	switch r.phase {
 	case phaseQueued:
 		g.queue.remove(r)
@@ -164,7 +164,7 @@
 		r.noted = true
 		g.removeIfNoted(r)
 	default:
-		r.stop = true
+		g.stopRun(now, r, StopOwnerOver)
 	}
 }
 
@@ -200,22 +200,23 @@
 	}
 	switch v.Kind {
 	case VerdictClaim:
-		g.claim(owner, r, v.Need)
+		g.claim(now, owner, r, v.Need)
 	case VerdictNote:
 		r.noted = true
 		g.removeIfNoted(r)
 	case VerdictDiscard:
-		g.discard(r)
+		g.discard(now, r)
 	}
 }
 
 // claim gives a run that the gate found to its owner.
-func (g *Gate) claim(owner string, r *run, need job.Resources) {
+func (g *Gate) claim(now Time, owner string, r *run, need job.Resources) {
 	if r.owner != "" {
 		return
 	}
 	r.owner = owner
 	r.need = need
+	g.note(now, EventClaimed, r, "")
 	if r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning {
 		g.used = g.used.Plus(need)
 	}
@@ -225,13 +226,13 @@
 
 // discard makes sure that a run counts for nothing: it is stopped if it is not
 // over, and an end that counts is noted only after the lease has lapsed.
-func (g *Gate) discard(r *run) {
+func (g *Gate) discard(now Time, r *run) {
 	switch {
 	case r.phase == phaseQueued:
 		g.queue.remove(r)
 		g.reject(r, "discarded")
 	case r.phase != phaseEnded:
-		r.stop = true
+		g.stopRun(now, r, StopDiscarded)
 		r.discarded = true
 	case r.end == EndDone || r.end == EndFailed:
 		r.discarded = true
@@ -242,7 +243,7 @@
 	}
 }
 
-func (g *Gate) stopOrder(owner string, name job.RunName) {
+func (g *Gate) stopOrder(now Time, owner string, name job.RunName) {
 	r := g.runs[name]
 	if r == nil || r.owner != owner {
 		return
@@ -253,6 +254,6 @@
 		g.reject(r, "withdrawn")
 	case phaseEnded:
 	default:
-		r.stop = true
+		g.stopRun(now, r, StopOrdered)
 	}
 }
--- a/owner/live.go
+++ b/owner/live.go
@@ -111,6 +111,8 @@
 	slowGates []string
 	// stallTold says that a line has told of a task that stands still.
 	stallTold bool
+	// longTold says that a line has told that the job takes long.
+	longTold bool
 }
 
 // endedJob is what is remembered of a job that has ended.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -236,6 +236,7 @@
 	}
 	o.swept = now
 	o.tellStalled(now)
+	o.tellLong(now)
 	for id, e := range o.ended {
 		if now-e.at > rememberEnded {
 			e.runs = nil
--- a/owner/tell.go
+++ b/owner/tell.go
@@ -6,6 +6,17 @@
 	"rackspur/job"
 )
 
+// gates returns the gates that have tasks of the job, for a log line.
+func (j *liveJob) gates() string {
+	gates := ""
+	for _, t := range j.tasks {
+		if t.phase != taskDone && t.gate != "" {
+			gates += t.gate + " "
+		}
+	}
+	return gates
+}
+
 // tellRefused writes the line of a job that is refused, with what decided it.
 func (o *Owner) tellRefused(now Time, j *liveJob, why string) {
 	o.stats.Refused++
@@ -19,14 +30,34 @@
 	if !j.placed {
 		return
 	}
-	gates := ""
-	for _, t := range j.tasks {
-		if t.phase != taskDone && t.gate != "" {
-			gates += t.gate + " "
+	o.log.Info("Job given up.", "job", j.record.ID, "queue", j.record.Queue.Name, "ageMS", (now - j.arrived).Milliseconds(),
+		"tasks", len(j.tasks), "left", j.left, "on", j.gates(), "callers", len(j.callers), "overdueMS", (now - j.objective).Milliseconds())
+}
+
+// Bounds of the lines about jobs that take long.
+const (
+	// longAfter is the age from which a job that is not kept is told of: most take less
+	// than a second, and callers that have lost their answer come back after 1.3 s.
+	longAfter = time.Second
+	// mostLong is how many such lines are written at one look, which comes once a second.
+	mostLong = 20
+)
+
+// tellLong writes a line for each job that is not kept and takes long, once. It tells
+// which owner answers for the job and where its tasks are, should it be taken in again.
+func (o *Owner) tellLong(now Time) {
+	told := 0
+	for _, j := range o.jobs {
+		if j.longTold || !j.record.BestEffort || now-j.arrived < longAfter {
+			continue
 		}
+		if told++; told > mostLong {
+			return
+		}
+		j.longTold = true
+		o.log.Info("Job takes long.", "job", j.record.ID, "owner", o.options.Incarnation, "queue", j.record.Queue.Name,
+			"ageMS", (now - j.arrived).Milliseconds(), "tasks", len(j.tasks), "left", j.left, "on", j.gates())
 	}
-	o.log.Info("Job given up.", "job", j.record.ID, "queue", j.record.Queue.Name, "ageMS", (now - j.arrived).Milliseconds(),
-		"tasks", len(j.tasks), "left", j.left, "on", gates, "callers", len(j.callers), "overdueMS", (now - j.objective).Milliseconds())
 }
 
 // tellEnd writes the line of a job that failed, or ended after its objective.
