Node: the bounds of a gate and of an owner are made in functions of their own

Cause: tests in virtual time make gates and owners without sockets and must use the product's own bounds. Change: gateOptions and Entry.ownerOptions, called where the values stood before. No change of logic.

--- a/node/agent.go
+++ b/node/agent.go
@@ -35,7 +35,7 @@
 	}
 	o.listening(listener)
 	incarnation := o.Node + "~" + uuid.NewString()[:8]
-	g := gate.New(gate.Options{Node: o.Node, Incarnation: incarnation, MaxHold: o.MaxHold, Contact: contact, BestEffortContact: bestEffortContact})
+	g := gate.New(gateOptions(o, incarnation))
 	return &Agent{
 		options: o, executor: e, listener: listener, log: o.Log,
 		driver: gate.NewDriver(ctx, g, e, o.Log),
@@ -44,6 +44,11 @@
 	}, nil
 }
 
+// gateOptions returns the bounds of an agent's gate.
+func gateOptions(o Options, incarnation string) gate.Options {
+	return gate.Options{Node: o.Node, Incarnation: incarnation, MaxHold: o.MaxHold, Contact: contact, BestEffortContact: bestEffortContact}
+}
+
 // Driver returns the driver of the gate.
 func (a *Agent) Driver() *gate.Driver { return a.driver }
 
--- a/node/term.go
+++ b/node/term.go
@@ -56,16 +56,21 @@
 		watcher: member.NewWatcher(e.store, parts, daemon, e.started),
 	}
 	t.ctx, t.end = context.WithCancel(ctx)
-	t.owner = owner.New(owner.Options{
+	t.owner = owner.New(e.ownerOptions(incarnation), t)
+	t.links = peer.NewLinks(incarnation, t.owner, e.options.Metrics, e.log)
+	t.fleet = peer.NewFleet(daemon, t.links, t.owner, e.log)
+	return t
+}
+
+// ownerOptions returns the bounds of the owner of a life.
+func (e *Entry) ownerOptions(incarnation string) owner.Options {
+	return owner.Options{
 		Incarnation: incarnation, Parts: e.options.Parts, Contact: contact, MaxHold: e.options.MaxHold,
 		KeepFinished: e.options.KeepFinished, Log: e.log, Policy: e.options.Policy,
 		Now:       func() time.Duration { return time.Since(e.started) },
 		WallClock: time.Now,
 		Ended:     func(took time.Duration) { e.options.Metrics.Time(metricJobTime, took.Microseconds()) },
-	}, t)
-	t.links = peer.NewLinks(incarnation, t.owner, e.options.Metrics, e.log)
-	t.fleet = peer.NewFleet(daemon, t.links, t.owner, e.log)
-	return t
+	}
 }
 
 // Add implements owner.Writer.Add. Nothing is written before the life stands in
