Node: tests in virtual time of an agent's trouble after its owner's (red)

Change: a site in a bubble of testing/synctest: real owners, gates and drivers around stand-in executors whose clocks run 2% slow, links in memory after peer.Links and peer.Server. An agent lost, restarted or frozen -0.3 to 1.6 s after the owner, in steps of 50 ms, and a stop that does not take. No product code changed.

--- /dev/null
+++ b/node/virtual_test.go
@@ -0,0 +1,600 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rackspur/dispatch"
+	"rackspur/gate"
+	"rackspur/internal/standin"
+	"rackspur/internal/wait"
+	"rackspur/job"
+	"rackspur/member"
+	"rackspur/observe"
+	"rackspur/owner"
+	"rackspur/rowstore"
+)
+
+// This file holds a site in virtual time: real owners, gates and their drivers around
+// stand-in executors, with links in memory. It runs in a bubble of testing/synctest.
+//
+// What it leaves out: gRPC, links through a peer, the doubt of a link that is busy
+// (a link ends after frameTimeout without a frame only), the take-over of kept jobs.
+// A frozen agent makes no call and takes no frame, but its gate's ticks go on: on
+// waking it stands where a real one is up to a tick later.
+
+// Times of the site.
+const (
+	// virtualMaxHold is the longest lease of an executor.
+	virtualMaxHold = time.Second
+	// targetClock is how fast an executor's clock runs, in percent: PROTOCOL.md allows
+	// 2% slow.
+	targetClock = 98
+	// callLatency is the time that an executor takes to answer; half of the starts
+	// are answered within 2 ms (see gate's leastRTO).
+	callLatency = 900 * time.Microsecond
+	// executorBeat is the time between two heartbeats of an executor.
+	executorBeat = 300 * time.Millisecond
+	// recallLatency is how long a restarted agent takes to read what its executor is
+	// like from the store.
+	recallLatency = 7 * time.Millisecond
+	// retransmit is how long callers wait before they hand in a job again whose answer
+	// they have lost: retransmitMs of the users' settings.
+	retransmit = 1300 * time.Millisecond
+	// settleTime is how long links, holds and reports get before a job is handed in,
+	// and the job before the trouble. It falls between the ticks of the daemons.
+	settleTime = 1013 * time.Millisecond
+	// taskTime is how long a task works: longer than all bounds together.
+	taskTime = 6800 * time.Millisecond
+)
+
+// virtualSite is a site of a few boxes.
+type virtualSite struct {
+	t       *testing.T
+	ctx     context.Context
+	agents  []*agentBox
+	entries []*entryBox
+	// trouble is the time from which a test counts.
+	trouble time.Time
+}
+
+// inBubble runs a test with a site of two entry boxes and three agents in virtual time.
+func inBubble(t *testing.T, test func(s *virtualSite)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		s := &virtualSite{t: t, ctx: ctx}
+		for i := range 3 {
+			s.agents = append(s.agents, newAgentBox(s, i))
+		}
+		for i := range 2 {
+			s.entries = append(s.entries, newEntryBox(s, i))
+		}
+		wait.For(ctx, settleTime)
+		test(s)
+		cancel()
+		// What is under way ends before the bubble does.
+		wait.For(context.Background(), time.Second)
+	})
+}
+
+// event is something that a test does at a time after the trouble's beginning.
+type event struct {
+	at time.Duration
+	do func()
+}
+
+// play does the events in the order of their times, then lets the site run until so
+// long after the trouble's beginning.
+func (s *virtualSite) play(until time.Duration, events ...event) {
+	slices.SortStableFunc(events, func(a, b event) int { return int(a.at - b.at) })
+	s.trouble = time.Now().Add(max(0, -events[0].at))
+	for _, e := range append(events, event{until, func() {}}) {
+		wait.For(s.ctx, time.Until(s.trouble.Add(e.at)))
+		e.do()
+	}
+}
+
+// valve lets nothing through while it is shut.
+type valve struct {
+	mu sync.Mutex
+	// opened is closed when the valve opens; nil while it is open.
+	opened chan struct{}
+}
+
+func (v *valve) shut() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.opened == nil {
+		v.opened = make(chan struct{})
+	}
+}
+
+func (v *valve) open() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.opened != nil {
+		close(v.opened)
+		v.opened = nil
+	}
+}
+
+// pass waits until the valve is open; it returns false if the context ends before.
+func (v *valve) pass(ctx context.Context) bool {
+	_, ok := v.passed(ctx)
+	return ok
+}
+
+// passed is as pass and says whether the valve was shut.
+func (v *valve) passed(ctx context.Context) (waited, ok bool) {
+	for {
+		v.mu.Lock()
+		opened := v.opened
+		v.mu.Unlock()
+		if opened == nil {
+			return waited, ctx.Err() == nil
+		}
+		waited = true
+		select {
+		case <-opened:
+		case <-ctx.Done():
+			return waited, false
+		}
+	}
+}
+
+// stopFault is what an executor does with stops that it does not answer.
+type stopFault struct {
+	on bool
+	// after is how much later they are carried out; 0 is never. PROTOCOL.md: an
+	// unanswered call may be done seconds later, after newer calls.
+	after time.Duration
+}
+
+// virtualTarget is an executor with a slow clock and faults.
+type virtualTarget struct {
+	*standin.Executor
+	mu    sync.Mutex
+	stops stopFault
+}
+
+func newVirtualTarget(name string) *virtualTarget {
+	work := func(job.RunName) (time.Duration, gate.EndKind) { return taskTime, gate.EndDone }
+	e := standin.NewExecutor("life-of-"+name, job.Resources{CPU: 16000, Memory: 32768}, work)
+	// The lease is counted on the slow clock.
+	e.MaxHold = virtualMaxHold * 100 / targetClock
+	return &virtualTarget{Executor: e}
+}
+
+// setStops sets what becomes of stops from now on.
+func (x *virtualTarget) setStops(f stopFault) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.stops = f
+}
+
+func (x *virtualTarget) stopsNow() stopFault {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.stops
+}
+
+// told is a time of the executor as its own clock shows it, meant the reverse.
+func told(clockMS int64) int64  { return clockMS * targetClock / 100 }
+func meant(clockMS int64) int64 { return clockMS * 100 / targetClock }
+
+// Clock returns the time that the executor's own clock shows.
+func (x *virtualTarget) Clock() int64 { return told(x.Executor.Clock()) }
+
+// Start implements gate.Executor.Start.
+func (x *virtualTarget) Start(ctx context.Context, life string, c gate.StartCall) (gate.Answer, error) {
+	c.UntilMS = meant(c.UntilMS)
+	a, err := x.Executor.Start(ctx, life, c)
+	a.ClockMS = told(a.ClockMS)
+	return a, err
+}
+
+// Stop implements gate.Executor.Stop.
+func (x *virtualTarget) Stop(ctx context.Context, life string, c gate.StopCall) (gate.Answer, error) {
+	fault := x.stopsNow()
+	if !fault.on {
+		a, err := x.Executor.Stop(ctx, life, c)
+		a.ClockMS = told(a.ClockMS)
+		return a, err
+	}
+	if fault.after > 0 {
+		time.AfterFunc(fault.after, func() { _, _ = x.Executor.Stop(context.Background(), life, c) })
+	}
+	<-ctx.Done()
+	return gate.Answer{}, gate.ErrUnanswered
+}
+
+// Hold implements gate.Executor.Hold.
+func (x *virtualTarget) Hold(ctx context.Context, life string, c gate.HoldCall) (gate.Answer, gate.HoldAnswer, error) {
+	c.UntilMS = meant(c.UntilMS)
+	a, lists, err := x.Executor.Hold(ctx, life, c)
+	a.ClockMS = told(a.ClockMS)
+	return a, lists, err
+}
+
+// agentBox is a box with an agent beside an executor.
+type agentBox struct {
+	site   *virtualSite
+	name   string
+	target *virtualTarget
+	// awake is shut while the agent's process is frozen.
+	awake valve
+
+	mu      sync.Mutex
+	count   int
+	process *agentProcess
+}
+
+// agentProcess is one process of an agent.
+type agentProcess struct {
+	driver *gate.Driver
+	ctx    context.Context
+	kill   context.CancelFunc
+
+	mu sync.Mutex
+	// wakes has what wakes the links; see gate.Driver.OnReport.
+	wakes map[*virtualLink]func()
+}
+
+func newAgentBox(s *virtualSite, i int) *agentBox {
+	name := fmt.Sprintf("agent-%d", i)
+	b := &agentBox{site: s, name: name, target: newVirtualTarget(name)}
+	b.start()
+	return b
+}
+
+// start starts a process of the agent.
+func (b *agentBox) start() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.count++
+	p := &agentProcess{wakes: map[*virtualLink]func(){}}
+	p.ctx, p.kill = context.WithCancel(b.site.ctx)
+	o := Options{Node: b.name, MaxHold: virtualMaxHold}
+	g := gate.New(gateOptions(o, fmt.Sprintf("%s~%d", b.name, b.count)))
+	p.driver = gate.NewDriver(p.ctx, g, &agentCalls{box: b}, logr.Discard())
+	p.driver.OnReport(p.wakeLinks)
+	b.process = p
+	go p.driver.Run(p.ctx)
+	go b.beat(p)
+	if b.count > 1 {
+		go func() {
+			wait.For(p.ctx, recallLatency)
+			p.driver.Recall(gate.Description{Life: b.target.Life, Service: testService, Capacity: b.target.Capacity})
+		}()
+	}
+}
+
+func (b *agentBox) running() *agentProcess {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.process
+}
+
+// kill ends the agent's process without a word; what its executor runs goes on.
+func (b *agentBox) kill() { b.running().kill() }
+
+// beat passes the executor's heartbeats on.
+func (b *agentBox) beat(p *agentProcess) {
+	for sequence := int64(1); b.awake.pass(p.ctx); sequence++ {
+		p.driver.Heartbeat(gate.Heartbeat{Life: b.target.Life, Service: testService, Capacity: b.target.Capacity, ClockMS: b.target.Clock(), Sequence: sequence})
+		wait.For(p.ctx, executorBeat)
+	}
+}
+
+func (p *agentProcess) wakeLinks() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, wake := range p.wakes {
+		wake()
+	}
+}
+
+// join has a link woken when there is a new report, until it leaves.
+func (p *agentProcess) join(l *virtualLink, wake func()) (leave func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wakes[l] = wake
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.wakes, l)
+	}
+}
+
+// agentCalls are the calls of an agent to its executor.
+type agentCalls struct{ box *agentBox }
+
+// call makes a call; it is neither sent nor answered while the agent is frozen.
+func (c *agentCalls) call(ctx context.Context, f func() error) error {
+	if !c.box.awake.pass(ctx) {
+		return gate.ErrUnanswered
+	}
+	err := f()
+	wait.For(ctx, callLatency)
+	if !c.box.awake.pass(ctx) {
+		return gate.ErrUnanswered
+	}
+	return err
+}
+
+// Start implements gate.Executor.Start.
+func (c *agentCalls) Start(ctx context.Context, life string, s gate.StartCall) (a gate.Answer, err error) {
+	err = c.call(ctx, func() error {
+		a, err = c.box.target.Start(ctx, life, s)
+		return err
+	})
+	return answerOf(a, err), err
+}
+
+// Stop implements gate.Executor.Stop.
+func (c *agentCalls) Stop(ctx context.Context, life string, s gate.StopCall) (a gate.Answer, err error) {
+	err = c.call(ctx, func() error {
+		a, err = c.box.target.Stop(ctx, life, s)
+		return err
+	})
+	return answerOf(a, err), err
+}
+
+// Hold implements gate.Executor.Hold.
+func (c *agentCalls) Hold(ctx context.Context, life string, h gate.HoldCall) (a gate.Answer, lists gate.HoldAnswer, err error) {
+	err = c.call(ctx, func() error {
+		a, lists, err = c.box.target.Hold(ctx, life, h)
+		return err
+	})
+	return answerOf(a, err), lists, err
+}
+
+// answerOf is an answer, or none if the call got none.
+func answerOf(a gate.Answer, err error) gate.Answer {
+	if err == gate.ErrUnanswered {
+		return gate.Answer{}
+	}
+	return a
+}
+
+// entryBox is a box with an entry daemon's owner.
+type entryBox struct {
+	site  *virtualSite
+	name  string
+	owner *owner.Owner
+	life  string
+	ctx   context.Context
+	// kill ends the daemon: its links and its callers' connections break.
+	kill context.CancelFunc
+	// awake is shut while the daemon is frozen, callers while it is cut off from its
+	// callers.
+	awake, callers valve
+	paths          []*path
+	// After a freeze timers go off so much later, and frames that have waited are
+	// read so much later: the daemon may do either first.
+	timersAfter, framesAfter time.Duration
+	// noticedAfter is how long after the daemon can hear of it it learns that a caller
+	// has left.
+	noticedAfter time.Duration
+	mu           sync.Mutex
+	links        uint64
+}
+
+func newEntryBox(s *virtualSite, i int) *entryBox {
+	name := fmt.Sprintf("entry-%d", i)
+	b := &entryBox{site: s, name: name, life: name + "~1", noticedAfter: linkLatency}
+	b.ctx, b.kill = context.WithCancel(s.ctx)
+	e := &Entry{started: time.Now(), log: logr.Discard(), options: Options{
+		Node: name, Parts: 1, MaxHold: virtualMaxHold, KeepFinished: time.Minute, Metrics: observe.NewMetrics(),
+		Policy: placesInTurn{first: i},
+	}}
+	b.owner = owner.New(e.ownerOptions(b.life), sureWriter{})
+	for _, a := range s.agents {
+		p := &path{}
+		b.paths = append(b.paths, p)
+		b.owner.AddGate(a.name, "zone-a")
+		go b.keepLink(a, p)
+	}
+	go b.tick()
+	go b.renew(e)
+	return b
+}
+
+// placesInTurn is a policy that places by room, and by the order of names among
+// targets with as much of it: what is built in draws lots. Each entry box begins with
+// another target, so that the tasks of a job that comes again go to other targets.
+type placesInTurn struct{ first int }
+
+// Admit implements owner.Policy.Admit.
+func (placesInTurn) Admit(dispatch.JobView) dispatch.Verdict { return dispatch.Verdict{Admit: true} }
+
+// Place implements owner.Policy.Place.
+func (p placesInTurn) Place(_ dispatch.JobView, targets []dispatch.TargetView) dispatch.Plan {
+	best := p.first % len(targets)
+	for i := range targets {
+		next := (p.first + i) % len(targets)
+		if targets[next].Free > targets[best].Free {
+			best = next
+		}
+	}
+	return dispatch.Plan{Start: []dispatch.Share{{Target: best, N: 1}}}
+}
+
+// sureWriter brings every write into a store that holds nothing else.
+type sureWriter struct{}
+
+// Add implements owner.Writer.Add.
+func (sureWriter) Add(_ int, w *rowstore.Write) { go w.Done(rowstore.Outcome{Version: 1}, nil) }
+
+// Withdraw implements owner.Writer.Withdraw.
+func (sureWriter) Withdraw(int, *rowstore.Write) bool { return false }
+
+// FailingFor implements owner.Writer.FailingFor.
+func (sureWriter) FailingFor(int) time.Duration { return 0 }
+
+// renew renews the owner's lease in the store.
+func (b *entryBox) renew(e *Entry) {
+	for b.awake.pass(b.ctx) {
+		b.owner.Renewed(time.Since(e.started) + member.Lease)
+		wait.For(b.ctx, member.RenewPause)
+	}
+}
+
+// tick looks at the owner's times as term.run does.
+func (b *entryBox) tick() {
+	for b.ctx.Err() == nil {
+		pause := calmPause
+		if b.owner.Waiting() {
+			pause = tickPause
+		}
+		wait.For(b.ctx, pause)
+		if b.pass(b.timersAfter) {
+			b.owner.Tick()
+		}
+	}
+}
+
+// pass waits until the daemon is awake and, if it was frozen, so much longer. It
+// returns false if the daemon was killed.
+func (b *entryBox) pass(after time.Duration) bool {
+	waited, ok := b.awake.passed(b.ctx)
+	if waited && ok {
+		wait.For(b.ctx, after)
+	}
+	return ok && b.ctx.Err() == nil
+}
+
+// cut cuts the daemon off from its callers and from gates, in both directions.
+func (b *entryBox) cut() {
+	b.callers.shut()
+	for _, p := range b.paths {
+		p.cut()
+	}
+}
+
+// heal ends a cut.
+func (b *entryBox) heal() {
+	b.callers.open()
+	for _, p := range b.paths {
+		p.heal()
+	}
+}
+
+// run runs a job that is not kept for a caller, until the caller's context ends.
+// It returns false if the caller has got no answer.
+func (b *entryBox) run(ctx context.Context, s job.Submission) bool {
+	result := make(chan owner.BestEffortResult, 1)
+	if !b.pass(b.framesAfter) {
+		return false
+	}
+	ticket := b.owner.RunBestEffort(s, defaultPatience, func(r owner.BestEffortResult) { result <- r })
+	select {
+	case r := <-result:
+		return !r.Refused
+	case <-ctx.Done():
+		go b.leave(s.ID, ticket)
+		return false
+	case <-b.ctx.Done():
+		return false
+	}
+}
+
+// leave tells the owner that a caller has left, once the daemon can hear of it.
+func (b *entryBox) leave(id job.ID, ticket uint64) {
+	if b.callers.pass(b.ctx) && b.pass(b.noticedAfter) {
+		b.owner.Leave(id, ticket)
+	}
+}
+
+// virtualJob is the job of three tasks that tests hand in.
+func virtualJob(bestEffort bool) job.Submission {
+	s := testJob(1, 3, bestEffort)
+	s.Steps[0].EstimateMS = int(taskTime.Milliseconds())
+	return s
+}
+
+// handIn hands a job in at the first entry box and, retransmit after its answer was
+// lost, at the second. It returns when the tasks run; leave makes the caller give up
+// its first call.
+func (s *virtualSite) handIn() (leave context.CancelFunc) {
+	s.t.Helper()
+	j := virtualJob(true)
+	ctx, leave := context.WithCancel(s.ctx)
+	go func() {
+		if s.entries[0].run(ctx, j) {
+			return
+		}
+		wait.For(s.ctx, retransmit)
+		s.entries[1].run(s.ctx, j)
+	}()
+	wait.For(s.ctx, settleTime)
+	if n := len(s.spans()); n != 3 {
+		s.t.Fatalf("%d runs before the trouble, want 3", n)
+	}
+	return leave
+}
+
+// targetSpan is a run at a target.
+type targetSpan struct {
+	standin.Span
+	target string
+	// ended is when it ended, or now if it has not.
+	ended time.Time
+}
+
+// spans returns all runs in the order of their starts.
+func (s *virtualSite) spans() []targetSpan {
+	var all []targetSpan
+	now := time.Now()
+	for _, a := range s.agents {
+		for _, span := range a.target.Journal() {
+			ended := span.Ended
+			if span.End == 0 {
+				ended = now
+			}
+			all = append(all, targetSpan{Span: span, target: a.name, ended: ended})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b targetSpan) int { return a.Started.Compare(b.Started) })
+	return all
+}
+
+// tell describes a run with its times since the trouble began.
+func (s *virtualSite) tell(x targetSpan) string {
+	end := "still works at"
+	if x.End != 0 {
+		end = fmt.Sprintf("ends (%d) at", x.End)
+	}
+	return fmt.Sprintf("run %d of task %d at %s starts at %.3f, %s %.3f", x.Name.Run, x.Name.Index, x.target,
+		x.Started.Sub(s.trouble).Seconds(), end, x.ended.Sub(s.trouble).Seconds())
+}
+
+// checkOneAtATime checks that no two runs of a task were at work at one time, and that
+// tasks were started again at all, so that the check says something.
+func (s *virtualSite) checkOneAtATime() {
+	s.t.Helper()
+	all := s.spans()
+	again := map[job.TaskName]bool{}
+	for i, later := range all {
+		for _, earlier := range all[:i] {
+			if earlier.Name.TaskName != later.Name.TaskName {
+				continue
+			}
+			again[later.Name.TaskName] = true
+			if both := min(earlier.ended.Sub(later.Started), later.ended.Sub(later.Started)); both > 0 {
+				s.t.Errorf("two runs at one time for %v: %s; %s", both, s.tell(earlier), s.tell(later))
+			}
+		}
+	}
+	if len(again) == 0 {
+		s.t.Error("no task was started again: the sequence shows nothing")
+	}
+}
