Stand-in executor: a second run of a task no longer hides the first

Cause: it kept one run for each task. PROTOCOL.md has no rule by which an executor turns such a start away or ends the lower run. Change: runs are kept by the names of runs; a stop ends the run it names and lower ones of the task, as before. Measured: TestSecondRunHidesNone fails before (1 run listed, want 2) and passes after; go test -race of internal/standin and gate passes, of node all but the four tests that were red before.

--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -29,7 +29,7 @@
 	until   int64
 	seen    int64
 	ends    []gate.Ended
-	running map[job.TaskName]*executorRun
+	running map[job.RunName]*executorRun
 	highest map[job.TaskName]int
 	changed chan struct{}
 	journal []Span
@@ -64,7 +64,7 @@
 func NewExecutor(life string, capacity job.Resources, work func(job.RunName) (time.Duration, gate.EndKind)) *Executor {
 	return &Executor{
 		Life: life, Capacity: capacity, MaxHold: time.Second, Work: work, started: time.Now(),
-		running: map[job.TaskName]*executorRun{}, highest: map[job.TaskName]int{}, changed: make(chan struct{}),
+		running: map[job.RunName]*executorRun{}, highest: map[job.TaskName]int{}, changed: make(chan struct{}),
 	}
 }
 
@@ -153,7 +153,7 @@
 }
 
 func (e *Executor) finish(now time.Time, r *executorRun, how gate.EndKind) {
-	delete(e.running, r.name.TaskName)
+	delete(e.running, r.name)
 	e.highest[r.name.TaskName] = max(e.highest[r.name.TaskName], r.name.Run)
 	number := e.seen + int64(len(e.ends)) + 1
 	e.ends = append(e.ends, gate.Ended{Number: number, Name: r.name, Kind: how})
@@ -197,7 +197,7 @@
 	switch {
 	case e.clock(now) > c.UntilMS:
 		return a, gate.ErrLate
-	case e.running[c.Name.TaskName] != nil && e.running[c.Name.TaskName].name == c.Name:
+	case e.running[c.Name] != nil:
 		return a, nil
 	case c.Name.Run <= e.highest[c.Name.TaskName]:
 		return a, gate.ErrOldRun
@@ -206,7 +206,7 @@
 	}
 	lasts, how := e.Work(c.Name)
 	e.journal = append(e.journal, Span{Name: c.Name, Life: e.Life, Started: now})
-	e.running[c.Name.TaskName] = &executorRun{name: c.Name, need: c.Need, started: now, lasts: lasts, end: how, span: len(e.journal) - 1}
+	e.running[c.Name] = &executorRun{name: c.Name, need: c.Need, started: now, lasts: lasts, end: how, span: len(e.journal) - 1}
 	return a, nil
 }
 
@@ -229,8 +229,10 @@
 		return a, err
 	}
 	e.highest[c.Name.TaskName] = max(e.highest[c.Name.TaskName], c.Name.Run)
-	if r := e.running[c.Name.TaskName]; r != nil && r.name.Run <= c.Name.Run {
-		e.finish(now, r, gate.EndStopped)
+	for _, r := range e.running {
+		if r.name.TaskName == c.Name.TaskName && r.name.Run <= c.Name.Run {
+			e.finish(now, r, gate.EndStopped)
+		}
 	}
 	return a, nil
 }
