--- /dev/null
+++ b/gate/leftover_test.go
@@ -0,0 +1,296 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"rackspur/job"
+)
+
+// This file holds what a gate must do with the leftovers of a job that is taken in
+// a second time, of an earlier process of its own, and of owners that are lost.
+
+const (
+	// secondOwner has taken a job in again that another owner had before.
+	secondOwner = "entry-2~b"
+	// callerWait is the time after which the caller of a best-effort job that has
+	// lost its answer hands the job in again (the users' retransmitMs).
+	callerWait = 1300 * time.Millisecond
+	// keptOver is the time after a gate's last word after which owners hold its runs
+	// of kept jobs to be over (owner.overAfter: contact, longest lease, margin).
+	keptOver = 1400*time.Millisecond + 1030*time.Millisecond + 250*time.Millisecond
+	// mostLease ends a look at leases that are renewed for ever.
+	mostLease = 6 * time.Second
+	// slowClock is how much slower than ours an executor's clock may run.
+	slowClock = 0.02
+)
+
+// orderBy has an owner order runs of a best-effort job whose newest word of the gate is
+// of a time.
+func (b *bench) orderBy(owner string, echo Time, names ...job.RunName) Actions {
+	b.t.Helper()
+	f := OwnerFrame{Echo: echo, Sequence: 1}
+	for _, n := range names {
+		f.Starts = append(f.Starts, Order{Name: n, Spec: "s", Need: job.Resources{CPU: 1600, Memory: 64}, BestEffort: true})
+	}
+	a, ok := b.gate.OnFrame(b.now, owner, 1, f)
+	if !ok {
+		b.t.Fatal("frame not taken")
+	}
+	return a
+}
+
+// leaseEnd returns until when an executor with the slowest clock holds a lease.
+func (b *bench) leaseEnd(untilMS int64) Time {
+	left := time.Duration(untilMS-b.executorClock()) * time.Millisecond
+	return b.now + time.Duration(float64(left)/(1-slowClock))
+}
+
+// working returns a list with runs at work.
+func working(names ...job.RunName) HoldAnswer {
+	var lists HoldAnswer
+	for _, n := range names {
+		lists.Running = append(lists.Running, Running{Name: n, Percent: 10})
+	}
+	return lists
+}
+
+// Two runs of one task must not be at work at the same time. Where both are at one
+// executor its gate knows that, whoever owns them: the newer one waits until the older
+// one is over.
+func TestNoStartBesideOlderRunOfTask(t *testing.T) {
+	older, newer := testRun("aa", 0, 1), testRun("aa", 0, 2)
+	cases := []struct {
+		name  string
+		owner string
+		// stopped: the owner of the older run has ordered its stop.
+		stopped bool
+	}{
+		{"the older one is of an owner that is lost", secondOwner, false},
+		{"the older one is being stopped", testOwner, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := newBench(t)
+			b.gate.Connect(b.now, secondOwner, 1, nil)
+			b.started(b.orderBy(testOwner, b.now, older))
+			if tc.stopped {
+				b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2, Stops: []job.RunName{older}})
+			}
+			b.now += 50 * time.Millisecond
+			if a := b.orderBy(tc.owner, b.now, newer); len(a.Starts) != 0 {
+				t.Fatalf("run %d starts while run %d of the task is at work", newer.Run, older.Run)
+			}
+			_, a := b.hold(HoldAnswer{Finished: []Ended{{Number: 1, Name: older, Kind: EndStopped}}})
+			if len(a.Starts) != 1 || a.Starts[0].Name != newer {
+				t.Errorf("starts %+v once the older run is over, want run %d", a.Starts, newer.Run)
+			}
+		})
+	}
+}
+
+// Each owner numbers the runs of a job that it takes in from 1. An order whose name the
+// gate knows of another owner's run is started or given back; an order that is dropped
+// without a word leaves its owner waiting until its caller leaves.
+func TestOrderOfKnownNameIsAnswered(t *testing.T) {
+	b := newBench(t)
+	name := testRun("aa", 0, 1)
+	b.gate.Connect(b.now, secondOwner, 1, nil)
+	b.started(b.orderBy(testOwner, b.now, name))
+	b.gate.Flush(b.now, secondOwner, 1)
+	answered := len(b.orderBy(secondOwner, b.now, name).Starts) > 0
+	if answered {
+		t.Fatal("started while a run of the task is at work")
+	}
+	_, a := b.hold(HoldAnswer{Finished: []Ended{{Number: 1, Name: name, Kind: EndStopped}}})
+	answered = len(a.Starts) > 0
+	for range 20 {
+		b.now += tickPause
+		b.gate.OnFrame(b.now, secondOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2})
+		b.hold(HoldAnswer{})
+		a = b.gate.Tick(b.now)
+		f, _ := b.gate.Flush(b.now, secondOwner, 1)
+		answered = answered || len(a.Starts) > 0 || len(f.States) > 0
+	}
+	if !answered {
+		t.Error("the order was neither started nor given back in 2 s")
+	}
+}
+
+// A run that a restarted gate has found is nobody's until an owner claims it. An owner
+// that orders it to be stopped has given its job up: that is not waited out.
+func TestStopOfUnclaimedRun(t *testing.T) {
+	b := newBench(t)
+	found := testRun("aa", 0, 1)
+	b.hold(working(found))
+	a, _ := b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 1, Stops: []job.RunName{found}})
+	if len(a.Stops) != 1 {
+		t.Errorf("stops %+v, want the run that was found", a.Stops)
+	}
+}
+
+// stopTime returns when a gate stops a run that it found, whose claim comes, if
+// at all, from an owner without a lease in the store that has connected 0.25 s later.
+func stopTime(t *testing.T, claimed bool) Time {
+	t.Helper()
+	b := newBench(t)
+	found := testRun("aa", 0, 1)
+	b.hold(working(found))
+	began := b.now
+	for sent := false; b.now-began < 4*time.Second; b.now += 10 * time.Millisecond {
+		if claimed && b.now-began >= 250*time.Millisecond {
+			f := OwnerFrame{Echo: b.now, Sequence: 1}
+			if !sent {
+				b.gate.Connect(b.now, secondOwner, 1, nil)
+				f.Verdicts = []Verdict{{Name: found, Kind: VerdictClaim}}
+				sent = true
+			}
+			b.gate.OnFrame(b.now, secondOwner, 1, f)
+		}
+		b.hold(working(found))
+		if a := b.gate.Tick(b.now); len(a.Stops) > 0 {
+			return b.now - began
+		}
+	}
+	t.Fatal("not stopped in 4 s")
+	return 0
+}
+
+// A kept job's run goes by the lease of its owner's life in the store. A link of an
+// owner whose lease does not hold proves nothing: a run of a kept job that it claims
+// is stopped no later than one that nobody claims.
+func TestLinkProvesNoLease(t *testing.T) {
+	if unclaimed, claimed := stopTime(t, false), stopTime(t, true); claimed > unclaimed {
+		t.Errorf("stopped after %v, want %v at the latest as without the claim", claimed, unclaimed)
+	}
+}
+
+// A gate whose executor has not listed its runs takes no links while what an earlier
+// process has left there may be at work, or does not extend its lease: it would tell
+// owners that nothing runs there.
+func TestUnsurveyedGateExtendsNoLease(t *testing.T) {
+	b := &bench{t: t, now: 900 * time.Millisecond, clock: 100000}
+	b.gate = New(Options{Node: "gate-1", MaxHold: time.Second, Contact: 1400 * time.Millisecond, BestEffortContact: time.Second})
+	b.heartbeat(testLife, false)
+	b.hold(HoldAnswer{}) // The first look; it tells the clock only.
+	h := b.gate.NextHold(b.now, 0)
+	lease := b.leaseEnd(h.Call.UntilMS)
+	// The hold is carried out and its answer is lost.
+	b.now += 300 * time.Millisecond
+	b.gate.OnHold(b.now, h, Answer{}, HoldAnswer{}, ErrUnanswered)
+	if b.gate.Connect(b.now, testOwner, 1, nil) && b.now < lease {
+		t.Errorf("link taken at %v without a list of runs, whose lease was extended to %v", b.now, lease)
+	}
+}
+
+// A run is at work as long as the executor's lease lasts, also if that was given before
+// the run started: it must not outlive the newest proof of its owner's life by more
+// than the caller waits.
+func TestStartUnderLongerLease(t *testing.T) {
+	for _, age := range []time.Duration{600 * time.Millisecond, 950 * time.Millisecond} {
+		b := newBench(t)
+		// A second owner's run is the reason for a long lease; that owner is in touch.
+		b.gate.Connect(b.now, secondOwner, 1, nil)
+		other, name := testRun("bb", 0, 1), testRun("aa", 0, 1)
+		b.started(b.orderBy(secondOwner, b.now, other))
+		echo := b.now
+		lease := b.now
+		for b.now-echo < age {
+			b.gate.OnFrame(b.now, secondOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2})
+			h, _ := b.hold(working(other))
+			lease = max(lease, b.leaseEnd(h.Call.UntilMS))
+			b.now += 49 * time.Millisecond
+		}
+		if a := b.orderBy(testOwner, echo, name); len(a.Starts) > 0 && lease > echo+callerWait {
+			t.Errorf("proof %v old: started under a lease that ends %v after it, want %v at most", age, lease-echo, callerWait)
+		}
+	}
+}
+
+// The heartbeat of a life that this gate does not know says nothing about the runs of
+// the one that it does, also while that one answers nothing: it may be an older one
+// that was held up. Runs are lost once a call was turned away or their lease is over.
+func TestHeartbeatAloneEndsNoRuns(t *testing.T) {
+	b := newBench(t)
+	name := testRun("aa", 0, 1)
+	b.started(b.orderBy(testOwner, b.now, name))
+	b.hold(working(name))
+	b.states()
+	b.now += silentAfter + time.Millisecond
+	b.heartbeat("older", false)
+	if s := b.states()[name]; s.End != 0 {
+		t.Errorf("told %+v while the run's lease holds", s)
+	}
+	// The target answers again, and still as the life that was known.
+	h := b.gate.NextHold(b.now, 0)
+	if h.Life != testLife && h.Life != "" {
+		b.gate.OnHold(b.now, h, Answer{}, HoldAnswer{}, ErrOtherLife)
+	}
+	for range 3 {
+		h = b.gate.NextHold(b.now, 0)
+		b.now += time.Millisecond
+		b.gate.OnHold(b.now, h, Answer{ClockMS: b.executorClock(), Life: testLife}, working(name), nil)
+	}
+	b.heartbeat(testLife, false)
+	if !b.open() {
+		t.Error("closed for good to the life that answers")
+	}
+}
+
+// Owners hold the runs of a kept job to be over some time after the gate's last word.
+// No lease that the gate gives lasts longer, also if the executor does not carry
+// out stops.
+func TestKeptLeaseEndsBeforeRunsCountAsOver(t *testing.T) {
+	b := newBench(t)
+	name := testRun("aa", 0, 1)
+	b.started(b.order(true, name))
+	contact, lease := b.now, b.now
+	for b.now <= lease && b.now-contact < mostLease {
+		h, _ := b.hold(working(name))
+		if h.Call.UntilMS > 0 {
+			lease = max(lease, b.leaseEnd(h.Call.UntilMS))
+		}
+		b.now += 9 * time.Millisecond
+		if (b.now-contact).Truncate(10*time.Millisecond)%tickPause == 0 {
+			b.gate.Tick(b.now)
+		}
+	}
+	if lease-contact > keptOver {
+		t.Errorf("leased for %v after the owner's last word, want %v at most", lease-contact, keptOver)
+	}
+}
+
+// The same for a run whose owner has ordered its stop and is then lost: it is at work
+// until the caller may have handed its job in again, and no longer.
+func TestLeaseOfStoppedRunEnds(t *testing.T) {
+	b := newBench(t)
+	name := testRun("aa", 0, 1)
+	b.started(b.orderBy(testOwner, b.now, name))
+	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2, Stops: []job.RunName{name}})
+	ordered, lease := b.now, b.now
+	for b.now <= lease && b.now-ordered < mostLease {
+		h, _ := b.hold(working(name))
+		if h.Call.UntilMS > 0 {
+			lease = max(lease, b.leaseEnd(h.Call.UntilMS))
+		}
+		b.now += 9 * time.Millisecond
+		b.gate.Tick(b.now)
+	}
+	if lease-ordered > callerWait {
+		t.Errorf("leased for %v after its stop was ordered, want %v at most", lease-ordered, callerWait)
+	}
+}
+
+// An owner that takes a lost life's jobs over is told of their runs before it has read
+// the jobs, and says that it does not know them. The runs go on.
+func TestForeignWordStopsNoAdoptedRun(t *testing.T) {
+	b := newBench(t)
+	name := testRun("aa", 0, 1)
+	b.started(b.order(true, name))
+	b.gate.Connect(b.now, secondOwner, 1, nil)
+	b.gate.OnFrame(b.now, secondOwner, 1, OwnerFrame{Echo: b.now, KeptEcho: b.now, Sequence: 1, Adopt: []string{testOwner}})
+	a, _ := b.gate.OnFrame(b.now, secondOwner, 1, OwnerFrame{Echo: b.now, KeptEcho: b.now, Sequence: 2, Verdicts: []Verdict{{Name: name, Kind: VerdictForeign}}})
+	if len(a.Stops) != 0 {
+		t.Errorf("stopped %+v", a.Stops)
+	}
+}
