Tests of claimed runs and of an owner's end; three are red

A claim does not tell the gate that the job is best effort, so the run goes by the contact of kept jobs; an owner that ends stops nothing. Change: tests only, with an owner and a real gate.

--- /dev/null
+++ b/owner/leftover_test.go
@@ -0,0 +1,127 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/job"
+)
+
+// restartedGate is a gate whose process has just started and found a run.
+type restartedGate struct {
+	*bench
+	gate *gate.Gate
+	run  job.RunName
+	link uint64
+}
+
+const (
+	restartedName = "gate-1"
+	// bestEffortContact is how long a gate lets a best-effort run go on without word
+	// of its owner, keptContact the same for kept jobs (package node).
+	bestEffortContact = time.Second
+	keptContact       = 1400 * time.Millisecond
+	// gateTick is the time between two looks at a gate's times (package gate).
+	gateTick = 100 * time.Millisecond
+)
+
+// restartGate has the owner place a best-effort task, and the gate's process start anew
+// while it runs. The owner claims the run.
+func restartGate(b *bench) *restartedGate {
+	b.t.Helper()
+	link := b.connect(restartedName)
+	b.owner.RunBestEffort(testSubmission("00000000000000aa", 1), time.Minute, func(BestEffortResult) {})
+	f := b.flush(restartedName, link)
+	if len(f.Starts) != 1 {
+		b.t.Fatalf("%d starts, want 1", len(f.Starts))
+	}
+	r := &restartedGate{bench: b, run: f.Starts[0].Name, link: link + 1}
+	r.gate = gate.New(gate.Options{Node: restartedName, MaxHold: time.Second, Contact: keptContact, BestEffortContact: bestEffortContact})
+	r.gate.OnHeartbeat(b.now, gate.Heartbeat{Life: "i-1", Service: testService, Capacity: job.Resources{CPU: 16000, Memory: 32768}, Sequence: 1})
+	r.hold()
+	r.hold()
+	if !r.gate.Connect(b.now, "entry~1", r.link, nil) {
+		b.t.Fatal("link not taken")
+	}
+	b.owner.LinkUp(restartedName, r.link, nil)
+	r.exchange()
+	return r
+}
+
+// hold has the executor list the run as running.
+func (r *restartedGate) hold() {
+	h := r.gate.NextHold(r.now, 0)
+	r.now += time.Millisecond
+	lists := gate.HoldAnswer{Running: []gate.Running{{Name: r.run, Percent: 10}}}
+	r.gate.OnHold(r.now, h, gate.Answer{ClockMS: r.now.Milliseconds(), Life: "i-1"}, lists, nil)
+}
+
+// exchange carries a frame of the gate to the owner and one back.
+func (r *restartedGate) exchange() {
+	r.t.Helper()
+	f, ok := r.gate.Flush(r.now, "entry~1", r.link)
+	if !ok {
+		r.t.Fatal("no frame of the gate")
+	}
+	r.owner.OnFrame(restartedName, r.link, f)
+	if _, ok := r.gate.OnFrame(r.now, "entry~1", r.link, r.flush(restartedName, r.link)); !ok {
+		r.t.Fatal("frame not taken")
+	}
+}
+
+// stopped lets time pass and says after what time the gate stops the run.
+func (r *restartedGate) stopped(most time.Duration, inTouch bool) (after time.Duration, ok bool) {
+	began := r.now
+	for r.now-began < most {
+		r.hold()
+		r.now += 49 * time.Millisecond
+		if inTouch {
+			r.exchange()
+		}
+		if a := r.gate.Tick(r.now); len(a.Stops) > 0 {
+			return r.now - began, true
+		}
+	}
+	return 0, false
+}
+
+// A run that a restarted gate has found does not tell whether its job is kept. Once its
+// owner has claimed it, it goes by the shorter contact of best-effort jobs: their
+// callers hand them in again.
+func TestClaimedBestEffortRunOfLostOwner(t *testing.T) {
+	r := restartGate(newBench(t))
+	if after, ok := r.stopped(3*time.Second, false); !ok || after > bestEffortContact+gateTick {
+		t.Errorf("stopped %v after the owner's last word (%v), want %v at most", after, ok, bestEffortContact+gateTick)
+	}
+}
+
+// An owner that keeps no jobs has no life in the store. The best-effort runs that it
+// claims go on as long as it is in touch.
+func TestClaimedBestEffortRunOfOwnerWithoutLife(t *testing.T) {
+	b := newBench(t)
+	b.now += 2 * time.Hour // Beyond the lease in the store that the bench gives.
+	r := restartGate(b)
+	if after, ok := r.stopped(3*time.Second, true); ok {
+		t.Errorf("stopped after %v though its owner is in touch", after)
+	}
+}
+
+// An owner that ends tells its callers, who hand their jobs in elsewhere 1.3 s later.
+// It has the runs of these jobs stopped with its last frame, and does not leave them to
+// the end of the contact time.
+func TestEndStopsBestEffortRuns(t *testing.T) {
+	b := newBench(t)
+	link := b.connect("gate-1")
+	told := false
+	b.owner.RunBestEffort(testSubmission("00000000000000aa", 1), time.Minute, func(BestEffortResult) { told = true })
+	started := b.flush("gate-1", link).Starts
+	b.owner.End()
+	if !told {
+		t.Fatal("the caller was not told")
+	}
+	f, _ := b.owner.Flush("gate-1", link)
+	if len(f.Stops) != len(started) {
+		t.Errorf("%d runs stopped, want %d", len(f.Stops), len(started))
+	}
+}
