Test of a life's row during a take-over; it is red

A taker drops the row of the life that is over once it has read its jobs, and not once the gates have told: if it is lost then, the next taker does not ask for the first life's runs. Change: one test, on real clocks. The other tests of the package were not run.

--- /dev/null
+++ b/node/chain_test.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/job"
+	"rackspur/rowstore"
+)
+
+// lifeStands says whether a life has a row in the store.
+func (c *cluster) lifeStands(incarnation string) bool {
+	key := rowstore.Key{Table: "lives", Part: "members", Name: incarnation}
+	_, ok, err := rowstore.ReadOne(context.Background(), c.store, key)
+	return err == nil && ok
+}
+
+// While an owner that takes jobs over waits for a gate that may have runs of the life
+// that is over, it may be lost itself. Whoever takes over from it must ask for the runs
+// of both: the row of the first life stands until every gate has told or its runs are
+// over.
+func TestLifeStandsUntilGatesHaveTold(t *testing.T) {
+	c := newCluster(t, 2, 1, func(job.RunName) (time.Duration, gate.EndKind) { return 5 * time.Second, gate.EndDone })
+	submit(c.entry(0), testJob(1, 1, false))
+	c.until("it runs", func() bool { return len(c.spans()) == 1 })
+	first := c.entry(0).Incarnation()
+	c.mu.Lock()
+	c.agents[0].kill()
+	c.entries[0].kill()
+	c.mu.Unlock()
+	taker := c.entry(1).current.Load().owner
+	c.until("the other takes over", taker.Adopting)
+	began := time.Now()
+	for taker.Adopting() {
+		if !c.lifeStands(first) && taker.Adopting() {
+			t.Fatalf("the row of the life was dropped %v after its jobs were read, while a gate has not told of its runs", time.Since(began))
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
