A target's lease ends by the time by which its runs must be over

The lease that a gate gave counted from the moment of the hold, not from the proof of the owner's life that it relied on: contact 1.0 s + lease 1.02 s beside the 1.3 s after which callers hand a job in elsewhere. The same class: a stop that does not take (0.5 s more, or never left to lapse), a new agent process that renewed the lease of what it found for 1.4 s, a claim that made best-effort runs count as kept ones, a new link that counted as proof of the owner's lease in the store, a start under a lease given for others' runs, kept jobs (3.1 s for 2.68 s). A new process extends no lease before the target's first list, nor beside runs that no owner claims; those are stopped after 0.25 s. A claim says whether the job is kept. A run waits for an older run of its task at the same target; an order with a number that is known is given back; a stop counts for a run that nobody has claimed; a heartbeat alone ends no runs that may be at work.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -118,7 +118,7 @@
 	}
 	return node.Options{
 		Node: s.Node, Zone: s.Zone, Listen: s.InternalAddress(), Seeds: s.SeedAddresses(),
-		Parts: parts, MaxHold: s.MaxHold(), KeepFinished: s.KeepFinished(),
+		Parts: parts, MaxHold: s.MaxHold(), KeepFinished: s.KeepFinished(), Resubmit: s.Resubmit(),
 		Store: platform.NewStore(s), Metrics: observe.NewMetrics(), Log: log.WithValues("node", s.Node),
 	}
 }
--- a/gate/contact.go
+++ b/gate/contact.go
@@ -2,21 +2,21 @@
 
 // silent says whether the owner of a run has had no word of the gate for too long.
 func (g *Gate) silent(now Time, r *run) bool {
-	o := g.owners[r.owner]
+	contact := g.contactWith(r)
 	switch {
-	case o == nil:
+	case contact == 0:
 		return true
 	case r.bestEffort:
-		return now-o.contact > g.options.BestEffortContact
+		return now-contact > g.options.BestEffortContact
 	}
-	return now-o.keptContact > g.options.Contact
+	return now-contact > g.options.Contact
 }
 
 // overdue says whether a run has no owner in contact; a run that was found
-// waits for one.
+// waits a moment for one.
 func (g *Gate) overdue(now Time, r *run) bool {
-	if g.owners[r.owner] == nil {
-		return now-r.found > g.options.Contact
+	if g.contactWith(r) == 0 && r.found != 0 {
+		return now-r.found > unclaimedPatience
 	}
 	return g.silent(now, r)
 }
@@ -32,6 +32,14 @@
 // Tick looks at times: silent owners, stops to send again, runs that stand still.
 func (g *Gate) Tick(now Time) Actions {
 	g.loseAll(now)
+	g.endOverdue(now)
+	g.forgetOwners(now)
+	return g.startFromQueue(now, g.stopWhatMust(now, Actions{}))
+}
+
+// endOverdue ends what has no owner in contact any more. If a stop does not take, the
+// lease ends the run: it is not extended beyond the run's time.
+func (g *Gate) endOverdue(now Time) {
 	for _, r := range g.runs {
 		if !g.overdue(now, r) {
 			continue
@@ -48,17 +56,9 @@
 			}
 			g.judgeOrphan(now, r)
 		default:
-			if !r.stop {
-				g.stopRun(now, r, overdueReason(r))
-				r.overBy = now + stopPatience
-			}
-			if r.overBy != 0 && now > r.overBy && !g.lapsing {
-				g.lapsing = true
-			}
+			g.stopRun(now, r, overdueReason(r))
 		}
 	}
-	g.forgetOwners(now)
-	return g.startFromQueue(now, g.stopWhatMust(now, Actions{}))
 }
 
 // judgeOrphan decides about an end that no owner has claimed for a long time:
@@ -90,7 +90,7 @@
 // forgetOwners drops owners that are long silent and own nothing.
 func (g *Gate) forgetOwners(now Time) {
 	for name, o := range g.owners {
-		if o.open || now-o.contact < 2*orphanPatience*g.options.Contact {
+		if o.open || now-max(o.contact, o.connected) < 2*orphanPatience*g.options.Contact {
 			continue
 		}
 		if !g.ownsRuns(name) {
--- a/gate/event.go
+++ b/gate/event.go
@@ -39,8 +39,8 @@
 	Run    job.RunName
 	Owner  string
 	Reason StopReason
-	// ContactAge is the age of the newest proof that the run's owner lives; 0 for a run
-	// without an owner.
+	// ContactAge is the age of the newest proof that the run's owner lives; 0 if there is
+	// none.
 	ContactAge time.Duration
 	// LeaseLeft is how much of the target's lease is left at least.
 	LeaseLeft time.Duration
@@ -56,8 +56,8 @@
 		return
 	}
 	e := Event{Kind: kind, Run: r.RunName, Owner: r.owner, Reason: reason, LeaseLeft: g.leaseLeft(now)}
-	if g.owners[r.owner] != nil {
-		e.ContactAge = now - g.contactWith(r)
+	if contact := g.contactWith(r); contact != 0 {
+		e.ContactAge = now - contact
 	}
 	g.events = append(g.events, e)
 }
@@ -74,7 +74,7 @@
 	return time.Duration(max(0, g.grantedMS-g.executorClock(now))) * time.Millisecond
 }
 
-// contactWith returns the newest proof that a run's owner lives.
+// contactWith returns the newest proof that a run's owner lives; 0 if there is none.
 func (g *Gate) contactWith(r *run) Time {
 	o := g.owners[r.owner]
 	switch {
@@ -86,11 +86,16 @@
 	return o.keptContact
 }
 
-// stopRun has a run stopped; the calls follow with stopWhatMust.
+// stopRun has a run stopped; the calls follow with stopWhatMust. From then on others
+// count on its end, except for a run that may not have started: its owner waits for the
+// gate's word.
 func (g *Gate) stopRun(now Time, r *run, reason StopReason) {
 	if r.stop {
 		return
 	}
+	if reason != StopUnanswered {
+		r.stopBy = g.mustEndBy(r)
+	}
 	r.stop = true
 	g.note(now, EventStop, r, reason)
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -34,9 +34,6 @@
 const (
 	// startLease bounds how late a start may be carried out.
 	startLease = 500 * time.Millisecond
-	// stopPatience is how long after an owner's silence a run that does not stop
-	// is waited for before the executor's whole lease is left to lapse.
-	stopPatience = 500 * time.Millisecond
 	// clockSlack covers an executor's clock that runs slow, in parts of a time.
 	clockSlack = 0.03
 	// lapseMargin is added to the time of a lapse.
@@ -90,8 +87,9 @@
 	stopSent Time
 	// stopConfirmed is when a stop was answered.
 	stopConfirmed Time
-	// overBy is when a run that was told to stop must have ended.
-	overBy Time
+	// stopBy is when a run that is to be stopped must be over at the latest; 0 if
+	// nobody counts on that.
+	stopBy Time
 
 	end    EndKind
 	number int64
@@ -108,8 +106,10 @@
 	// keptContact the same with the owner's lease in the store holding.
 	contact     Time
 	keptContact Time
-	link        uint64
-	received    uint64
+	// connected is when the newest link was made.
+	connected Time
+	link      uint64
+	received  uint64
 	// open says whether a link is up.
 	open      bool
 	states    []*run
@@ -220,7 +220,7 @@
 	if g.pastLives[b.Life] {
 		return Actions{}, false
 	}
-	if b.Life != g.life && g.answersAs(now) {
+	if b.Life != g.life && (g.answersAs(now) || g.mayBeAtWork(now)) {
 		g.claimant = b
 		return Actions{HoldNow: true}, true
 	}
@@ -250,6 +250,20 @@
 	return g.known && g.life != "" && !g.executorSilent(now)
 }
 
+// mayBeAtWork says whether runs of the life that is known may be at work, as far as
+// its lease tells.
+func (g *Gate) mayBeAtWork(now Time) bool {
+	if g.leaseOver(now) {
+		return false
+	}
+	for _, r := range g.runs {
+		if r.phase != phaseQueued && r.phase != phaseEnded {
+			return true
+		}
+	}
+	return false
+}
+
 // takeClaimant takes in the newest heartbeat of another life, once calls to the one
 // that was known are turned away.
 func (g *Gate) takeClaimant(now Time) Actions {
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -29,11 +29,10 @@
 		h.Call.WaitMS = 0
 		return h
 	}
-	if g.unanswered(now) {
+	if g.unanswered(now) || !g.surveyed {
 		return h
 	}
-	h.Call.UntilMS = g.executorClock(now) + g.options.MaxHold.Milliseconds()
-	g.grantedMS = max(g.grantedMS, h.Call.UntilMS)
+	h.Call.UntilMS = g.extendLease(now)
 	return h
 }
 
@@ -87,6 +86,7 @@
 	g.surveyed = true
 	g.finishLapse(a)
 	g.advanceSeen()
+	g.endOverdue(now)
 	return g.startFromQueue(now, g.stopWhatMust(now, Actions{}))
 }
 
--- /dev/null
+++ b/gate/lease_test.go
@@ -0,0 +1,59 @@
+package gate
+
+import (
+	"testing"
+	"time"
+)
+
+// What a new process of a gate finds is at work on a lease of the one before. It asks
+// for no more lease, and starts nothing that would, until every run is claimed or over.
+func TestNoLeaseForUnclaimedRuns(t *testing.T) {
+	b := newBench(t)
+	found, next := testRun("aa", 0, 1), testRun("bb", 0, 1)
+	b.hold(working(found))
+	granted := b.gate.grantedMS
+	if a := b.order(true, next); len(a.Starts) != 0 {
+		t.Fatalf("started %v beside a run that nobody has claimed", a.Starts)
+	}
+	for b.now-time.Second < unclaimedPatience {
+		h, a := b.hold(working(found))
+		if h.Call.UntilMS != 0 || b.gate.grantedMS != granted || len(a.Starts) != 0 {
+			t.Fatalf("lease asked for up to %d, starts %v", h.Call.UntilMS, a.Starts)
+		}
+		b.now += 20 * time.Millisecond
+	}
+	b.verdict(found, VerdictClaim)
+	if h, _ := b.hold(working(found)); h.Call.UntilMS <= granted {
+		t.Errorf("lease up to %d once the run is claimed, want more than %d", h.Call.UntilMS, granted)
+	}
+}
+
+// A claim that comes too late to save the other runs is not waited for.
+func TestUnclaimedRunsAreStopped(t *testing.T) {
+	b := newBench(t)
+	found := testRun("aa", 0, 1)
+	b.hold(working(found))
+	b.now += unclaimedPatience + time.Millisecond
+	_, a := b.hold(working(found))
+	if len(a.Stops) != 1 || a.Stops[0].Name != found {
+		t.Fatalf("stops %+v, want one", a.Stops)
+	}
+	if e := b.gate.TakeEvents(); len(e) == 0 || e[len(e)-1].Reason != StopUnclaimed {
+		t.Errorf("events %+v", e)
+	}
+}
+
+// In calm an owner's heartbeats are 0.375 s apart at most; leases are as long as the
+// target grants then.
+func TestLeaseInCalmIsWhole(t *testing.T) {
+	b := newBench(t)
+	name := testRun("aa", 0, 1)
+	b.started(b.order(false, name))
+	b.hold(working(name))
+	b.now += 375 * time.Millisecond
+	h := b.gate.NextHold(b.now, 0)
+	left := time.Duration(h.Call.UntilMS-b.executorClock()) * time.Millisecond
+	if least := 800 * time.Millisecond; left < least {
+		t.Errorf("a lease of %v, want %v at least", left, least)
+	}
+}
--- a/gate/lists.go
+++ b/gate/lists.go
@@ -90,7 +90,7 @@
 // loseAll ends all runs once the lease of an executor that does not answer is
 // surely over.
 func (g *Gate) loseAll(now Time) {
-	if g.fence == 0 || !g.unanswered(now) || g.executorClock(now) <= g.grantedMS+lapseMargin.Milliseconds() {
+	if g.fence == 0 || !g.unanswered(now) || !g.leaseOver(now) {
 		return
 	}
 	for _, r := range g.runs {
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -39,8 +39,10 @@
 type Verdict struct {
 	Name job.RunName
 	Kind VerdictKind
-	// Need is what the run takes, given with a claim.
-	Need job.Resources
+	// Need is what the run takes, BestEffort says that its job is not kept; both are
+	// given with a claim.
+	Need       job.Resources
+	BestEffort bool
 }
 
 // OwnerFrame is what an owner sends.
@@ -68,13 +70,15 @@
 	}
 	o := g.owners[owner]
 	if o == nil {
-		o = &ownerState{contact: now, keptContact: now}
+		// A new link proves nothing yet: its opening may have been held up.
+		o = &ownerState{}
 		g.owners[owner] = o
 	}
 	if link <= o.link {
 		return false
 	}
 	o.link = link
+	o.connected = now
 	o.open = true
 	o.inventory = true
 	o.states = nil
@@ -139,16 +143,16 @@
 	}
 	for _, life := range lives {
 		g.adopted[life] = owner
-		delete(g.owners, life)
 		for _, r := range g.runs {
 			if r.owner != life {
 				continue
 			}
-			r.owner = owner
 			if r.bestEffort {
 				g.abandon(now, r)
 			}
+			r.owner = owner
 		}
+		delete(g.owners, life)
 	}
 	g.owners[owner].inventory = true
 	g.owners[owner].poke()
@@ -169,7 +173,7 @@
 }
 
 func (g *Gate) accept(now Time, owner string, o Order) {
-	if g.runs[o.Name] != nil {
+	if known := g.runs[o.Name]; known != nil && known.owner == owner && known.phase != phaseEnded {
 		return
 	}
 	g.orders++
@@ -177,6 +181,11 @@
 		RunName: o.Name, owner: owner, spec: o.Spec, need: o.Need, checkpoint: o.Checkpoint,
 		estimate: o.Estimate, rank: o.Rank, order: g.orders, arrived: now, bestEffort: o.BestEffort, unguarded: o.Unguarded,
 	}
+	if g.runs[o.Name] != nil {
+		// Each owner that takes a job in numbers its runs from 1.
+		g.reject(r, "a run of that number is known")
+		return
+	}
 	g.runs[o.Name] = r
 	switch {
 	case g.silent(now, r):
@@ -200,7 +209,7 @@
 	}
 	switch v.Kind {
 	case VerdictClaim:
-		g.claim(now, owner, r, v.Need)
+		g.claim(now, owner, r, v)
 	case VerdictNote:
 		r.noted = true
 		g.removeIfNoted(r)
@@ -210,15 +219,16 @@
 }
 
 // claim gives a run that the gate found to its owner.
-func (g *Gate) claim(now Time, owner string, r *run, need job.Resources) {
+func (g *Gate) claim(now Time, owner string, r *run, v Verdict) {
 	if r.owner != "" {
 		return
 	}
 	r.owner = owner
-	r.need = need
+	r.need = v.Need
+	r.bestEffort = v.BestEffort
 	g.note(now, EventClaimed, r, "")
 	if r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning {
-		g.used = g.used.Plus(need)
+		g.used = g.used.Plus(r.need)
 	}
 	// It may have ended since the owner was told of it.
 	g.tell(r)
@@ -245,7 +255,7 @@
 
 func (g *Gate) stopOrder(now Time, owner string, name job.RunName) {
 	r := g.runs[name]
-	if r == nil || r.owner != owner {
+	if r == nil || (r.owner != owner && r.owner != "") {
 		return
 	}
 	switch r.phase {
--- a/gate/start.go
+++ b/gate/start.go
@@ -12,17 +12,30 @@
 		g.rejectQueue("closed")
 		return a
 	}
+	var behind []*run
+	defer func() {
+		for _, r := range behind {
+			g.queue.push(r)
+		}
+	}()
 	for {
 		r := g.queue.first()
 		if r == nil {
 			return a
 		}
+		if g.olderRunAtWork(r) {
+			behind = append(behind, g.queue.pop())
+			continue
+		}
 		if g.silent(now, r) {
 			g.queue.pop()
 			g.reject(r, "owner silent")
 			continue
 		}
-		if now < g.fullUntil || !g.capacity.Minus(g.used).Fits(r.need) || !g.health.mayStart(now) || (r.unguarded && g.hasUnclaimed()) {
+		if g.leaseShort(now) || !g.leaseAllowsStart(now, r) {
+			return a
+		}
+		if now < g.fullUntil || !g.capacity.Minus(g.used).Fits(r.need) || !g.health.mayStart(now) {
 			return a
 		}
 		g.queue.pop()
@@ -30,11 +43,22 @@
 	}
 }
 
+// olderRunAtWork says whether another run of the same task is at work here: of an owner
+// that had the job before, or one that is being stopped.
+func (g *Gate) olderRunAtWork(r *run) bool {
+	for name, other := range g.runs {
+		if name.TaskName == r.TaskName && other != r && other.phase != phaseQueued && other.phase != phaseEnded {
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Gate) start(now Time, r *run) StartCall {
 	r.phase = phaseStarting
 	r.started = now
 	r.progress = progress{}
-	r.untilMS = g.executorClock(now) + startLease.Milliseconds()
+	r.untilMS = g.leaseUntil(now, min(now+startLease, g.leaseBound(now)))
 	g.grantedMS = max(g.grantedMS, r.untilMS)
 	g.used = g.used.Plus(r.need)
 	g.health.started(now)
--- a/node/agent.go
+++ b/node/agent.go
@@ -44,11 +44,6 @@
 	}, nil
 }
 
-// gateOptions returns the bounds of an agent's gate.
-func gateOptions(o Options, incarnation string) gate.Options {
-	return gate.Options{Node: o.Node, Incarnation: incarnation, MaxHold: o.MaxHold, Contact: contact, BestEffortContact: bestEffortContact}
-}
-
 // Driver returns the driver of the gate.
 func (a *Agent) Driver() *gate.Driver { return a.driver }
 
--- /dev/null
+++ b/node/contact.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"time"
+
+	"rackspur/gate"
+	"rackspur/owner"
+)
+
+// contact is how long a gate lets runs of kept jobs go on without word from their owner.
+const contact = 1400 * time.Millisecond
+
+// Times around jobs that are not kept. Their callers hand them in again elsewhere,
+// Options.Resubmit after they have lost their answer; by then all that the first owner
+// has started must be over.
+const (
+	// defaultResubmit holds where the platform names no time.
+	defaultResubmit = 1300 * time.Millisecond
+	// resubmitMargin is left for the look at the times (0.1 s), the stop, and, if that
+	// does not take, for what is left of the lease (0.4 s, see package gate): with a
+	// resubmission after 1.3 s the target's lease ends 1.25 s after the newest proof of
+	// the owner's life.
+	resubmitMargin = 450 * time.Millisecond
+	// leastBestEffortContact is below what a busy link's heartbeats can be apart twice.
+	leastBestEffortContact = 400 * time.Millisecond
+)
+
+// bestEffortContact is how long a gate lets runs of jobs that are not kept go on without
+// word from their owner.
+func (o *Options) bestEffortContact() time.Duration {
+	resubmit := o.Resubmit
+	if resubmit <= 0 {
+		resubmit = defaultResubmit
+	}
+	return max(resubmit-resubmitMargin, leastBestEffortContact)
+}
+
+// gateOptions returns the bounds of an agent's gate.
+func gateOptions(o Options, incarnation string) gate.Options {
+	return gate.Options{Node: o.Node, Incarnation: incarnation, MaxHold: o.MaxHold, Contact: contact, BestEffortContact: o.bestEffortContact()}
+}
+
+// ownerOptions returns the bounds of the owner of a life.
+func (e *Entry) ownerOptions(incarnation string) owner.Options {
+	o := &e.options
+	return owner.Options{
+		Incarnation: incarnation, Parts: o.Parts, Contact: contact, BestEffortContact: o.bestEffortContact(), MaxHold: o.MaxHold,
+		KeepFinished: o.KeepFinished, Log: e.log, Policy: o.Policy,
+		Now:       func() time.Duration { return time.Since(e.started) },
+		WallClock: time.Now,
+		Ended:     func(took time.Duration) { o.Metrics.Time(metricJobTime, took.Microseconds()) },
+	}
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -42,9 +42,12 @@
 	Parts        int
 	MaxHold      time.Duration
 	KeepFinished time.Duration
-	Store        rowstore.Store
-	Metrics      *observe.Metrics
-	Log          logr.Logger
+	// Resubmit is how long after a lost answer callers hand in a job that is not kept
+	// again, maybe elsewhere; 0 for the usual time.
+	Resubmit time.Duration
+	Store    rowstore.Store
+	Metrics  *observe.Metrics
+	Log      logr.Logger
 	// Policy makes the decisions that operators have programmed; it may be nil.
 	Policy owner.Policy
 }
@@ -57,13 +60,6 @@
 	}
 }
 
-// contact is how long a gate lets runs go on without word from their owner.
-const contact = 1400 * time.Millisecond
-
-// bestEffortContact is the same for runs of jobs that are not kept. It is below
-// the time after which callers hand in such a job again.
-const bestEffortContact = time.Second
-
 // Times of an entry daemon.
 const (
 	// tickPause is the time between two looks at the owner's times while tasks or
--- a/node/term.go
+++ b/node/term.go
@@ -62,17 +62,6 @@
 	return t
 }
 
-// ownerOptions returns the bounds of the owner of a life.
-func (e *Entry) ownerOptions(incarnation string) owner.Options {
-	return owner.Options{
-		Incarnation: incarnation, Parts: e.options.Parts, Contact: contact, MaxHold: e.options.MaxHold,
-		KeepFinished: e.options.KeepFinished, Log: e.log, Policy: e.options.Policy,
-		Now:       func() time.Duration { return time.Since(e.started) },
-		WallClock: time.Now,
-		Ended:     func(took time.Duration) { e.options.Metrics.Time(metricJobTime, took.Microseconds()) },
-	}
-}
-
 // Add implements owner.Writer.Add. Nothing is written before the life stands in
 // the store, since its lease does not hold before.
 func (t *term) Add(part int, w *rowstore.Write) { (*t.writers.Load())[part].Add(w) }
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -134,7 +134,7 @@
 		t.phase = taskRunning
 		t.job.begun = true
 	}
-	v.claim(s.Name, t.step.Need)
+	v.claim(s.Name, t)
 	if t.job.final != "" {
 		v.stop(s.Name)
 	}
@@ -256,8 +256,8 @@
 	v.poke()
 }
 
-func (v *gateView) claim(name job.RunName, need job.Resources) {
-	v.verdicts = append(v.verdicts, gate.Verdict{Name: name, Kind: gate.VerdictClaim, Need: need})
+func (v *gateView) claim(name job.RunName, t *task) {
+	v.verdicts = append(v.verdicts, gate.Verdict{Name: name, Kind: gate.VerdictClaim, Need: t.step.Need, BestEffort: t.job.record.BestEffort})
 }
 
 func (v *gateView) stop(name job.RunName) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -48,6 +48,8 @@
 	Parts int
 	// Contact is how long a gate lets runs go on without word from the owner.
 	Contact time.Duration
+	// BestEffortContact is the same for runs of jobs that are not kept.
+	BestEffortContact time.Duration
 	// MaxHold is the longest lease of an executor.
 	MaxHold time.Duration
 	// KeepFinished is how long the state of an ended job is told.
@@ -115,7 +117,9 @@
 	unanswered int
 	// shortSince is since when tasks wait for room; 0 while none does.
 	shortSince Time
-	log        logr.Logger
+	// touched is when another process last reached this one.
+	touched Time
+	log     logr.Logger
 }
 
 // Stats are counters of an owner.
@@ -131,6 +135,7 @@
 		options:    o,
 		entries:    1,
 		capacityAt: o.Now(),
+		touched:    o.Now(),
 		writer:     w,
 		jobs:       map[job.ID]*liveJob{},
 		ended:      map[job.ID]*endedJob{},
@@ -155,7 +160,9 @@
 	}
 }
 
-// End makes the owner give no more orders, for good: its life is fenced.
+// End makes the owner give no more orders, for good: its life is fenced, or it leaves.
+// The runs of jobs that are not kept end as those of a lost owner: by the time that their
+// callers, who are told, hand the jobs in elsewhere.
 func (o *Owner) End() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -39,7 +39,7 @@
 		out.Stops = append(out.Stops, toRunName(n))
 	}
 	for _, v := range f.Verdicts {
-		out.Verdicts = append(out.Verdicts, &peerpb.Verdict{Name: toRunName(v.Name), Kind: peerpb.Verdict_Kind(v.Kind), Need: toResources(v.Need)})
+		out.Verdicts = append(out.Verdicts, &peerpb.Verdict{Name: toRunName(v.Name), Kind: peerpb.Verdict_Kind(v.Kind), Need: toResources(v.Need), BestEffort: v.BestEffort})
 	}
 	return out
 }
@@ -56,7 +56,7 @@
 		out.Stops = append(out.Stops, fromRunName(n))
 	}
 	for _, v := range f.GetVerdicts() {
-		out.Verdicts = append(out.Verdicts, gate.Verdict{Name: fromRunName(v.GetName()), Kind: gate.VerdictKind(v.GetKind()), Need: fromResources(v.GetNeed())})
+		out.Verdicts = append(out.Verdicts, gate.Verdict{Name: fromRunName(v.GetName()), Kind: gate.VerdictKind(v.GetKind()), Need: fromResources(v.GetNeed()), BestEffort: v.GetBestEffort()})
 	}
 	return out
 }
