An owner that was out of touch starts nothing more of its best-effort jobs

An owner that is frozen or cut off keeps its jobs; its gates stop their runs, its callers hand them in elsewhere, and when it is back it started the tasks anew before it learnt that its callers had left. A job that was dropped between placing a task and the frame with its start ran all the same: the frame carried the stop and the start, and a gate takes the stops first. What has ended meanwhile is answered; a job whose task would have to start is given up. A start that was not handed to the link is taken back. A second drop of a job answers the first one's callers.

--- a/owner/besteffort.go
+++ b/owner/besteffort.go
@@ -27,6 +27,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.options.Now()
+	o.heardFromOutside(now)
 	o.order++
 	c := caller{ticket: o.order, result: result}
 	if e := o.ended[s.ID]; e != nil {
--- a/owner/drop.go
+++ b/owner/drop.go
@@ -29,10 +29,14 @@
 	delete(o.jobs, j.record.ID)
 	o.stats.Dropped++
 	o.tellDropped(now, j)
-	d := &droppedJob{at: now, unsure: j.openRuns(), callers: j.callers}
 	for _, t := range j.tasks {
 		o.waiting.remove(t)
-		o.stopEverywhere(t)
+	}
+	o.stopAll(j)
+	d := &droppedJob{at: now, unsure: j.openRuns(), callers: j.callers}
+	if earlier := o.dropped[j.record.ID]; earlier != nil {
+		// The job was taken in again here before that.
+		earlier.answer(BestEffortResult{})
 	}
 	o.dropped[j.record.ID] = d
 	j.callers = nil
@@ -47,6 +51,13 @@
 	}
 }
 
+// dropLive drops a job unless that was done already.
+func (o *Owner) dropLive(j *liveJob) {
+	if o.jobs[j.record.ID] == j {
+		o.drop(j)
+	}
+}
+
 // openRuns returns the runs that gates have not told the end of.
 func (j *liveJob) openRuns() map[job.RunName]bool {
 	runs := map[job.RunName]bool{}
--- a/owner/live.go
+++ b/owner/live.go
@@ -111,6 +111,9 @@
 	slowGates []string
 	// stallTold says that a line has told of a task that stands still.
 	stallTold bool
+	// closed says that nothing more of a job that is not kept may start: its callers may
+	// have handed it in elsewhere.
+	closed bool
 	// longTold says that a line has told that the job takes long.
 	longTold bool
 }
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -30,6 +30,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.options.Now()
+	o.heardFromOutside(now)
 	if _, ok := o.ended[s.ID]; ok {
 		result(SubmitAccepted)
 		return
@@ -153,6 +154,11 @@
 		t.phase = taskBlocked
 		return
 	}
+	if t.job.closed {
+		t.phase = taskBlocked
+		o.dropLive(t.job)
+		return
+	}
 	t.phase = taskWaiting
 	t.gate = ""
 	t.since = now
--- /dev/null
+++ b/owner/touch_test.go
@@ -0,0 +1,112 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/job"
+)
+
+const (
+	touchJob  = "00000000000000aa"
+	touchGate = "gate-1"
+)
+
+// touchCase is an owner with a best-effort job whose first task runs at a gate.
+type touchCase struct {
+	*bench
+	link    uint64
+	started []gate.Order
+	results []BestEffortResult
+}
+
+func newTouchCase(t *testing.T, tasks int) *touchCase {
+	c := &touchCase{bench: newBench(t)}
+	c.link = c.connect(touchGate)
+	c.owner.RunBestEffort(testSubmission(touchJob, tasks), time.Minute, func(r BestEffortResult) { c.results = append(c.results, r) })
+	c.started = c.flush(touchGate, c.link).Starts
+	if len(c.started) != tasks {
+		t.Fatalf("%d starts, want %d", len(c.started), tasks)
+	}
+	return c
+}
+
+// ends tells the owner how runs have ended.
+func (c *touchCase) ends(states ...gate.RunState) {
+	c.owner.OnFrame(touchGate, c.link, gate.Frame{Clock: c.now, Received: 1, Report: testReport(), States: states})
+}
+
+// An owner that has stood still for longer than gates let its runs go on does not know
+// whether its callers are still there. It starts no run anew that was stopped meanwhile:
+// the job may be at work elsewhere.
+func TestOwnerThatWokeStartsNothing(t *testing.T) {
+	c := newTouchCase(t, 1)
+	c.now += 3 * time.Second
+	c.ends(gate.RunState{Name: c.started[0].Name, End: gate.EndStopped})
+	if f := c.flush(touchGate, c.link); len(f.Starts) != 0 {
+		t.Errorf("started %+v", f.Starts)
+	}
+	if len(c.results) != 1 || c.results[0].State != "" || c.results[0].Refused {
+		t.Errorf("told %+v, want that the job may have run", c.results)
+	}
+}
+
+// A start that the owner has made up its mind about before it stood still is not sent
+// after it has woken.
+func TestOwnerThatWokeSendsNoOldStart(t *testing.T) {
+	b := newBench(t)
+	link := b.connect(touchGate)
+	b.owner.RunBestEffort(testSubmission(touchJob, 1), time.Minute, func(BestEffortResult) {})
+	b.now += 3 * time.Second
+	if f := b.flush(touchGate, link); len(f.Starts) != 0 {
+		t.Errorf("sent %+v", f.Starts)
+	}
+}
+
+// What has ended while the owner stood still is told to its callers.
+func TestOwnerThatWokeAnswers(t *testing.T) {
+	c := newTouchCase(t, 2)
+	c.now += 3 * time.Second
+	c.ends(gate.RunState{Name: c.started[0].Name, End: gate.EndDone}, gate.RunState{Name: c.started[1].Name, End: gate.EndDone})
+	if len(c.results) != 1 || c.results[0].State != job.StateCompleted {
+		t.Errorf("told %+v, want that the job is completed", c.results)
+	}
+}
+
+// A gate that is lost while callers or other gates are heard of does not hold up its
+// jobs: they start elsewhere.
+func TestOwnerInTouchStartsAnew(t *testing.T) {
+	c := newTouchCase(t, 1)
+	for range 5 {
+		c.now += 400 * time.Millisecond
+		c.owner.RunBestEffort(testSubmission("00000000000000bb", 1), time.Minute, func(BestEffortResult) {})
+	}
+	c.ends(gate.RunState{Name: c.started[0].Name, End: gate.EndLost})
+	again := false
+	for _, s := range c.flush(touchGate, c.link).Starts {
+		again = again || s.Name.Job == touchJob
+	}
+	if !again {
+		t.Error("a run that was lost is not started again")
+	}
+}
+
+// A gate goes by the age of an owner's life, and not by that of its own last report,
+// which an owner without runs gets each 0.6 s only. A gate that is not heard of any more
+// must not count as being in contact for long.
+func TestEchoCountsFromTheGatesWord(t *testing.T) {
+	c := newTouchCase(t, 1)
+	heard := c.now
+	c.ends()
+	for _, tc := range []struct{ silent, most, least time.Duration }{
+		{silent: 0},
+		{silent: 250 * time.Millisecond, least: 240 * time.Millisecond, most: 250 * time.Millisecond},
+		{silent: 800 * time.Millisecond, least: 500 * time.Millisecond, most: 500 * time.Millisecond},
+	} {
+		c.now = heard + tc.silent
+		if age := c.flush(touchGate, c.link).Echo - heard; age < tc.least || age > tc.most {
+			t.Errorf("%v after the gate's word the echo is %v younger, want %v to %v", tc.silent, age, tc.least, tc.most)
+		}
+	}
+}
--- a/owner/write.go
+++ b/owner/write.go
@@ -1,6 +1,9 @@
 package owner
 
 import (
+	"slices"
+
+	"rackspur/gate"
 	"rackspur/job"
 	"rackspur/rowstore"
 )
@@ -130,9 +133,7 @@
 	delete(o.jobs, j.record.ID)
 	o.note(j.inWrite)
 	o.note(j.unwritten)
-	for _, t := range j.tasks {
-		o.stopEverywhere(t)
-	}
+	o.stopAll(j)
 	for _, f := range j.found {
 		o.onForeign(o.gates[f.gate], f.state)
 	}
@@ -140,14 +141,36 @@
 	j.tellCallers(BestEffortResult{State: j.final})
 }
 
-// stopEverywhere stops the run of a task of a job that has ended.
+// stopAll stops the runs of all tasks of a job.
+func (o *Owner) stopAll(j *liveJob) {
+	for _, t := range j.tasks {
+		o.stopEverywhere(t)
+	}
+}
+
+// stopEverywhere stops the run of a task of a job that has ended. A start that was not
+// handed to the link is taken back: a gate takes in the stops of a frame before its
+// starts, and the run would go on.
 func (o *Owner) stopEverywhere(t *task) {
-	if t.phase != taskPlaced && t.phase != taskRunning {
+	v := o.gates[t.gate]
+	if v == nil || (t.phase != taskPlaced && t.phase != taskRunning) {
 		return
 	}
-	if v := o.gates[t.gate]; v != nil {
-		v.stop(t.runName())
+	if v.withdraw(t.runName()) {
+		t.phase = taskBlocked
+		return
 	}
+	v.stop(t.runName())
+}
+
+// withdraw takes back a start that was not handed to the link; it reports whether it
+// was so.
+func (v *gateView) withdraw(name job.RunName) bool {
+	if !v.holds(name) {
+		return false
+	}
+	v.starts = slices.DeleteFunc(v.starts, func(s gate.Order) bool { return s.Name == name })
+	return true
 }
 
 func (o *Owner) countEnd(now Time, j *liveJob) {
