The row of a life that is taken over stands until every gate has told of its runs

Cause: the taker dropped the row as soon as it had read the jobs. If it was lost while a gate had not told yet, whoever took over from it asked for its runs only, and not for those of the first life: a kept job's run there could go on beside a new one. Change: Adopt returns a channel that is closed once all gates have told, or their runs are surely over; the row is dropped then. The test waits without a sleep.

--- a/node/chain_test.go
+++ b/node/chain_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rackspur/gate"
+	"rackspur/internal/wait"
 	"rackspur/job"
 	"rackspur/rowstore"
 )
@@ -37,6 +38,6 @@
 		if !c.lifeStands(first) && taker.Adopting() {
 			t.Fatalf("the row of the life was dropped %v after its jobs were read, while a gate has not told of its runs", time.Since(began))
 		}
-		time.Sleep(5 * time.Millisecond)
+		wait.For(context.Background(), 5*time.Millisecond)
 	}
 }
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -54,8 +54,13 @@
 	if !ok {
 		return
 	}
-	t.owner.Adopt(lives, from, jobs)
+	told := t.owner.Adopt(lives, from, jobs)
 	t.log.Info("Took over.", "life", o.Incarnation, "jobs", len(jobs))
+	select {
+	case <-told:
+	case <-t.ctx.Done():
+		return
+	}
 	if err := t.watcher.Forget(t.ctx, o.Incarnation); err != nil {
 		t.log.Info("Row of a life not dropped.", "life", o.Incarnation, "error", err.Error())
 	}
--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -26,6 +26,8 @@
 	jobs []*liveJob
 	// asked are the gates that may have runs of these lives.
 	asked map[string]bool
+	// told is closed once every gate has told of its runs, or they are surely over.
+	told chan struct{}
 }
 
 // StartAdoption makes the gates tell of the runs of lives that are over. Gates
@@ -43,16 +45,19 @@
 }
 
 // Adopt takes over jobs of lives that are over, for which StartAdoption was called.
-// Without jobs no gate has to be asked: nothing depends on what it would tell.
-func (o *Owner) Adopt(lives []string, from Time, jobs []Adopted) {
+// Without jobs no gate has to be asked: nothing depends on what it would tell. What it
+// returns is closed once every gate has told of these lives' runs, or they are surely
+// over: until then an owner that takes over from this one would have to ask for them too.
+func (o *Owner) Adopt(lives []string, from Time, jobs []Adopted) (told <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.options.Now()
 	o.reading--
+	a := &adoption{lives: lives, from: from, asked: map[string]bool{}, told: make(chan struct{})}
 	if len(jobs) == 0 {
-		return
+		close(a.told)
+		return a.told
 	}
-	a := &adoption{lives: lives, from: from, asked: map[string]bool{}}
 	for _, v := range o.gates {
 		a.asked[v.name] = true
 	}
@@ -79,6 +84,7 @@
 		v.poke()
 	}
 	o.checkAdoptions(now)
+	return a.told
 }
 
 // checkAdoptions goes on with adoptions for which every gate has told of its
@@ -95,6 +101,7 @@
 				o.resume(now, j)
 			}
 		}
+		close(a.told)
 	}
 	o.adoptions = rest
 }
