A lost gate is looked for each 0.1 s for a second

Cause: a new agent process extends no lease of the runs that it finds before their owners are linked. Change: the pause is at most 0.1 s in the first second after a link was lost.

--- a/peer/links.go
+++ b/peer/links.go
@@ -26,6 +26,11 @@
 	firstFrameTimeout = 700 * time.Millisecond
 	leastBackoff      = 50 * time.Millisecond
 	mostBackoff       = 500 * time.Millisecond
+	// quickBackoff bounds the pause between two tries for quickFor after a link was lost.
+	// A gate's process that was killed is back after 0.5 s, and extends no lease of the
+	// runs that it finds before their owners are linked: they lapse 0.3 s later.
+	quickBackoff = 100 * time.Millisecond
+	quickFor     = time.Second
 	// relayedFor is how long a link through a peer is kept before the direct way
 	// is tried again.
 	relayedFor = 5 * time.Second
@@ -175,6 +180,7 @@
 // through a peer and directly by turns.
 func (l *Links) keep(ctx context.Context, g *gateLink) {
 	backoff := leastBackoff
+	var lost time.Time
 	for try := 0; ctx.Err() == nil; try++ {
 		if !l.owner.Alive() {
 			wait.For(ctx, leastBackoff)
@@ -194,8 +200,12 @@
 		backoff = min(2*backoff, mostBackoff)
 		if worked {
 			pause, backoff = 0, leastBackoff
+			lost = time.Now()
 			try = 1
 		}
+		if time.Since(lost) < quickFor {
+			pause = min(pause, quickBackoff)
+		}
 		if g.awaitChange(ctx, pause) {
 			backoff = leastBackoff
 			try = -1
