Node: tests in virtual time of owners that wake, cuts, kept jobs, dropped starts (red)

Change: TestOwnerThatWakes, TestOwnerCutOff, TestKeptRunsHeldToBeOver (site in virtual time) and TestDroppedBeforeSent (owner and gate alone); TestAgentRestartedAfterOwner also with an agent that was back, and its run claimed, before the owner was lost. The site is made to give the same verdicts each time: beats of the two ends of a link no longer fall together, and an agent's first heartbeat comes 41 ms after its start. No product code changed.

--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -26,9 +26,13 @@
 // stand-in executors, with links in memory. It runs in a bubble of testing/synctest.
 //
 // What it leaves out: gRPC, links through a peer, the doubt of a link that is busy
-// (a link ends after frameTimeout without a frame only), the take-over of kept jobs.
-// A frozen agent makes no call and takes no frame, but its gate's ticks go on: on
-// waking it stands where a real one is up to a tick later.
+// (a link ends after linkFrameTimeout without a frame only), the take-over of jobs
+// that are kept. A frozen agent makes no call and takes no frame, but its gate's ticks
+// go on: on waking its stops and lapses are up to the freeze's length further than
+// those of a real one.
+//
+// What happens at one moment of virtual time happens in any order, so boxes and links
+// do their regular things at moments of their own.
 
 // Times of the site.
 const (
@@ -42,6 +46,9 @@
 	callLatency = 900 * time.Microsecond
 	// executorBeat is the time between two heartbeats of an executor.
 	executorBeat = 300 * time.Millisecond
+	// firstBeat is when an agent has the first heartbeat after its start: well after
+	// its first calls, so that these go the same way each time.
+	firstBeat = 41 * time.Millisecond
 	// recallLatency is how long a restarted agent takes to read what its executor is
 	// like from the store.
 	recallLatency = 7 * time.Millisecond
@@ -288,6 +295,7 @@
 
 // beat passes the executor's heartbeats on.
 func (b *agentBox) beat(p *agentProcess) {
+	wait.For(p.ctx, firstBeat)
 	for sequence := int64(1); b.awake.pass(p.ctx); sequence++ {
 		p.driver.Heartbeat(gate.Heartbeat{Life: b.target.Life, Service: testService, Capacity: b.target.Capacity, ClockMS: b.target.Clock(), Sequence: sequence})
 		wait.For(p.ctx, executorBeat)
@@ -378,19 +386,37 @@
 	// callers.
 	awake, callers valve
 	paths          []*path
+
+	mu    sync.Mutex
+	late  delays
+	links uint64
+}
+
+// delays are how late an entry daemon is with things.
+type delays struct {
 	// After a freeze timers go off so much later, and frames that have waited are
 	// read so much later: the daemon may do either first.
-	timersAfter, framesAfter time.Duration
-	// noticedAfter is how long after the daemon can hear of it it learns that a caller
+	timers, frames time.Duration
+	// notice is how long after the daemon could hear of it it learns that a caller
 	// has left.
-	noticedAfter time.Duration
-	mu           sync.Mutex
-	links        uint64
+	notice time.Duration
+}
+
+func (b *entryBox) setDelays(d delays) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.late = d
+}
+
+func (b *entryBox) delays() delays {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.late
 }
 
 func newEntryBox(s *virtualSite, i int) *entryBox {
 	name := fmt.Sprintf("entry-%d", i)
-	b := &entryBox{site: s, name: name, life: name + "~1", noticedAfter: linkLatency}
+	b := &entryBox{site: s, name: name, life: name + "~1", late: delays{notice: linkLatency}}
 	b.ctx, b.kill = context.WithCancel(s.ctx)
 	e := &Entry{started: time.Now(), log: logr.Discard(), options: Options{
 		Node: name, Parts: 1, MaxHold: virtualMaxHold, KeepFinished: time.Minute, Metrics: observe.NewMetrics(),
@@ -456,14 +482,20 @@
 			pause = tickPause
 		}
 		wait.For(b.ctx, pause)
-		if b.pass(b.timersAfter) {
+		if b.passTimers() {
 			b.owner.Tick()
 		}
 	}
 }
 
-// pass waits until the daemon is awake and, if it was frozen, so much longer. It
-// returns false if the daemon was killed.
+// passTimers waits until a timer of the daemon goes off that is due now: while it is
+// frozen none does. It returns false if the daemon was killed.
+func (b *entryBox) passTimers() bool { return b.pass(b.delays().timers) }
+
+// passFrames waits until the daemon can read a frame that has come.
+func (b *entryBox) passFrames() bool { return b.pass(b.delays().frames) }
+
+// pass waits until the daemon is awake and, if it was frozen, so much longer.
 func (b *entryBox) pass(after time.Duration) bool {
 	waited, ok := b.awake.passed(b.ctx)
 	if waited && ok {
@@ -489,16 +521,16 @@
 }
 
 // run runs a job that is not kept for a caller, until the caller's context ends.
-// It returns false if the caller has got no answer, or that the job may have run.
+// It returns false if the caller has got no answer, or one that it may have run.
 func (b *entryBox) run(ctx context.Context, s job.Submission) bool {
 	result := make(chan owner.BestEffortResult, 1)
-	if !b.pass(b.framesAfter) {
+	if !b.passFrames() {
 		return false
 	}
 	ticket := b.owner.RunBestEffort(s, defaultPatience, func(r owner.BestEffortResult) { result <- r })
 	select {
 	case r := <-result:
-		return r.State != ""
+		return r.State != "" || r.Refused
 	case <-ctx.Done():
 		go b.leave(s.ID, ticket)
 		return false
@@ -509,7 +541,11 @@
 
 // leave tells the owner that a caller has left, once the daemon can hear of it.
 func (b *entryBox) leave(id job.ID, ticket uint64) {
-	if b.callers.pass(b.ctx) && b.pass(b.noticedAfter) {
+	if !b.callers.pass(b.ctx) || !b.awake.pass(b.ctx) {
+		return
+	}
+	wait.For(b.ctx, b.delays().notice)
+	if b.awake.pass(b.ctx) {
 		b.owner.Leave(id, ticket)
 	}
 }
@@ -535,11 +571,29 @@
 		wait.For(s.ctx, retransmit)
 		s.entries[1].run(s.ctx, j)
 	}()
+	s.awaitRuns()
+	return leave
+}
+
+// handInKept hands a job that is kept in at the first entry box and returns when its
+// tasks run.
+func (s *virtualSite) handInKept() {
+	s.t.Helper()
+	result := make(chan owner.SubmitResult, 1)
+	s.entries[0].owner.Submit(virtualJob(false), func(r owner.SubmitResult) { result <- r })
+	if r := <-result; r != owner.SubmitAccepted {
+		s.t.Fatalf("result %v, want accepted", r)
+	}
+	s.awaitRuns()
+}
+
+// awaitRuns waits until the tasks of the job run.
+func (s *virtualSite) awaitRuns() {
+	s.t.Helper()
 	wait.For(s.ctx, settleTime)
 	if n := len(s.spans()); n != 3 {
 		s.t.Fatalf("%d runs before the trouble, want 3", n)
 	}
-	return leave
 }
 
 // targetSpan is a run at a target.
@@ -567,11 +621,14 @@
 	return all
 }
 
+// endNames are words for the ends of runs.
+var endNames = map[gate.EndKind]string{gate.EndDone: "done", gate.EndFailed: "failed", gate.EndStopped: "stopped", gate.EndLapsed: "lapsed"}
+
 // tell describes a run with its times since the trouble began.
 func (s *virtualSite) tell(x targetSpan) string {
 	end := "still works at"
 	if x.End != 0 {
-		end = fmt.Sprintf("ends (%d) at", x.End)
+		end = endNames[x.End] + " at"
 	}
 	return fmt.Sprintf("run %d of task %d at %s starts at %.3f, %s %.3f", x.Name.Run, x.Name.Index, x.target,
 		x.Started.Sub(s.trouble).Seconds(), end, x.ended.Sub(s.trouble).Seconds())
--- a/node/virtuallink_test.go
+++ b/node/virtuallink_test.go
@@ -25,6 +25,10 @@
 	linkMostBackoff       = 500 * time.Millisecond
 	// linkLatency is the way from one box to another.
 	linkLatency = 700 * time.Microsecond
+	// senderStart is how long the owner's sender takes to start after the first frame.
+	// Its beats then follow the gate's frames that come at the same distance, and never
+	// race them.
+	senderStart = 300 * time.Microsecond
 	// frameBuffer is how many frames are under way at most.
 	frameBuffer = 1000
 )
@@ -99,7 +103,7 @@
 	go l.serveGate()
 	go l.receiveFrames()
 	l.watch()
-	if b.pass(b.timersAfter) {
+	if b.passTimers() {
 		b.owner.LinkDown(a.name, l.number)
 	}
 	return !l.lastHeard().IsZero()
@@ -153,7 +157,7 @@
 	due := time.Now().Add(linkFirstFrameTimeout)
 	for l.ctx.Err() == nil && time.Now().Before(due) {
 		wait.For(l.ctx, time.Until(due))
-		if !l.entry.pass(l.entry.timersAfter) {
+		if !l.entry.passTimers() {
 			return
 		}
 		if heard := l.lastHeard(); !heard.IsZero() {
@@ -166,7 +170,7 @@
 // receiveFrames brings the gate's frames to the owner; the first starts the sending.
 func (l *virtualLink) receiveFrames() {
 	for f := range l.arrivals() {
-		if !l.entry.pass(l.entry.framesAfter) || l.ctx.Err() != nil {
+		if !l.entry.passFrames() || l.ctx.Err() != nil {
 			return
 		}
 		l.entry.owner.OnFrame(l.agent.name, l.number, f)
@@ -204,9 +208,10 @@
 
 // sendOrders sends the owner's frames as peer.Links does.
 func (l *virtualLink) sendOrders() {
+	wait.For(l.ctx, senderStart)
 	beat := time.NewTicker(linkHeartbeat)
 	defer beat.Stop()
-	for l.entry.pass(l.entry.timersAfter) && l.ctx.Err() == nil {
+	for l.entry.passTimers() && l.ctx.Err() == nil {
 		f, ok := l.entry.owner.Flush(l.agent.name, l.number)
 		if !ok {
 			l.end()
