--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -170,6 +170,9 @@
 	*standin.Executor
 	mu    sync.Mutex
 	stops stopFault
+	// startsLate is how much later starts are carried out, which are not answered then; 0
+	// for none.
+	startsLate time.Duration
 }
 
 func newVirtualTarget(name string) *virtualTarget {
@@ -193,6 +196,19 @@
 	return x.stops
 }
 
+func (x *virtualTarget) startsLateNow() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.startsLate
+}
+
+// setStartsLate has starts carried out so much later, without an answer.
+func (x *virtualTarget) setStartsLate(late time.Duration) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.startsLate = late
+}
+
 // told is a time of the executor as its own clock shows it, meant the reverse.
 func told(clockMS int64) int64  { return clockMS * targetClock / 100 }
 func meant(clockMS int64) int64 { return clockMS * 100 / targetClock }
@@ -203,6 +219,11 @@
 // Start implements gate.Executor.Start.
 func (x *virtualTarget) Start(ctx context.Context, life string, c gate.StartCall) (gate.Answer, error) {
 	c.UntilMS = meant(c.UntilMS)
+	if late := x.startsLateNow(); late > 0 {
+		time.AfterFunc(late, func() { _, _ = x.Executor.Start(context.Background(), life, c) })
+		<-ctx.Done()
+		return gate.Answer{}, gate.ErrUnanswered
+	}
 	a, err := x.Executor.Start(ctx, life, c)
 	a.ClockMS = told(a.ClockMS)
 	return a, err
