--- a/node/virtuallink_test.go
+++ b/node/virtuallink_test.go
@@ -23,6 +23,8 @@
 	linkFirstFrameTimeout = 700 * time.Millisecond
 	linkLeastBackoff      = 50 * time.Millisecond
 	linkMostBackoff       = 500 * time.Millisecond
+	linkQuickBackoff      = 100 * time.Millisecond
+	linkQuickFor          = time.Second
 	// linkLatency is the way from one box to another.
 	linkLatency = 700 * time.Microsecond
 	// senderStart is how long the owner's sender takes to start after the first frame.
@@ -77,12 +79,18 @@
 // keepLink makes links to an agent's gate, one after the other.
 func (b *entryBox) keepLink(a *agentBox, p *path) {
 	backoff := linkLeastBackoff
+	var lost time.Time
 	for b.ctx.Err() == nil {
 		if b.link(a, p) {
 			backoff = linkLeastBackoff
+			lost = time.Now()
 			continue
 		}
-		wait.For(b.ctx, backoff)
+		pause := backoff
+		if time.Since(lost) < linkQuickFor {
+			pause = min(pause, linkQuickBackoff)
+		}
+		wait.For(b.ctx, pause)
 		backoff = min(2*backoff, linkMostBackoff)
 	}
 }
