--- a/cli/platform.go
+++ b/cli/platform.go
@@ -116,6 +116,10 @@
 	if !told {
 		log.Info("The settings tell no rates of the store; jobs stand in one part.", "node", s.Node)
 	}
+	if again := s.Resubmit(); again > 0 && again < node.LeastResubmit {
+		log.Info("Callers come back sooner than all runs of a lost entry box are surely over.", "node", s.Node,
+			"retransmitMS", again.Milliseconds(), "overMS", node.LeastResubmit.Milliseconds())
+	}
 	return node.Options{
 		Node: s.Node, Zone: s.Zone, Listen: s.InternalAddress(), Seeds: s.SeedAddresses(),
 		Parts: parts, MaxHold: s.MaxHold(), KeepFinished: s.KeepFinished(), Resubmit: s.Resubmit(),
--- a/gate/contact.go
+++ b/gate/contact.go
@@ -1,5 +1,7 @@
 package gate
 
+import "time"
+
 // silent says whether the owner of a run has had no word of the gate for too long.
 func (g *Gate) silent(now Time, r *run) bool {
 	contact := g.contactWith(r)
@@ -21,6 +23,10 @@
 	return g.silent(now, r)
 }
 
+// standstill is how far apart two looks at the gate's times are only if the process has
+// stood still: more than two of tickPause.
+const standstill = 250 * time.Millisecond
+
 // overdueReason says why a run that is overdue is stopped.
 func overdueReason(r *run) StopReason {
 	if r.owner == "" {
@@ -32,14 +38,20 @@
 // Tick looks at times: silent owners, stops to send again, runs that stand still.
 func (g *Gate) Tick(now Time) Actions {
 	g.loseAll(now)
-	g.endOverdue(now)
+	g.stopOverdue(now)
 	g.forgetOwners(now)
 	return g.startFromQueue(now, g.stopWhatMust(now, Actions{}))
 }
 
-// endOverdue ends what has no owner in contact any more. If a stop does not take, the
-// lease ends the run: it is not extended beyond the run's time.
-func (g *Gate) endOverdue(now Time) {
+// stopOverdue stops what has no owner in contact any more. If a stop does not take, the
+// lease ends the run: it is not extended beyond the run's time. A process that has stood
+// still reads the frames that wait first; they may tell of an owner that is in contact.
+func (g *Gate) stopOverdue(now Time) {
+	stoodStill := now-g.looked > standstill
+	g.looked = now
+	if stoodStill {
+		return
+	}
 	for _, r := range g.runs {
 		if !g.overdue(now, r) {
 			continue
--- a/gate/event.go
+++ b/gate/event.go
@@ -89,13 +89,14 @@
 // stopRun has a run stopped; the calls follow with stopWhatMust. From then on others
 // count on its end, except for a run that may not have started: its owner waits for the
 // gate's word.
+// The first stop with others counting on it bounds the lease, also after one without.
 func (g *Gate) stopRun(now Time, r *run, reason StopReason) {
+	if r.stopBy == 0 && reason != StopUnanswered {
+		r.stopBy = g.mustEndBy(r)
+	}
 	if r.stop {
 		return
 	}
-	if reason != StopUnanswered {
-		r.stopBy = g.mustEndBy(r)
-	}
 	r.stop = true
 	g.note(now, EventStop, r, reason)
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -139,7 +139,8 @@
 	// clockMS was the executor's clock at clockAt.
 	clockMS int64
 	clockAt Time
-	// grantedMS is the newest lease given, on the executor's clock.
+	// grantedMS is the longest lease asked for, on the executor's clock: it may have been
+	// given.
 	grantedMS int64
 	// listedMS is the executor's clock of the newest lists that were taken in.
 	listedMS int64
@@ -157,6 +158,9 @@
 	// fullUntil is until when the executor is taken to have no room.
 	fullUntil Time
 
+	// looked is when the gate last looked for runs without an owner in contact.
+	looked Time
+
 	runs    map[job.RunName]*run
 	used    job.Resources
 	queue   queue
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -86,7 +86,7 @@
 	g.surveyed = true
 	g.finishLapse(a)
 	g.advanceSeen()
-	g.endOverdue(now)
+	g.stopOverdue(now)
 	return g.startFromQueue(now, g.stopWhatMust(now, Actions{}))
 }
 
--- a/gate/lease.go
+++ b/gate/lease.go
@@ -60,13 +60,14 @@
 }
 
 // extendLease returns the end of the lease to ask for with a hold, on the target's
-// clock; 0 if it can't be extended.
+// clock; 0 if none may be given. An earlier hold may have been lost, so that one which
+// asks for less can still extend the lease; it never shortens it.
 func (g *Gate) extendLease(now Time) int64 {
 	until := g.leaseUntil(now, g.leaseBound(now))
-	if until <= g.grantedMS {
+	if until <= g.executorClock(now) {
 		return 0
 	}
-	g.grantedMS = until
+	g.grantedMS = max(g.grantedMS, until)
 	return until
 }
 
--- a/gate/start.go
+++ b/gate/start.go
@@ -12,6 +12,7 @@
 		g.rejectQueue("closed")
 		return a
 	}
+	// behind are runs that must wait although there may be room for them.
 	var behind []*run
 	defer func() {
 		for _, r := range behind {
@@ -23,7 +24,7 @@
 		if r == nil {
 			return a
 		}
-		if g.olderRunAtWork(r) {
+		if g.olderRunAtWork(r) || !g.leaseAllowsStart(now, r) {
 			behind = append(behind, g.queue.pop())
 			continue
 		}
@@ -32,7 +33,7 @@
 			g.reject(r, "owner silent")
 			continue
 		}
-		if g.leaseShort(now) || !g.leaseAllowsStart(now, r) {
+		if g.leaseShort(now) {
 			return a
 		}
 		if now < g.fullUntil || !g.capacity.Minus(g.used).Fits(r.need) || !g.health.mayStart(now) {
--- a/node/contact.go
+++ b/node/contact.go
@@ -14,22 +14,28 @@
 // Options.Resubmit after they have lost their answer; by then all that the first owner
 // has started must be over.
 const (
-	// defaultResubmit holds where the platform names no time.
+	// defaultResubmit holds where the platform names no time, and where it names a longer
+	// one: owners hold the runs of a silent gate to be over after 2.7 s.
 	defaultResubmit = 1300 * time.Millisecond
 	// resubmitMargin is left for the look at the times (0.1 s), the stop, and, if that
 	// does not take, for what is left of the lease (0.4 s, see package gate): with a
 	// resubmission after 1.3 s the target's lease ends 1.25 s after the newest proof of
 	// the owner's life.
 	resubmitMargin = 450 * time.Millisecond
-	// leastBestEffortContact is below what a busy link's heartbeats can be apart twice.
-	leastBestEffortContact = 400 * time.Millisecond
+	// leastBestEffortContact is above what the heartbeats of a busy link can be apart,
+	// 0.375 s, with the time of a frame.
+	leastBestEffortContact = 450 * time.Millisecond
 )
 
+// LeastResubmit is the shortest time after which callers may hand in a job that is not
+// kept again, for its earlier runs to be surely over.
+const LeastResubmit = leastBestEffortContact + resubmitMargin
+
 // bestEffortContact is how long a gate lets runs of jobs that are not kept go on without
 // word from their owner.
 func (o *Options) bestEffortContact() time.Duration {
 	resubmit := o.Resubmit
-	if resubmit <= 0 {
+	if resubmit <= 0 || resubmit > defaultResubmit {
 		resubmit = defaultResubmit
 	}
 	return max(resubmit-resubmitMargin, leastBestEffortContact)
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -16,26 +16,42 @@
 	for t.ctx.Err() == nil {
 		over, err := t.watcher.Poll(t.ctx)
 		if err == nil && t.owner.Active() {
-			for _, o := range over {
-				t.takeOver(o)
-			}
+			t.takeOver(over)
 		}
 		wait.For(t.ctx, pollPause)
 	}
 }
 
-func (t *term) takeOver(o member.Over) {
+// takeOver takes over the jobs of lives. The gates are asked for the runs of all of them
+// first: a life may hold jobs that it has taken over from another.
+func (t *term) takeOver(over []member.Over) {
+	var fenced []member.Over
+	for _, o := range over {
+		if t.fence(o) {
+			t.taking[o.Incarnation] = true
+			t.owner.StartAdoption([]string{o.Incarnation})
+			fenced = append(fenced, o)
+		}
+	}
+	for _, o := range fenced {
+		go t.adopt(o)
+	}
+}
+
+// fence makes sure that a life writes nothing more; it returns false if that failed or
+// the life is being taken over already.
+func (t *term) fence(o member.Over) bool {
 	if t.taking[o.Incarnation] {
-		return
+		return false
 	}
-	if !o.Fenced {
-		if err := t.watcher.Fence(t.ctx, o); err != nil {
-			t.log.Info("Life not fenced.", "life", o.Incarnation, "error", err.Error())
-			return
-		}
+	if o.Fenced {
+		return true
+	}
+	if err := t.watcher.Fence(t.ctx, o); err != nil {
+		t.log.Info("Life not fenced.", "life", o.Incarnation, "error", err.Error())
+		return false
 	}
-	t.taking[o.Incarnation] = true
-	go t.adopt(o)
+	return true
 }
 
 // adopt takes over the jobs of a fenced life.
@@ -49,7 +65,6 @@
 	}
 	lives := []string{o.Incarnation}
 	from := o.At.Sub(t.entry.started)
-	t.owner.StartAdoption(lives)
 	jobs, ok := t.takeJobs(o.Incarnation)
 	if !ok {
 		return
--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"slices"
+
 	"rackspur/gate"
 	"rackspur/job"
 )
@@ -20,6 +22,8 @@
 
 // adoption is the take-over of the jobs of some lives.
 type adoption struct {
+	// lives are all that were taken over so far: one of them may have taken over the
+	// jobs of another, and have been lost before every gate had told of its runs.
 	lives []string
 	// from is when the lives were surely over.
 	from Time
@@ -44,23 +48,24 @@
 	}
 }
 
-// Adopt takes over jobs of lives that are over, for which StartAdoption was called.
-// Without jobs no gate has to be asked: nothing depends on what it would tell. What it
-// returns is closed once every gate has told of these lives' runs, or they are surely
-// over: until then an owner that takes over from this one would have to ask for them too.
+// Adopt takes over jobs of lives that are over, for which StartAdoption was called. What
+// it returns is closed once every gate has told of the runs of all lives that were taken
+// over so far, or they are surely over: until then an owner that takes over from this one
+// would have to ask for them too. Without jobs no gate is linked for that.
 func (o *Owner) Adopt(lives []string, from Time, jobs []Adopted) (told <-chan struct{}) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.options.Now()
 	o.reading--
-	a := &adoption{lives: lives, from: from, asked: map[string]bool{}, told: make(chan struct{})}
-	if len(jobs) == 0 {
-		close(a.told)
-		return a.told
-	}
+	a := &adoption{lives: slices.Clone(o.adopted), from: from, asked: map[string]bool{}, told: make(chan struct{})}
 	for _, v := range o.gates {
 		a.asked[v.name] = true
 	}
+	o.adoptions = append(o.adoptions, a)
+	if len(jobs) == 0 {
+		o.checkAdoptions(now)
+		return a.told
+	}
 	for _, adopted := range jobs {
 		if o.jobs[adopted.Record.ID] != nil {
 			continue
@@ -74,7 +79,6 @@
 		a.jobs = append(a.jobs, j)
 		o.stats.Adopted++
 	}
-	o.adoptions = append(o.adoptions, a)
 	// The gates tell anew of what they know, now that the jobs are known.
 	for _, v := range o.gates {
 		for _, life := range lives {
--- a/owner/busy.go
+++ b/owner/busy.go
@@ -1,6 +1,9 @@
 package owner
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Busy says whether runs of the owner are at a gate, so that it must be in contact,
 // or something waits to be sent there.
@@ -18,7 +21,7 @@
 		return
 	}
 	o.busyReviewed = now
-	adopting := len(o.adoptions) > 0 || o.reading > 0
+	adopting := o.reading > 0 || o.adoptsJobs()
 	for _, v := range o.gateOrder {
 		v.busy = adopting
 	}
@@ -38,5 +41,10 @@
 func (o *Owner) Adopting() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.adoptions) > 0
+	return o.adoptsJobs()
+}
+
+// adoptsJobs says whether jobs that are taken over wait for the word of gates.
+func (o *Owner) adoptsJobs() bool {
+	return slices.ContainsFunc(o.adoptions, func(a *adoption) bool { return len(a.jobs) > 0 })
 }
