Names: isolation of an owner, the speed of the slowest clock

Cause: "touch" named two things in package owner, and clockSlack was a part in gate and a factor in owner. Change: owner/isolation.go, reviewIsolation, outsideHeard, slowestClock. Measured: go test ./owner passes.

--- a/owner/echo.go
+++ b/owner/echo.go
@@ -19,14 +19,14 @@
 // known to be: a gate goes by it to tell how long runs may go on. It is bounded, since a
 // gate that does not reach its owner must not count as being in contact for long.
 func sinceHeard(now, heard Time) time.Duration {
-	age := time.Duration(float64(now-heard) * clockSlack)
+	age := time.Duration(float64(now-heard) * slowestClock)
 	return min(age, mostSinceHeard)
 }
 
 const (
-	// clockSlack covers the difference between two boxes' steady clocks, in parts of a
-	// time: twice what the platform grants.
-	clockSlack = 0.96
+	// slowestClock is how fast a gate's steady clock runs at least beside the owner's, in
+	// parts of its speed: the platform's 2% slow, twice.
+	slowestClock = 0.96
 	// mostSinceHeard bounds sinceHeard. With it a best-effort run ends at most 0.5 + 0.85
 	// + 0.4 s after its gate was last heard of, well below overAfter.
 	mostSinceHeard = 500 * time.Millisecond
--- a/owner/touch.go
+++ b/owner/isolation.go
@@ -12,11 +12,11 @@
 // that hear nothing hand their jobs in elsewhere. An owner that comes back can't tell
 // which of them have, so it starts nothing more of the jobs that it had.
 
-// reviewTouch closes the jobs that are not kept if the owner has heard of nobody for
+// reviewIsolation closes the jobs that are not kept if the owner has heard of nobody for
 // longer than gates let its runs go on. It comes before all that could start a task, so
 // that a process that wakes starts nothing first.
-func (o *Owner) reviewTouch(now Time) {
-	if now-o.touched <= o.options.BestEffortContact {
+func (o *Owner) reviewIsolation(now Time) {
+	if now-o.outsideHeard <= o.options.BestEffortContact {
 		return
 	}
 	for _, j := range o.jobs {
@@ -28,8 +28,8 @@
 
 // heardFromOutside takes in that another process has reached this one.
 func (o *Owner) heardFromOutside(now Time) {
-	o.reviewTouch(now)
-	o.touched = now
+	o.reviewIsolation(now)
+	o.outsideHeard = now
 }
 
 // close lets a job start no more tasks. What runs of it may still end, and then its
@@ -37,7 +37,7 @@
 func (o *Owner) close(now Time, j *liveJob) {
 	j.closed = true
 	o.log.Info("Job starts nothing more; its owner was out of touch.", "job", j.record.ID, "ageMS", (now - j.arrived).Milliseconds(),
-		"silentMS", (now - o.touched).Milliseconds(), "left", j.left, "on", j.gates())
+		"silentMS", (now - o.outsideHeard).Milliseconds(), "left", j.left, "on", j.gates())
 	if j.mustStart(o) {
 		o.drop(j)
 	}
--- a/owner/touch_test.go
+++ b/owner/isolation_test.go
@@ -9,23 +9,23 @@
 )
 
 const (
-	touchJob  = "00000000000000aa"
-	touchGate = "gate-1"
+	isolatedJob  = "00000000000000aa"
+	isolatedGate = "gate-1"
 )
 
-// touchCase is an owner with a best-effort job whose first task runs at a gate.
-type touchCase struct {
+// isolationCase is an owner with a best-effort job whose first task runs at a gate.
+type isolationCase struct {
 	*bench
 	link    uint64
 	started []gate.Order
 	results []BestEffortResult
 }
 
-func newTouchCase(t *testing.T, tasks int) *touchCase {
-	c := &touchCase{bench: newBench(t)}
-	c.link = c.connect(touchGate)
-	c.owner.RunBestEffort(testSubmission(touchJob, tasks), time.Minute, func(r BestEffortResult) { c.results = append(c.results, r) })
-	c.started = c.flush(touchGate, c.link).Starts
+func newIsolationCase(t *testing.T, tasks int) *isolationCase {
+	c := &isolationCase{bench: newBench(t)}
+	c.link = c.connect(isolatedGate)
+	c.owner.RunBestEffort(testSubmission(isolatedJob, tasks), time.Minute, func(r BestEffortResult) { c.results = append(c.results, r) })
+	c.started = c.flush(isolatedGate, c.link).Starts
 	if len(c.started) != tasks {
 		t.Fatalf("%d starts, want %d", len(c.started), tasks)
 	}
@@ -33,18 +33,18 @@
 }
 
 // ends tells the owner how runs have ended.
-func (c *touchCase) ends(states ...gate.RunState) {
-	c.owner.OnFrame(touchGate, c.link, gate.Frame{Clock: c.now, Received: 1, Report: testReport(), States: states})
+func (c *isolationCase) ends(states ...gate.RunState) {
+	c.owner.OnFrame(isolatedGate, c.link, gate.Frame{Clock: c.now, Received: 1, Report: testReport(), States: states})
 }
 
 // An owner that has stood still for longer than gates let its runs go on does not know
 // whether its callers are still there. It starts no run anew that was stopped meanwhile:
 // the job may be at work elsewhere.
 func TestOwnerThatWokeStartsNothing(t *testing.T) {
-	c := newTouchCase(t, 1)
+	c := newIsolationCase(t, 1)
 	c.now += 3 * time.Second
 	c.ends(gate.RunState{Name: c.started[0].Name, End: gate.EndStopped})
-	if f := c.flush(touchGate, c.link); len(f.Starts) != 0 {
+	if f := c.flush(isolatedGate, c.link); len(f.Starts) != 0 {
 		t.Errorf("started %+v", f.Starts)
 	}
 	if len(c.results) != 1 || c.results[0].State != "" || c.results[0].Refused {
@@ -56,17 +56,17 @@
 // after it has woken.
 func TestOwnerThatWokeSendsNoOldStart(t *testing.T) {
 	b := newBench(t)
-	link := b.connect(touchGate)
-	b.owner.RunBestEffort(testSubmission(touchJob, 1), time.Minute, func(BestEffortResult) {})
+	link := b.connect(isolatedGate)
+	b.owner.RunBestEffort(testSubmission(isolatedJob, 1), time.Minute, func(BestEffortResult) {})
 	b.now += 3 * time.Second
-	if f := b.flush(touchGate, link); len(f.Starts) != 0 {
+	if f := b.flush(isolatedGate, link); len(f.Starts) != 0 {
 		t.Errorf("sent %+v", f.Starts)
 	}
 }
 
 // What has ended while the owner stood still is told to its callers.
 func TestOwnerThatWokeAnswers(t *testing.T) {
-	c := newTouchCase(t, 2)
+	c := newIsolationCase(t, 2)
 	c.now += 3 * time.Second
 	c.ends(gate.RunState{Name: c.started[0].Name, End: gate.EndDone}, gate.RunState{Name: c.started[1].Name, End: gate.EndDone})
 	if len(c.results) != 1 || c.results[0].State != job.StateCompleted {
@@ -77,15 +77,15 @@
 // A gate that is lost while callers or other gates are heard of does not hold up its
 // jobs: they start elsewhere.
 func TestOwnerInTouchStartsAnew(t *testing.T) {
-	c := newTouchCase(t, 1)
+	c := newIsolationCase(t, 1)
 	for range 5 {
 		c.now += 400 * time.Millisecond
 		c.owner.RunBestEffort(testSubmission("00000000000000bb", 1), time.Minute, func(BestEffortResult) {})
 	}
 	c.ends(gate.RunState{Name: c.started[0].Name, End: gate.EndLost})
 	again := false
-	for _, s := range c.flush(touchGate, c.link).Starts {
-		again = again || s.Name.Job == touchJob
+	for _, s := range c.flush(isolatedGate, c.link).Starts {
+		again = again || s.Name.Job == isolatedJob
 	}
 	if !again {
 		t.Error("a run that was lost is not started again")
@@ -96,7 +96,7 @@
 // which an owner without runs gets each 0.6 s only. A gate that is not heard of any more
 // must not count as being in contact for long.
 func TestEchoCountsFromTheGatesWord(t *testing.T) {
-	c := newTouchCase(t, 1)
+	c := newIsolationCase(t, 1)
 	heard := c.now
 	c.ends()
 	for _, tc := range []struct{ silent, most, least time.Duration }{
@@ -105,7 +105,7 @@
 		{silent: 800 * time.Millisecond, least: 500 * time.Millisecond, most: 500 * time.Millisecond},
 	} {
 		c.now = heard + tc.silent
-		if age := c.flush(touchGate, c.link).Echo - heard; age < tc.least || age > tc.most {
+		if age := c.flush(isolatedGate, c.link).Echo - heard; age < tc.least || age > tc.most {
 			t.Errorf("%v after the gate's word the echo is %v younger, want %v to %v", tc.silent, age, tc.least, tc.most)
 		}
 	}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -117,9 +117,9 @@
 	unanswered int
 	// shortSince is since when tasks wait for room; 0 while none does.
 	shortSince Time
-	// touched is when another process last reached this one.
-	touched Time
-	log     logr.Logger
+	// outsideHeard is when another process last reached this one.
+	outsideHeard Time
+	log          logr.Logger
 }
 
 // Stats are counters of an owner.
@@ -132,18 +132,18 @@
 // New returns an owner without jobs.
 func New(o Options, w Writer) *Owner {
 	return &Owner{
-		options:    o,
-		entries:    1,
-		capacityAt: o.Now(),
-		touched:    o.Now(),
-		writer:     w,
-		jobs:       map[job.ID]*liveJob{},
-		ended:      map[job.ID]*endedJob{},
-		dropped:    map[job.ID]*droppedJob{},
-		gates:      map[string]*gateView{},
-		foreign:    map[job.ID][]endRef{},
-		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		log:        o.Log,
+		options:      o,
+		entries:      1,
+		capacityAt:   o.Now(),
+		outsideHeard: o.Now(),
+		writer:       w,
+		jobs:         map[job.ID]*liveJob{},
+		ended:        map[job.ID]*endedJob{},
+		dropped:      map[job.ID]*droppedJob{},
+		gates:        map[string]*gateView{},
+		foreign:      map[job.ID][]endRef{},
+		random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		log:          o.Log,
 	}
 }
 
--- a/owner/place.go
+++ b/owner/place.go
@@ -19,7 +19,7 @@
 
 // place sends waiting tasks to gates as far as there is room.
 func (o *Owner) place(now Time) {
-	o.reviewTouch(now)
+	o.reviewIsolation(now)
 	if o.over || o.waiting.len() == 0 {
 		return
 	}
--- a/owner/view.go
+++ b/owner/view.go
@@ -140,7 +140,7 @@
 	if v == nil || v.link != link || o.over {
 		return gate.OwnerFrame{}, false
 	}
-	o.reviewTouch(o.options.Now())
+	o.reviewIsolation(o.options.Now())
 	v.sequence++
 	f = gate.OwnerFrame{Echo: o.echo(v), KeptEcho: o.keptEcho(v), Sequence: v.sequence, Starts: v.starts, Stops: v.stops, Verdicts: v.verdicts, Adopt: v.adopt}
 	for _, s := range v.starts {
