Gate: owner and target are named apart, and no proof is no time

Cause: silent (an owner) stood beside executorSilent; a 0 meant no proof of life in contactWith, no owner in mustEndBy and nobody counting in stopBy; note was an event for the log and an end taken note of at the target; startFromQueue held five decisions.

Change: ownerSilent and targetSilent; contactWith and mustEndBy return ok beside the time; events are recorded; nextStep decides about the first run of the queue by named steps. No case is decided otherwise, but for one out of reach: an order in the queue whose owner has no proof is set aside and refused with the next look at silent owners. Before, it was refused at once if no lease had been given for half a minute.

Result: go test ./gate passes.

--- a/gate/contact.go
+++ b/gate/contact.go
@@ -2,11 +2,24 @@
 
 import "time"
 
-// silent says whether the owner of a run has had no word of the gate for too long.
-func (g *Gate) silent(now Time, r *run) bool {
-	contact := g.contactWith(r)
+// contactWith returns the newest proof that a run's owner lives; ok is false if there is
+// none.
+func (g *Gate) contactWith(r *run) (contact Time, ok bool) {
+	o := g.owners[r.owner]
 	switch {
-	case contact == 0:
+	case o == nil:
+		return 0, false
+	case r.bestEffort:
+		return o.contact, o.contact != 0
+	}
+	return o.keptContact, o.keptContact != 0
+}
+
+// ownerSilent says whether the owner of a run has had no word of the gate for too long.
+func (g *Gate) ownerSilent(now Time, r *run) bool {
+	contact, ok := g.contactWith(r)
+	switch {
+	case !ok:
 		return true
 	case r.bestEffort:
 		return now-contact > g.options.BestEffortContact
@@ -17,22 +30,10 @@
 // overdue says whether a run has no owner in contact; a run that was found
 // waits a moment for one.
 func (g *Gate) overdue(now Time, r *run) bool {
-	if g.contactWith(r) == 0 && r.found != 0 {
+	if _, ok := g.contactWith(r); !ok && r.found != 0 {
 		return now-r.found > unclaimedPatience
 	}
-	return g.silent(now, r)
-}
-
-// standstill is how far apart two looks at the gate's times are only if the process has
-// stood still: more than two of tickPause.
-const standstill = 250 * time.Millisecond
-
-// overdueReason says why a run that is overdue is stopped.
-func overdueReason(r *run) StopReason {
-	if r.owner == "" {
-		return StopUnclaimed
-	}
-	return StopOwnerSilent
+	return g.ownerSilent(now, r)
 }
 
 // Tick looks at times: silent owners, stops to send again, runs that stand still.
@@ -43,6 +44,10 @@
 	return g.startFromQueue(now, g.stopWhatMust(now, Actions{}))
 }
 
+// standstill is how far apart two looks at the gate's times are only if the process has
+// stood still: more than two of tickPause.
+const standstill = 250 * time.Millisecond
+
 // stopOverdue stops what has no owner in contact any more. If a stop does not take, the
 // lease ends the run: it is not extended beyond the run's time. A process that has stood
 // still reads the frames that wait first; they may tell of an owner that is in contact.
@@ -119,20 +124,3 @@
 	}
 	return false
 }
-
-// stopWhatMust sends the stops that are due.
-func (g *Gate) stopWhatMust(now Time, a Actions) Actions {
-	a.Life = g.life
-	for _, r := range g.runs {
-		alive := r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning
-		if !alive || !r.stop {
-			continue
-		}
-		if r.stopSent != 0 && now-r.stopSent < resend {
-			continue
-		}
-		r.stopSent = now
-		a.Stops = append(a.Stops, StopCall{Name: r.RunName, Fence: g.fence})
-	}
-	return a
-}
--- a/gate/event.go
+++ b/gate/event.go
@@ -6,19 +6,6 @@
 	"rackspur/job"
 )
 
-// StopReason says why a gate stops a run.
-type StopReason string
-
-// The reasons for a stop.
-const (
-	StopOrdered     StopReason = "ordered by its owner"
-	StopOwnerSilent StopReason = "no contact with its owner"
-	StopOwnerOver   StopReason = "its owner's life is over"
-	StopUnclaimed   StopReason = "claimed by no owner"
-	StopDiscarded   StopReason = "its end must not count"
-	StopUnanswered  StopReason = "start unanswered, run not listed"
-)
-
 // EventKind says what a gate has done or found that an operator may ask for later.
 type EventKind int
 
@@ -50,13 +37,13 @@
 // of runs.
 const mostEvents = 200
 
-// note keeps an event about a run for the log.
-func (g *Gate) note(now Time, kind EventKind, r *run, reason StopReason) {
+// record keeps an event about a run for the log.
+func (g *Gate) record(now Time, kind EventKind, r *run, reason StopReason) {
 	if len(g.events) >= mostEvents {
 		return
 	}
 	e := Event{Kind: kind, Run: r.RunName, Owner: r.owner, Reason: reason, LeaseLeft: g.leaseLeft(now)}
-	if contact := g.contactWith(r); contact != 0 {
+	if contact, ok := g.contactWith(r); ok {
 		e.ContactAge = now - contact
 	}
 	g.events = append(g.events, e)
@@ -68,35 +55,3 @@
 	g.events = nil
 	return taken
 }
-
-// leaseLeft returns how much of the newest lease is left, by the target's clock.
-func (g *Gate) leaseLeft(now Time) time.Duration {
-	return time.Duration(max(0, g.grantedMS-g.executorClock(now))) * time.Millisecond
-}
-
-// contactWith returns the newest proof that a run's owner lives; 0 if there is none.
-func (g *Gate) contactWith(r *run) Time {
-	o := g.owners[r.owner]
-	switch {
-	case o == nil:
-		return 0
-	case r.bestEffort:
-		return o.contact
-	}
-	return o.keptContact
-}
-
-// stopRun has a run stopped; the calls follow with stopWhatMust. From then on others
-// count on its end, except for a run that may not have started: its owner waits for the
-// gate's word.
-// The first stop with others counting on it bounds the lease, also after one without.
-func (g *Gate) stopRun(now Time, r *run, reason StopReason) {
-	if r.stopBy == 0 && reason != StopUnanswered {
-		r.stopBy = g.mustEndBy(r)
-	}
-	if r.stop {
-		return
-	}
-	r.stop = true
-	g.note(now, EventStop, r, reason)
-}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -87,8 +87,8 @@
 	stopSent Time
 	// stopConfirmed is when a stop was answered.
 	stopConfirmed Time
-	// stopBy is when a run that is to be stopped must be over at the latest; 0 if
-	// nobody counts on that.
+	// stopBy is when a run that is to be stopped must be over at the latest; 0 as long
+	// as nobody counts on its stop, or no owner answers for it.
 	stopBy Time
 
 	end    EndKind
@@ -251,7 +251,7 @@
 // process of this gate knew that life, and this one does not. The answer to the next
 // call decides.
 func (g *Gate) answersAs(now Time) bool {
-	return g.known && g.life != "" && !g.executorSilent(now)
+	return g.known && g.life != "" && !g.targetSilent(now)
 }
 
 // mayBeAtWork says whether runs of the life that is known may be at work, as far as
@@ -348,5 +348,5 @@
 
 // Open says whether the gate takes orders.
 func (g *Gate) Open(now Time) bool {
-	return g.known && !g.draining && !g.leaving && !g.lapsing && g.fence != 0 && !g.executorSilent(now)
+	return g.known && !g.draining && !g.leaving && !g.lapsing && g.fence != 0 && !g.targetSilent(now)
 }
--- a/gate/lease.go
+++ b/gate/lease.go
@@ -2,11 +2,9 @@
 
 import "time"
 
-// This file holds how far a gate may extend its target's lease. A lease is the only
-// thing that ends runs once the gate itself is lost, so it must never reach beyond the
-// time by which the runs there have to be over.
-
-// Times of leases.
+// Times of leases. A target has one lease for all its runs. It is the only thing that ends
+// them once the gate is lost, so it must not reach beyond the time by which any of them
+// has to be over: mustEndBy is that time of a run, leaseBound the earliest of them.
 const (
 	// bestEffortLapse is how long after BestEffortContact a run of a job that is not
 	// kept may still be at work, if its stop does not take or the gate is lost.
@@ -23,31 +21,37 @@
 
 // mustEndBy returns when a run has to be over at the latest, by what is known now: its
 // owner may have been lost right after the newest proof of its life, and the job is then
-// taken in or taken over elsewhere. It is zero for a run that no owner answers for: the
+// taken in or taken over elsewhere. ok is false for a run that no owner answers for: the
 // process that started it has given the longest lease that it may have.
-func (g *Gate) mustEndBy(r *run) Time {
-	contact := g.contactWith(r)
-	if contact == 0 {
-		return 0
+func (g *Gate) mustEndBy(r *run) (by Time, ok bool) {
+	contact, ok := g.contactWith(r)
+	if !ok {
+		return 0, false
 	}
-	by := contact + g.options.Contact + g.options.MaxHold
+	by = contact + g.options.Contact + g.options.MaxHold
 	if r.bestEffort {
 		by = contact + g.options.BestEffortContact + bestEffortLapse
 	}
 	if r.stopBy != 0 {
-		return min(by, r.stopBy)
+		by = min(by, r.stopBy)
 	}
-	return by
+	return by, true
 }
 
-// leaseBound returns the time up to which the target's lease may reach now. Runs that
-// wait count: they may be at work before the lease is given anew.
+// leaseBound returns the time up to which the target's lease may reach now; that is now,
+// or before, if it may not be extended. Runs that wait count: they may be at work before
+// the lease is given anew.
 func (g *Gate) leaseBound(now Time) Time {
 	bound := now + g.options.MaxHold
 	for _, r := range g.runs {
-		if r.phase != phaseEnded {
-			bound = min(bound, g.mustEndBy(r))
+		if r.phase == phaseEnded {
+			continue
+		}
+		by, ok := g.mustEndBy(r)
+		if !ok {
+			return now
 		}
+		bound = min(bound, by)
 	}
 	return bound
 }
@@ -74,7 +78,8 @@
 // leaseAllowsStart says whether the lease that was given ends by the time by which a
 // run would have to be over.
 func (g *Gate) leaseAllowsStart(now Time, r *run) bool {
-	return g.grantedMS <= g.leaseUntil(now, g.mustEndBy(r))
+	by, ok := g.mustEndBy(r)
+	return ok && g.grantedMS <= g.leaseUntil(now, by)
 }
 
 // leaseOver says whether the lease that was given is surely over.
@@ -86,3 +91,8 @@
 func (g *Gate) leaseShort(now Time) bool {
 	return g.leaseBound(now)-now < leastLease
 }
+
+// leaseLeft returns how much of the newest lease is left, by the target's clock.
+func (g *Gate) leaseLeft(now Time) time.Duration {
+	return time.Duration(max(0, g.grantedMS-g.executorClock(now))) * time.Millisecond
+}
--- a/gate/lists.go
+++ b/gate/lists.go
@@ -120,7 +120,7 @@
 func (g *Gate) strange(now Time, name job.RunName) *run {
 	r := &run{RunName: name, phase: phaseStarting, started: now, found: now}
 	g.runs[name] = r
-	g.note(now, EventFound, r, "")
+	g.record(now, EventFound, r, "")
 	for _, o := range g.owners {
 		o.inventory = true
 		o.poke()
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -188,7 +188,7 @@
 	}
 	g.runs[o.Name] = r
 	switch {
-	case g.silent(now, r):
+	case g.ownerSilent(now, r):
 		g.reject(r, "stale order")
 	case !g.Open(now):
 		g.reject(r, "closed")
@@ -226,7 +226,7 @@
 	r.owner = owner
 	r.need = v.Need
 	r.bestEffort = v.BestEffort
-	g.note(now, EventClaimed, r, "")
+	g.record(now, EventClaimed, r, "")
 	if r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning {
 		g.used = g.used.Plus(r.need)
 	}
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -19,9 +19,9 @@
 	}
 }
 
-// executorSilent says whether the executor is gone, cut off or stopped, as far as
+// targetSilent says whether the target is gone, cut off or stopped, as far as
 // the gate can tell. What is sent to it then would only wait for its lease.
-func (g *Gate) executorSilent(now Time) bool {
+func (g *Gate) targetSilent(now Time) bool {
 	return g.unreached || now-g.heard > silentAfter
 }
 
--- a/gate/start.go
+++ b/gate/start.go
@@ -12,36 +12,55 @@
 		g.rejectQueue("closed")
 		return a
 	}
-	// behind are runs that must wait although there may be room for them.
-	var behind []*run
-	defer func() {
-		for _, r := range behind {
-			g.queue.push(r)
+	var aside []*run
+	for r := g.queue.first(); r != nil; r = g.queue.first() {
+		next := g.nextStep(now, r)
+		if next == stepWaitAll {
+			break
 		}
-	}()
-	for {
-		r := g.queue.first()
-		if r == nil {
-			return a
-		}
-		if g.olderRunAtWork(r) || !g.leaseAllowsStart(now, r) {
-			behind = append(behind, g.queue.pop())
-			continue
-		}
-		if g.silent(now, r) {
-			g.queue.pop()
+		g.queue.pop()
+		switch next {
+		case stepSetAside:
+			aside = append(aside, r)
+		case stepReject:
 			g.reject(r, "owner silent")
-			continue
-		}
-		if g.leaseShort(now) {
-			return a
+		default:
+			a.Starts = append(a.Starts, g.start(now, r))
 		}
-		if now < g.fullUntil || !g.capacity.Minus(g.used).Fits(r.need) || !g.health.mayStart(now) {
-			return a
-		}
-		g.queue.pop()
-		a.Starts = append(a.Starts, g.start(now, r))
 	}
+	for _, r := range aside {
+		g.queue.push(r)
+	}
+	return a
+}
+
+// startStep is what to do with the run that is next in the queue.
+type startStep int
+
+const (
+	stepStart startStep = iota
+	// stepSetAside: the run waits although there may be room for it; those after it don't
+	// wait for it.
+	stepSetAside
+	// stepReject: the run's owner is out of contact.
+	stepReject
+	// stepWaitAll: nothing can start now.
+	stepWaitAll
+)
+
+// nextStep says what to do with the run that is next in the queue.
+func (g *Gate) nextStep(now Time, r *run) startStep {
+	switch {
+	case g.olderRunAtWork(r) || !g.leaseAllowsStart(now, r):
+		return stepSetAside
+	case g.ownerSilent(now, r):
+		return stepReject
+	case g.leaseShort(now) || now < g.fullUntil || !g.health.mayStart(now):
+		return stepWaitAll
+	case !g.capacity.Minus(g.used).Fits(r.need):
+		return stepWaitAll
+	}
+	return stepStart
 }
 
 // olderRunAtWork says whether another run of the same task is at work here: of an owner
