Owner: closing a job to starts and giving it up, in steps

Cause: close and holds did not say what of, mustStart took the owner as an argument, and drop did four things.

Change: closeJob, holdsStart, mustStart as a method of the owner; drop calls withdrawTasks and rememberDropped. The steps keep their order.

--- a/owner/drop.go
+++ b/owner/drop.go
@@ -21,25 +21,16 @@
 	callers []caller
 }
 
-// drop ends a job that is not kept without a result and withdraws its runs. If
-// none of them is known to have started, the answer waits for the gates' word,
-// so that a job that has not run is told apart from one that may have.
+// drop gives up a job that is not kept: it ends without a result, and its runs are
+// withdrawn. If none of them is known to have started, the answer waits for the gates'
+// word, so that a job that has not run is told apart from one that may have.
 func (o *Owner) drop(j *liveJob) {
 	now := o.options.Now()
 	delete(o.jobs, j.record.ID)
 	o.stats.Dropped++
 	o.tellDropped(now, j)
-	for _, t := range j.tasks {
-		o.waiting.remove(t)
-	}
-	o.stopAll(j)
-	d := &droppedJob{at: now, unsure: j.openRuns(), callers: j.callers}
-	if earlier := o.dropped[j.record.ID]; earlier != nil {
-		// The job was taken in again here before that.
-		earlier.answer(BestEffortResult{})
-	}
-	o.dropped[j.record.ID] = d
-	j.callers = nil
+	o.withdrawTasks(j)
+	d := o.rememberDropped(now, j)
 	j.tellWaiters()
 	switch {
 	case j.tried:
@@ -51,6 +42,26 @@
 	}
 }
 
+// withdrawTasks takes a job's tasks out of the queue and has its runs stopped.
+func (o *Owner) withdrawTasks(j *liveJob) {
+	for _, t := range j.tasks {
+		o.waiting.remove(t)
+	}
+	o.stopAll(j)
+}
+
+// rememberDropped keeps the callers of a job that is given up until they have their
+// answer. Those of an earlier time that the job was given up here are answered now.
+func (o *Owner) rememberDropped(now Time, j *liveJob) *droppedJob {
+	d := &droppedJob{at: now, unsure: j.openRuns(), callers: j.callers}
+	j.callers = nil
+	if earlier := o.dropped[j.record.ID]; earlier != nil {
+		earlier.answer(BestEffortResult{})
+	}
+	o.dropped[j.record.ID] = d
+	return d
+}
+
 // dropLive drops a job unless that was done already.
 func (o *Owner) dropLive(j *liveJob) {
 	if o.jobs[j.record.ID] == j {
--- a/owner/isolation.go
+++ b/owner/isolation.go
@@ -21,7 +21,7 @@
 	}
 	for _, j := range o.jobs {
 		if j.record.BestEffort && !j.closed {
-			o.close(now, j)
+			o.closeJob(now, j)
 		}
 	}
 }
@@ -32,19 +32,19 @@
 	o.outsideHeard = now
 }
 
-// close lets a job start no more tasks. What runs of it may still end, and then its
+// closeJob lets a job start no more tasks. What runs of it may still end, and then its
 // callers get their answer; it is given up as soon as a task would have to start.
-func (o *Owner) close(now Time, j *liveJob) {
+func (o *Owner) closeJob(now Time, j *liveJob) {
 	j.closed = true
 	o.log.Info("Job starts nothing more; its owner was out of touch.", "job", j.record.ID, "ageMS", (now - j.arrived).Milliseconds(),
 		"silentMS", (now - o.outsideHeard).Milliseconds(), "left", j.left, "on", j.gates())
-	if j.mustStart(o) {
+	if o.mustStart(j) {
 		o.drop(j)
 	}
 }
 
-// mustStart says whether the job can't end without the start of a task.
-func (j *liveJob) mustStart(o *Owner) bool {
+// mustStart says whether a job can't end without the start of a task.
+func (o *Owner) mustStart(j *liveJob) bool {
 	for _, t := range j.tasks {
 		if t.phase == taskBlocked || t.phase == taskWaiting || o.unsent(t) {
 			return true
@@ -56,10 +56,10 @@
 // unsent says whether a task's start was not handed to the link yet.
 func (o *Owner) unsent(t *task) bool {
 	v := o.gates[t.gate]
-	return v != nil && t.phase == taskPlaced && v.holds(t.runName())
+	return v != nil && t.phase == taskPlaced && v.holdsStart(t.runName())
 }
 
-// holds says whether a start was not handed to the link yet.
-func (v *gateView) holds(name job.RunName) bool {
+// holdsStart says whether the start of a run waits to be handed to the link.
+func (v *gateView) holdsStart(name job.RunName) bool {
 	return slices.ContainsFunc(v.starts, func(s gate.Order) bool { return s.Name == name })
 }
--- a/owner/write.go
+++ b/owner/write.go
@@ -166,7 +166,7 @@
 // withdraw takes back a start that was not handed to the link; it reports whether it
 // was so.
 func (v *gateView) withdraw(name job.RunName) bool {
-	if !v.holds(name) {
+	if !v.holdsStart(name) {
 		return false
 	}
 	v.starts = slices.DeleteFunc(v.starts, func(s gate.Order) bool { return s.Name == name })
