--- a/gate/lease_test.go
+++ b/gate/lease_test.go
@@ -61,3 +61,48 @@
 		t.Errorf("a lease of %v, want %v at least", left, least)
 	}
 }
+
+// A hold that was lost has given no lease. The next one asks for as much again, also if
+// it may ask for no more than that.
+func TestLostHoldIsMadeGood(t *testing.T) {
+	b := newProductBench(t)
+	name := testRun("aa", 0, 1)
+	b.started(b.orderBy(testOwner, b.now, name))
+	contact := b.now
+	given := int64(0)
+	for b.now-contact < 300*time.Millisecond {
+		h, _ := b.hold(working(name))
+		given = max(given, h.Call.UntilMS)
+		b.now += 99 * time.Millisecond
+	}
+	lost := b.gate.NextHold(b.now, 0)
+	b.now += 30 * time.Millisecond
+	b.gate.OnHold(b.now, lost, Answer{}, HoldAnswer{}, ErrUnanswered)
+	next := b.gate.NextHold(b.now, 0)
+	if lost.Call.UntilMS <= given {
+		t.Fatalf("the lost hold asks for %d, no more than the %d before", lost.Call.UntilMS, given)
+	}
+	if next.Call.UntilMS < lost.Call.UntilMS-10 {
+		t.Errorf("the next hold asks for %d, the lost one for %d; the target has %d", next.Call.UntilMS, lost.Call.UntilMS, given)
+	}
+}
+
+// An order whose owner's proof is too old for the lease that was given waits by itself:
+// it does not hold up those of owners in touch.
+func TestOldProofHoldsUpNobodyElse(t *testing.T) {
+	b := newProductBench(t)
+	b.gate.Connect(b.now, secondOwner, 1, nil)
+	b.started(b.orderBy(secondOwner, b.now, testRun("bb", 0, 1)))
+	old := b.now
+	for b.now-old < 600*time.Millisecond {
+		b.gate.OnFrame(b.now, secondOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2})
+		b.hold(working(testRun("bb", 0, 1)))
+		b.now += 49 * time.Millisecond
+	}
+	if a := b.orderBy(testOwner, old, testRun("aa", 0, 1)); len(a.Starts) != 0 {
+		t.Fatal("started under a lease that is too long for its owner's proof")
+	}
+	if a := b.orderBy(secondOwner, b.now, testRun("cc", 0, 1)); len(a.Starts) != 1 {
+		t.Errorf("%d starts of the owner in touch, want 1", len(a.Starts))
+	}
+}
--- a/gate/leftover_test.go
+++ b/gate/leftover_test.go
@@ -55,6 +55,31 @@
 	return lists
 }
 
+// newProductBench is newBench with the bound that the product has with callers that come
+// back after 1.3 s (package node).
+func newProductBench(t *testing.T) *bench {
+	b := newBench(t)
+	b.gate.options.BestEffortContact = 850 * time.Millisecond
+	return b
+}
+
+// mostLeased lets a target hold for some time and returns the end of the longest lease
+// that the gate has asked for. Unlike a loop that ends with the lease it also sees leases
+// that are asked for after a hold that asks for none.
+func (b *bench) mostLeased(name job.RunName, most time.Duration, tick bool) Time {
+	lease := Time(0)
+	for began := b.now; b.now-began < most; b.now += 9 * time.Millisecond {
+		h, _ := b.hold(working(name))
+		if h.Call.UntilMS > 0 {
+			lease = max(lease, b.leaseEnd(h.Call.UntilMS))
+		}
+		if tick {
+			b.gate.Tick(b.now)
+		}
+	}
+	return lease
+}
+
 // Two runs of one task must not be at work at the same time. Where both are at one
 // executor its gate knows that, whoever owns them: the newer one waits until the older
 // one is over.
@@ -260,6 +285,17 @@
 	}
 }
 
+// As TestKeptLeaseEndsBeforeRunsCountAsOver, whose loop ends after its first hold.
+func TestKeptLeaseEndsBeforeRunsCountAsOverWhole(t *testing.T) {
+	b := newProductBench(t)
+	name := testRun("aa", 0, 1)
+	b.started(b.order(true, name))
+	contact := b.now
+	if lease := b.mostLeased(name, mostLease, true); lease == 0 || lease-contact > keptOver {
+		t.Errorf("leased for %v after the owner's last word, want %v at most, and some", lease-contact, keptOver)
+	}
+}
+
 // The same for a run whose owner has ordered its stop and is then lost: it is at work
 // until the caller may have handed its job in again, and no longer.
 func TestLeaseOfStoppedRunEnds(t *testing.T) {
@@ -281,6 +317,70 @@
 	}
 }
 
+// As TestLeaseOfStoppedRunEnds, whose loop ends after its first hold. The owner stays in
+// touch, so that only the stop ends the lease.
+func TestLeaseOfStoppedRunEndsWithOwnerInTouch(t *testing.T) {
+	b := newProductBench(t)
+	name := testRun("aa", 0, 1)
+	b.started(b.orderBy(testOwner, b.now, name))
+	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2, Stops: []job.RunName{name}})
+	ordered, lease := b.now, Time(0)
+	for b.now-ordered < 3*time.Second {
+		b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 3})
+		lease = max(lease, b.mostLeased(name, 50*time.Millisecond, true))
+	}
+	if lease == 0 || lease-ordered > callerWait {
+		t.Errorf("leased for %v after its stop was ordered, want %v at most, and some", lease-ordered, callerWait)
+	}
+}
+
+// A start got no answer and is stopped for that; the target carries it out late, and
+// answers no stop. Then the owner gives its job up, and the caller comes back elsewhere
+// after 1.3 s: from the order on the lease is bounded as for any other stop.
+func TestOrderedStopOfUnansweredStart(t *testing.T) {
+	b := newProductBench(t)
+	name := testRun("aa", 0, 1)
+	a := b.orderBy(testOwner, b.now, name)
+	b.now += orderTimeout
+	b.gate.OnStart(b.now, a.Life, a.Starts[0], Answer{}, ErrUnanswered)
+	b.now += time.Millisecond
+	if _, a = b.hold(HoldAnswer{}); len(a.Stops) != 1 {
+		t.Fatalf("stops %+v, want one since the start was not answered", a.Stops)
+	}
+	b.now += 50 * time.Millisecond
+	b.hold(working(name)) // Carried out late.
+	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2, Stops: []job.RunName{name}})
+	ordered, lease := b.now, Time(0)
+	for b.now-ordered < 3*time.Second {
+		b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 3})
+		lease = max(lease, b.mostLeased(name, 50*time.Millisecond, true))
+	}
+	if lease-ordered > callerWait {
+		t.Errorf("leased for %v after the owner has given the run up, want %v at most", lease-ordered, callerWait)
+	}
+}
+
+// The same for a run of an earlier process that was stopped since nobody claimed it, and
+// is claimed a moment later.
+func TestOrderedStopOfRunClaimedLate(t *testing.T) {
+	b := newProductBench(t)
+	name := testRun("aa", 0, 1)
+	b.hold(working(name))
+	b.now += unclaimedPatience + time.Millisecond
+	b.hold(working(name))
+	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 1, Verdicts: []Verdict{{Name: name, Kind: VerdictClaim, BestEffort: true}}})
+	b.now += 50 * time.Millisecond
+	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2, Stops: []job.RunName{name}})
+	ordered, lease := b.now, Time(0)
+	for b.now-ordered < 3*time.Second {
+		b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 3})
+		lease = max(lease, b.mostLeased(name, 50*time.Millisecond, true))
+	}
+	if lease-ordered > callerWait {
+		t.Errorf("leased for %v after the owner has given the run up, want %v at most", lease-ordered, callerWait)
+	}
+}
+
 // An owner that takes a lost life's jobs over is told of their runs before it has read
 // the jobs, and says that it does not know them. The runs go on.
 func TestForeignWordStopsNoAdoptedRun(t *testing.T) {
--- a/gate/silence_test.go
+++ b/gate/silence_test.go
@@ -81,3 +81,19 @@
 		t.Error("closed though the executor has answered")
 	}
 }
+
+// A gate that has itself stood still does not know how long its owners have been silent:
+// their frames wait to be read. Its lease bounds the runs meanwhile.
+func TestGateThatWokeReadsFramesFirst(t *testing.T) {
+	b := newProductBench(t)
+	name := testRun("aa", 0, 1)
+	b.started(b.orderBy(testOwner, b.now, name))
+	b.hold(working(name))
+	b.now += 200 * time.Millisecond
+	b.gate.Tick(b.now)
+	b.now += 680 * time.Millisecond // It stands still; its lease holds.
+	if a := b.gate.Tick(b.now); len(a.Stops) != 0 {
+		t.Errorf("stopped %+v before the owner's frames could be read", a.Stops)
+	}
+	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now - 200*time.Millisecond, Sequence: 2})
+}
--- a/node/contact_test.go
+++ b/node/contact_test.go
@@ -20,3 +20,19 @@
 		}
 	}
 }
+
+// An owner holds the runs of a gate that it does not hear of to be over after some time.
+// No gate lets a best-effort run go on longer, however long callers wait.
+func TestBestEffortRunsAreOverWhenOwnersThinkSo(t *testing.T) {
+	// sinceHeard and lapse are those of packages owner (mostSinceHeard) and gate
+	// (bestEffortLapse); over is owner.overAfter.
+	const sinceHeard, lapse = 500 * time.Millisecond, 400 * time.Millisecond
+	for _, resubmit := range []time.Duration{1300 * time.Millisecond, 2 * time.Second, 3 * time.Second, 5 * time.Second} {
+		o := Options{Resubmit: resubmit, MaxHold: time.Second}
+		g := gateOptions(o, "a~1")
+		over := g.Contact + g.MaxHold*103/100 + 250*time.Millisecond
+		if most := sinceHeard + g.BestEffortContact + lapse; most > over {
+			t.Errorf("resubmission after %v: runs go on for %v after their gate was heard of, owners replace them after %v", resubmit, most, over)
+		}
+	}
+}
--- a/node/twice_test.go
+++ b/node/twice_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"rackspur/gate"
+	"rackspur/internal/wait"
 	"rackspur/job"
 	"rackspur/observe"
 	"rackspur/owner"
@@ -72,6 +73,24 @@
 	})
 }
 
+// Symptom: a run goes on at a target beside the run that another owner has started.
+//
+// Sequence: the owner of a best-effort job ends in order while the job runs, and tells
+// the caller so at 0; an agent is lost some time later.
+//
+// Cause: an owner that ends sends no stops, and the lease that a gate had given last
+// outlived the contact with it: as with an owner that is lost.
+func TestAgentLostAfterOwnerLeft(t *testing.T) {
+	sweep(t, func(s *virtualSite, offset time.Duration) {
+		s.handIn()
+		leave := func() {
+			s.entries[0].owner.End()
+			s.entries[0].kill()
+		}
+		s.play(playTime, event{0, leave}, event{offset, s.agents[1].kill})
+	})
+}
+
 // Symptom: as above, but the agent is back.
 //
 // Sequence: the owner is lost at 0; an agent is killed some time later and started
@@ -123,6 +142,29 @@
 	})
 }
 
+// An agent that is killed alone, and is back after 0.3 s, loses no run: owners claim them
+// before the lease of the first process is over.
+func TestAgentRestartedAloneKeepsRuns(t *testing.T) {
+	for ms := 0; ms < 400; ms += 20 {
+		for _, down := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond} {
+			t.Run(fmt.Sprintf("killed %d ms on, down for %v", ms, down), func(t *testing.T) {
+				t.Parallel()
+				inBubble(t, func(s *virtualSite) {
+					s.handIn()
+					wait.For(s.ctx, time.Duration(ms)*time.Millisecond)
+					a := s.agents[1]
+					s.play(2*time.Second, event{0, a.kill}, event{down, a.start})
+					for _, x := range s.spans() {
+						if x.End != 0 && x.End != gate.EndDone {
+							t.Errorf("%s", s.tell(x))
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
 // Symptom: a run that was told to stop goes on.
 //
 // Sequence: from the start on one executor answers no stop and carries it out late or
@@ -155,6 +197,50 @@
 	}
 }
 
+// As TestStopThatDoesNotTake with an entry box that has other runs at the gates.
+func TestStopThatDoesNotTakeOfBusyOwner(t *testing.T) {
+	for _, after := range []time.Duration{0, 2 * time.Second, 3 * time.Second} {
+		subtest(t, fmt.Sprintf("stops late by %v", after), func(s *virtualSite) {
+			s.agents[1].target.setStops(stopFault{on: true, after: after})
+			leave := s.handIn()
+			s.keepBusy()
+			s.play(playTime, event{0, leave})
+		})
+	}
+}
+
+// keepBusy has the first entry box run another job everywhere, so that it goes on sending
+// its heartbeats to all gates.
+func (s *virtualSite) keepBusy() {
+	other := testJob(2, 6, true)
+	other.Steps[0].EstimateMS = int(taskTime.Milliseconds())
+	go s.entries[0].run(s.ctx, other)
+	wait.For(s.ctx, 300*time.Millisecond)
+}
+
+// Symptom: a run goes on beside the run that another owner has started.
+//
+// Sequence: an executor leaves its orders unanswered and carries them out late (as on days
+// with applied_late): a start by 0.4 s, stops by seconds or never. At 0 the only caller
+// leaves.
+//
+// Cause: the gate has the run stopped since its start was not answered; nobody counts on
+// that stop. The stop that the owner orders later changes nothing then, and the lease is
+// extended as long as the owner is in touch.
+func TestStopAfterLateStartThatDoesNotTake(t *testing.T) {
+	for _, after := range []time.Duration{0, 2 * time.Second, 3 * time.Second} {
+		subtest(t, fmt.Sprintf("stops late by %v", after), func(s *virtualSite) {
+			x := s.agents[1].target
+			x.setStops(stopFault{on: true, after: after})
+			x.setStartsLate(400 * time.Millisecond)
+			leave := s.handIn()
+			x.setStartsLate(0)
+			s.keepBusy()
+			s.play(playTime, event{0, leave})
+		})
+	}
+}
+
 // Symptom: an owner starts tasks of a job again that its callers have given up.
 //
 // Sequence: the owner is frozen at 0 and its callers leave it; they hand the job in
