Orders no more say whether a target guards its room

Cause: no run starts beside unclaimed ones at all, so nothing reads Unguarded.

TestRoomOfUnclaimedRuns orders without it, and asserts the same. An agent of an earlier version that is sent an order by a new entry box takes its target for guarded.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -66,7 +66,6 @@
 	estimate   time.Duration
 	rank       int64
 	bestEffort bool
-	unguarded  bool
 	order      uint64
 
 	phase   phase
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -246,13 +246,12 @@
 }
 
 // What a restarted gate finds takes room that it can't count before the owners
-// have claimed it: an executor that guards nothing gets no run until then, and one
-// that does is not asked again and again.
+// have claimed it: no run starts until then.
 func TestRoomOfUnclaimedRuns(t *testing.T) {
 	b := newBench(t)
 	found, next := testRun("aa", 0, 1), testRun("bb", 0, 1)
 	b.hold(HoldAnswer{Running: []Running{{Name: found}}})
-	order := Order{Name: next, Need: job.Resources{CPU: 1600}, Unguarded: true}
+	order := Order{Name: next, Need: job.Resources{CPU: 1600}}
 	a, _ := b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, KeptEcho: b.now, Starts: []Order{order}})
 	if len(a.Starts) != 0 {
 		t.Fatal("started beside a run whose need is not known")
@@ -267,6 +266,8 @@
 	}
 }
 
+// A target that has no room beside runs that nobody has claimed is not asked again and
+// again.
 func TestNoRoomBesideUnclaimedRuns(t *testing.T) {
 	b := newBench(t)
 	found, next := testRun("aa", 0, 1), testRun("bb", 0, 1)
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -16,8 +16,6 @@
 	Checkpoint string
 	// BestEffort: the run is of a job that is not kept.
 	BestEffort bool
-	// Unguarded: the executor would start the run also if it does not fit.
-	Unguarded bool
 }
 
 // VerdictKind says what becomes of a run.
@@ -179,7 +177,7 @@
 	g.orders++
 	r := &run{
 		RunName: o.Name, owner: owner, spec: o.Spec, need: o.Need, checkpoint: o.Checkpoint,
-		estimate: o.Estimate, rank: o.Rank, order: g.orders, arrived: now, bestEffort: o.BestEffort, unguarded: o.Unguarded,
+		estimate: o.Estimate, rank: o.Rank, order: g.orders, arrived: now, bestEffort: o.BestEffort,
 	}
 	if g.runs[o.Name] != nil {
 		// Each owner that takes a job in numbers its runs from 1.
--- a/job/job.go
+++ b/job/job.go
@@ -116,9 +116,6 @@
 	Stretch         float64 `json:"stretch,omitempty"`
 	TargetLatencyMS int     `json:"target_latency_ms,omitempty"`
 	TimeoutMS       int     `json:"timeout_ms,omitempty"`
-	// Unguarded says that the executors start whatever they are told, also what
-	// does not fit.
-	Unguarded bool `json:"unguarded,omitempty"`
 }
 
 // Submission is a job as its caller hands it in.
--- a/owner/place.go
+++ b/owner/place.go
@@ -166,7 +166,7 @@
 		Name: t.runName(), Spec: t.job.record.Spec, Need: t.step.Need,
 		Estimate:   time.Duration(t.step.EstimateMS) * time.Millisecond,
 		Rank:       o.rank(now, v, t),
-		Checkpoint: t.checkpoint, BestEffort: t.job.record.BestEffort, Unguarded: t.job.record.Queue.Unguarded,
+		Checkpoint: t.checkpoint, BestEffort: t.job.record.BestEffort,
 	})
 	v.poke()
 }
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -32,7 +32,7 @@
 	for _, s := range f.Starts {
 		out.Starts = append(out.Starts, &peerpb.StartOrder{
 			Name: toRunName(s.Name), Spec: s.Spec, Need: toResources(s.Need),
-			EstimateMs: uint32(s.Estimate.Milliseconds()), Rank: s.Rank, Checkpoint: s.Checkpoint, BestEffort: s.BestEffort, Unguarded: s.Unguarded,
+			EstimateMs: uint32(s.Estimate.Milliseconds()), Rank: s.Rank, Checkpoint: s.Checkpoint, BestEffort: s.BestEffort,
 		})
 	}
 	for _, n := range f.Stops {
@@ -49,7 +49,7 @@
 	for _, s := range f.GetStarts() {
 		out.Starts = append(out.Starts, gate.Order{
 			Name: fromRunName(s.GetName()), Spec: s.GetSpec(), Need: fromResources(s.GetNeed()),
-			Estimate: time.Duration(s.GetEstimateMs()) * time.Millisecond, Rank: s.GetRank(), Checkpoint: s.GetCheckpoint(), BestEffort: s.GetBestEffort(), Unguarded: s.GetUnguarded(),
+			Estimate: time.Duration(s.GetEstimateMs()) * time.Millisecond, Rank: s.GetRank(), Checkpoint: s.GetCheckpoint(), BestEffort: s.GetBestEffort(),
 		})
 	}
 	for _, n := range f.GetStops() {
