Gate: what stood twice in the gate and its tests

Cause: five places took a waiting run out of the queue and rejected it. Three tests had the same loop after an ordered stop; newProductBench had come to be newBench; mostLeased was always called with ticks.

Change: giveBack; leasedAfterStop; newBench everywhere; no parameter for the ticks. The assertions are unchanged.

--- a/gate/contact.go
+++ b/gate/contact.go
@@ -63,8 +63,7 @@
 		}
 		switch r.phase {
 		case phaseQueued:
-			g.queue.remove(r)
-			g.reject(r, "owner silent")
+			g.giveBack(r, "owner silent")
 		case phaseEnded:
 			if r.bestEffort {
 				g.abandon(now, r)
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -143,6 +143,12 @@
 	g.removeIfNoted(r)
 }
 
+// giveBack takes a run that waits out of the queue and rejects it.
+func (g *Gate) giveBack(r *run, reason string) {
+	g.queue.remove(r)
+	g.reject(r, reason)
+}
+
 // mayBeNoted says whether the executor may forget the end. Nothing durable
 // follows from a run of a job that is not kept: its end needs no owner's word.
 func (r *run) mayBeNoted() bool {
--- a/gate/lease_test.go
+++ b/gate/lease_test.go
@@ -73,7 +73,7 @@
 // Cause: the lease that it asked for counted as given. The next hold has to ask for as much
 // again.
 func TestLostHoldIsMadeGood(t *testing.T) {
-	b := newProductBench(t)
+	b := newBench(t)
 	name := testRun("aa", 0, 1)
 	b.started(b.orderBy(testOwner, b.now, name))
 	contact := b.now
@@ -102,7 +102,7 @@
 //
 // Cause: the whole queue waited for it. It has to wait by itself.
 func TestOldProofHoldsUpNobodyElse(t *testing.T) {
-	b := newProductBench(t)
+	b := newBench(t)
 	b.gate.Connect(b.now, secondOwner, 1, nil)
 	b.started(b.orderBy(secondOwner, b.now, testRun("bb", 0, 1)))
 	old := b.now
--- a/gate/leftover_test.go
+++ b/gate/leftover_test.go
@@ -55,31 +55,33 @@
 	return lists
 }
 
-// newProductBench is newBench with the bound that the product has with callers that come
-// back after 1.3 s (package node).
-func newProductBench(t *testing.T) *bench {
-	b := newBench(t)
-	b.gate.options.BestEffortContact = 850 * time.Millisecond
-	return b
-}
-
 // mostLeased lets a target hold for some time and returns the end of the longest lease
 // that the gate has asked for. Unlike a loop that ends with the lease it also sees leases
 // that are asked for after a hold that asks for none.
-func (b *bench) mostLeased(name job.RunName, most time.Duration, tick bool) Time {
+func (b *bench) mostLeased(name job.RunName, most time.Duration) Time {
 	lease := Time(0)
 	for began := b.now; b.now-began < most; b.now += 9 * time.Millisecond {
 		h, _ := b.hold(working(name))
 		if h.Call.UntilMS > 0 {
 			lease = max(lease, b.leaseEnd(h.Call.UntilMS))
 		}
-		if tick {
-			b.gate.Tick(b.now)
-		}
+		b.gate.Tick(b.now)
 	}
 	return lease
 }
 
+// leasedAfterStop has the owner order a run's stop and stay in touch. It returns when that
+// was and the end of the longest lease that the gate asks for from then on.
+func (b *bench) leasedAfterStop(name job.RunName) (ordered, lease Time) {
+	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2, Stops: []job.RunName{name}})
+	ordered = b.now
+	for b.now-ordered < 3*time.Second {
+		b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 3})
+		lease = max(lease, b.mostLeased(name, 50*time.Millisecond))
+	}
+	return ordered, lease
+}
+
 // Symptom: two runs of one task are at work at one target.
 //
 // Sequence: the older one's owner is lost, or has ordered its stop; the newer one is
@@ -320,11 +322,11 @@
 
 // As TestKeptLeaseEndsBeforeRunsCountAsOver, whose loop ends after its first hold.
 func TestKeptLeaseEndsBeforeRunsCountAsOverWhole(t *testing.T) {
-	b := newProductBench(t)
+	b := newBench(t)
 	name := testRun("aa", 0, 1)
 	b.started(b.order(true, name))
 	contact := b.now
-	if lease := b.mostLeased(name, mostLease, true); lease == 0 || lease-contact > keptOver {
+	if lease := b.mostLeased(name, mostLease); lease == 0 || lease-contact > keptOver {
 		t.Errorf("leased for %v after the owner's last word, want %v at most, and some", lease-contact, keptOver)
 	}
 }
@@ -357,15 +359,10 @@
 // As TestLeaseOfStoppedRunEnds, whose loop ends after its first hold. The owner stays in
 // touch, so that only the stop ends the lease.
 func TestLeaseOfStoppedRunEndsWithOwnerInTouch(t *testing.T) {
-	b := newProductBench(t)
+	b := newBench(t)
 	name := testRun("aa", 0, 1)
 	b.started(b.orderBy(testOwner, b.now, name))
-	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2, Stops: []job.RunName{name}})
-	ordered, lease := b.now, Time(0)
-	for b.now-ordered < 3*time.Second {
-		b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 3})
-		lease = max(lease, b.mostLeased(name, 50*time.Millisecond, true))
-	}
+	ordered, lease := b.leasedAfterStop(name)
 	if lease == 0 || lease-ordered > callerWait {
 		t.Errorf("leased for %v after its stop was ordered, want %v at most, and some", lease-ordered, callerWait)
 	}
@@ -383,7 +380,7 @@
 // Settled by (package node, TestStopAfterLateStartThatDoesNotTake): two runs of a task at
 // work for 0.73 s with stops 3 s late, for 2.70 s with none.
 func TestOrderedStopOfUnansweredStart(t *testing.T) {
-	b := newProductBench(t)
+	b := newBench(t)
 	name := testRun("aa", 0, 1)
 	a := b.orderBy(testOwner, b.now, name)
 	b.now += orderTimeout
@@ -394,12 +391,7 @@
 	}
 	b.now += 50 * time.Millisecond
 	b.hold(working(name)) // Carried out late.
-	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2, Stops: []job.RunName{name}})
-	ordered, lease := b.now, Time(0)
-	for b.now-ordered < 3*time.Second {
-		b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 3})
-		lease = max(lease, b.mostLeased(name, 50*time.Millisecond, true))
-	}
+	ordered, lease := b.leasedAfterStop(name)
 	if lease-ordered > callerWait {
 		t.Errorf("leased for %v after the owner has given the run up, want %v at most", lease-ordered, callerWait)
 	}
@@ -410,19 +402,14 @@
 // Sequence: a run of an earlier process is stopped since nobody claims it, is claimed a
 // moment later, and is then given up by its owner.
 func TestOrderedStopOfRunClaimedLate(t *testing.T) {
-	b := newProductBench(t)
+	b := newBench(t)
 	name := testRun("aa", 0, 1)
 	b.hold(working(name))
 	b.now += unclaimedPatience + time.Millisecond
 	b.hold(working(name))
 	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 1, Verdicts: []Verdict{{Name: name, Kind: VerdictClaim, BestEffort: true}}})
 	b.now += 50 * time.Millisecond
-	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2, Stops: []job.RunName{name}})
-	ordered, lease := b.now, Time(0)
-	for b.now-ordered < 3*time.Second {
-		b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 3})
-		lease = max(lease, b.mostLeased(name, 50*time.Millisecond, true))
-	}
+	ordered, lease := b.leasedAfterStop(name)
 	if lease-ordered > callerWait {
 		t.Errorf("leased for %v after the owner has given the run up, want %v at most", lease-ordered, callerWait)
 	}
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -160,8 +160,7 @@
 func (g *Gate) abandon(now Time, r *run) {
 	switch r.phase {
 	case phaseQueued:
-		g.queue.remove(r)
-		g.reject(r, "owner gone")
+		g.giveBack(r, "owner gone")
 	case phaseEnded:
 		r.noted = true
 		g.removeIfNoted(r)
@@ -237,8 +236,7 @@
 func (g *Gate) discard(now Time, r *run) {
 	switch {
 	case r.phase == phaseQueued:
-		g.queue.remove(r)
-		g.reject(r, "discarded")
+		g.giveBack(r, "discarded")
 	case r.phase != phaseEnded:
 		g.stopRun(now, r, StopDiscarded)
 		r.discarded = true
@@ -258,8 +256,7 @@
 	}
 	switch r.phase {
 	case phaseQueued:
-		g.queue.remove(r)
-		g.reject(r, "withdrawn")
+		g.giveBack(r, "withdrawn")
 	case phaseEnded:
 	default:
 		g.stopRun(now, r, StopOrdered)
--- a/gate/room.go
+++ b/gate/room.go
@@ -12,9 +12,7 @@
 // than may. Owners place by reports that are older than their orders.
 func (g *Gate) trimQueue() {
 	for g.queue.len() > 1 && g.queueRoom().CPU < 0 {
-		last := g.queue.last()
-		g.queue.remove(last)
-		g.reject(last, ReasonFull)
+		g.giveBack(g.queue.last(), ReasonFull)
 	}
 }
 
--- a/gate/silence_test.go
+++ b/gate/silence_test.go
@@ -89,7 +89,7 @@
 //
 // Cause: it looked for silent owners first. The lease bounds the runs meanwhile.
 func TestGateThatWokeReadsFramesFirst(t *testing.T) {
-	b := newProductBench(t)
+	b := newBench(t)
 	name := testRun("aa", 0, 1)
 	b.started(b.orderBy(testOwner, b.now, name))
 	b.hold(working(name))
