Take-over in steps

Cause: Adopt held four steps beside its own; fence also said whether a life was being taken over already.

Change: newAdoption, takeIn and askAnew; the look at the lives that are being taken over stands in takeOver. The steps keep their order.

Result: go test ./owner ./node passes.

--- a/node/takeover.go
+++ b/node/takeover.go
@@ -27,23 +27,20 @@
 func (t *term) takeOver(over []member.Over) {
 	var fenced []member.Over
 	for _, o := range over {
-		if t.fence(o) {
-			t.taking[o.Incarnation] = true
-			t.owner.StartAdoption([]string{o.Incarnation})
-			fenced = append(fenced, o)
+		if t.taking[o.Incarnation] || !t.fence(o) {
+			continue
 		}
+		t.taking[o.Incarnation] = true
+		t.owner.StartAdoption([]string{o.Incarnation})
+		fenced = append(fenced, o)
 	}
 	for _, o := range fenced {
 		go t.adopt(o)
 	}
 }
 
-// fence makes sure that a life writes nothing more; it returns false if that failed or
-// the life is being taken over already.
+// fence makes sure that a life writes nothing more; it returns false if that failed.
 func (t *term) fence(o member.Over) bool {
-	if t.taking[o.Incarnation] {
-		return false
-	}
 	if o.Fenced {
 		return true
 	}
--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -57,15 +57,28 @@
 	defer o.mu.Unlock()
 	now := o.options.Now()
 	o.reading--
+	a := o.newAdoption(from)
+	if len(jobs) > 0 {
+		o.takeIn(now, a, jobs)
+		o.askAnew(lives)
+	}
+	o.checkAdoptions(now)
+	return a.told
+}
+
+// newAdoption adds an adoption that waits for all gates that are known, for the runs of
+// all lives that were taken over so far.
+func (o *Owner) newAdoption(from Time) *adoption {
 	a := &adoption{lives: slices.Clone(o.adopted), from: from, asked: map[string]bool{}, told: make(chan struct{})}
 	for _, v := range o.gates {
 		a.asked[v.name] = true
 	}
 	o.adoptions = append(o.adoptions, a)
-	if len(jobs) == 0 {
-		o.checkAdoptions(now)
-		return a.told
-	}
+	return a
+}
+
+// takeIn makes jobs that are taken over the owner's; they go on with the adoption.
+func (o *Owner) takeIn(now Time, a *adoption, jobs []Adopted) {
 	for _, adopted := range jobs {
 		if o.jobs[adopted.Record.ID] != nil {
 			continue
@@ -79,7 +92,10 @@
 		a.jobs = append(a.jobs, j)
 		o.stats.Adopted++
 	}
-	// The gates tell anew of what they know, now that the jobs are known.
+}
+
+// askAnew has the gates tell anew of what they know, now that the jobs are known.
+func (o *Owner) askAnew(lives []string) {
 	for _, v := range o.gates {
 		for _, life := range lives {
 			delete(v.adopted, life)
@@ -87,8 +103,6 @@
 		v.adopt = append(v.adopt, lives...)
 		v.poke()
 	}
-	o.checkAdoptions(now)
-	return a.told
 }
 
 // checkAdoptions goes on with adoptions for which every gate has told of its
