Soak: tasks that outlive the bounds, and series of faults at entry and agents

Cause: the soak's tasks are over after about 0.1 s, sooner than any bound of contact or lease, so a job that its caller hands in a second time meets no run of the first one.

Change: TestSoakLongTasks shares the soak's code and has its own seeds. Jobs with tasks of 2 to 8 s, three of four best effort, go among the short ones; their callers wait 1.3 s after a lost answer and go to the next entry. Series of faults strike an entry (killed, stopped, frozen, cut, silent, clients reset) and, from 0.5 s before to 1.6 s after, one to three agents (also away until the round's end, cut off from the executor, orders lost or carried out late); some series come twice. Half of the executors' lives have a clock that is 2% slow. The stand-in executor logs its orders; for two runs at one time the caller's story and the orders that matter are logged. The check now compares a run with all earlier ones of its task, not with the one before only.

The seeds of TestSoak draw what they drew before.

--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -22,6 +22,9 @@
 	MaxHold time.Duration
 	// Work returns how long a run takes and how it ends.
 	Work func(job.RunName) (time.Duration, gate.EndKind)
+	// Slow is the part of a time that the executor's clock loses: 0 means a right
+	// clock, MostSlow the slowest that the users' platform allows.
+	Slow float64
 
 	mu      sync.Mutex
 	started time.Time
@@ -33,6 +36,7 @@
 	highest map[job.TaskName]int
 	changed chan struct{}
 	journal []Span
+	orders  []Order
 	down    bool
 	// lapsed is when the lease was last seen to be over.
 	lapsed time.Time
@@ -60,6 +64,9 @@
 	Noted  bool
 }
 
+// MostSlow is the most that an executor's clock may lose (the users' platform: 2%).
+const MostSlow = 0.02
+
 // NewExecutor returns an executor that runs nothing.
 func NewExecutor(life string, capacity job.Resources, work func(job.RunName) (time.Duration, gate.EndKind)) *Executor {
 	return &Executor{
@@ -113,7 +120,7 @@
 const firstClock = 1000
 
 func (e *Executor) clock(now time.Time) int64 {
-	return firstClock + now.Sub(e.started).Milliseconds()
+	return firstClock + time.Duration(float64(now.Sub(e.started))*(1-e.Slow)).Milliseconds()
 }
 
 // advance ends what has run long enough, or everything once the lease is over,
@@ -141,7 +148,13 @@
 
 // leaseEnd returns when the lease is over.
 func (e *Executor) leaseEnd() time.Time {
-	return e.started.Add(time.Duration(e.until-firstClock) * time.Millisecond)
+	return e.at(e.until)
+}
+
+// at returns when the executor's clock shows a time.
+func (e *Executor) at(clockMS int64) time.Time {
+	onClock := time.Duration(clockMS-firstClock) * time.Millisecond
+	return e.started.Add(time.Duration(float64(onClock) / (1 - e.Slow)))
 }
 
 // endsBy returns when a run ends if the lease is over at a time.
@@ -184,12 +197,13 @@
 }
 
 // Start implements gate.Executor.Start.
-func (e *Executor) Start(_ context.Context, life string, c gate.StartCall) (gate.Answer, error) {
+func (e *Executor) Start(_ context.Context, life string, c gate.StartCall) (a gate.Answer, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.advance(now)
-	a := gate.Answer{ClockMS: e.clock(now), Life: e.Life}
+	defer func() { e.record(now, OrderStart, c.Name, c.UntilMS, err) }()
+	a = gate.Answer{ClockMS: e.clock(now), Life: e.Life}
 	if err := e.check(life, c.Fence); err != nil {
 		return a, err
 	}
@@ -219,12 +233,13 @@
 }
 
 // Stop implements gate.Executor.Stop.
-func (e *Executor) Stop(_ context.Context, life string, c gate.StopCall) (gate.Answer, error) {
+func (e *Executor) Stop(_ context.Context, life string, c gate.StopCall) (a gate.Answer, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.advance(now)
-	a := gate.Answer{ClockMS: e.clock(now), Life: e.Life}
+	defer func() { e.record(now, OrderStop, c.Name, 0, err) }()
+	a = gate.Answer{ClockMS: e.clock(now), Life: e.Life}
 	if err := e.check(life, c.Fence); err != nil {
 		return a, err
 	}
@@ -247,6 +262,7 @@
 		e.extend(now, c.UntilMS)
 		e.forget(c.Seen)
 	}
+	e.record(now, OrderHold, job.RunName{}, c.UntilMS, err)
 	a := gate.Answer{ClockMS: e.clock(now), Life: e.Life}
 	e.mu.Unlock()
 	if err != nil {
--- a/internal/standin/executor_test.go
+++ b/internal/standin/executor_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"rackspur/gate"
@@ -40,3 +41,105 @@
 		}
 	}
 }
+
+// longWork is work that outlives every lease.
+func longWork(job.RunName) (time.Duration, gate.EndKind) { return 8 * time.Second, gate.EndDone }
+
+// startLong starts a run with a lease of a second and returns its name.
+func startLong(t *testing.T, e *Executor) job.RunName {
+	t.Helper()
+	name := job.RunName{TaskName: job.TaskName{Job: "a"}, Run: 1}
+	if _, err := e.Start(context.Background(), "", gate.StartCall{Name: name, Fence: 1, UntilMS: e.Clock() + 1000}); err != nil {
+		t.Fatal(err)
+	}
+	return name
+}
+
+// onlySpan returns the one run of the journal.
+func onlySpan(t *testing.T, e *Executor) Span {
+	t.Helper()
+	j := e.Journal()
+	if len(j) != 1 {
+		t.Fatalf("%d runs in the journal, want 1", len(j))
+	}
+	return j[0]
+}
+
+// TestSpanEnds looks at the journal long after a run has ended: it must hold the moment
+// at which the run ended at the executor.
+func TestSpanEnds(t *testing.T) {
+	cases := []struct {
+		name string
+		slow float64
+		// do is what happens 400 ms after the start.
+		do   func(*testing.T, *Executor, job.RunName)
+		ends time.Duration
+		end  gate.EndKind
+	}{
+		{"1 lease lapses", 0, func(*testing.T, *Executor, job.RunName) {}, time.Second, gate.EndLapsed},
+		{"2 lease lapses on a slow clock", MostSlow, func(*testing.T, *Executor, job.RunName) {}, 1020408 * time.Microsecond, gate.EndLapsed},
+		{"3 crash", 0, func(_ *testing.T, e *Executor, _ job.RunName) { e.Crash() }, 400 * time.Millisecond, gate.EndLost},
+		{"4 stop", 0, func(t *testing.T, e *Executor, n job.RunName) {
+			if _, err := e.Stop(context.Background(), "", gate.StopCall{Name: n, Fence: 1}); err != nil {
+				t.Fatal(err)
+			}
+		}, 400 * time.Millisecond, gate.EndStopped},
+		{"5 hold extends the lease", 0, func(t *testing.T, e *Executor, _ job.RunName) {
+			if _, _, err := e.Hold(context.Background(), "", gate.HoldCall{Fence: 1, UntilMS: e.Clock() + 1000}); err != nil {
+				t.Fatal(err)
+			}
+		}, 1400 * time.Millisecond, gate.EndLapsed},
+		{"6 lower token", 0, func(t *testing.T, e *Executor, _ job.RunName) {
+			if _, _, err := e.Hold(context.Background(), "", gate.HoldCall{UntilMS: e.Clock() + 1000}); err != gate.ErrFenced {
+				t.Fatalf("got %v", err)
+			}
+		}, time.Second, gate.EndLapsed},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				e := NewExecutor("i-1", job.Resources{CPU: 1}, longWork)
+				e.Slow = tc.slow
+				name := startLong(t, e)
+				<-time.After(400 * time.Millisecond)
+				tc.do(t, e, name)
+				<-time.After(20 * time.Second)
+				s := onlySpan(t, e)
+				if got := s.Ended.Sub(s.Started).Round(time.Millisecond); got != tc.ends.Round(time.Millisecond) || s.End != tc.end {
+					t.Errorf("ended after %v as %v, want %v as %v", got, s.End, tc.ends, tc.end)
+				}
+			})
+		})
+	}
+}
+
+// TestLateStart carries a start out when its lease is over, after a stop and on another
+// life: each must be turned away.
+func TestLateStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewExecutor("i-1", job.Resources{CPU: 1}, longWork)
+		name := job.RunName{TaskName: job.TaskName{Job: "a"}, Run: 1}
+		late := gate.StartCall{Name: name, Fence: 1, UntilMS: e.Clock() + 500}
+		<-time.After(600 * time.Millisecond)
+		if _, err := e.Start(context.Background(), "i-1", late); err != gate.ErrLate {
+			t.Errorf("after its lease: %v", err)
+		}
+		if _, err := e.Start(context.Background(), "i-0", late); err != gate.ErrOtherLife {
+			t.Errorf("on another life: %v", err)
+		}
+		if _, err := e.Stop(context.Background(), "i-1", gate.StopCall{Name: name, Fence: 2}); err != nil {
+			t.Fatal(err)
+		}
+		late.UntilMS = e.Clock() + 500
+		if _, err := e.Start(context.Background(), "i-1", late); err != gate.ErrFenced {
+			t.Errorf("with a lower token: %v", err)
+		}
+		late.Fence = 2
+		if _, err := e.Start(context.Background(), "i-1", late); err != gate.ErrOldRun {
+			t.Errorf("after its stop: %v", err)
+		}
+		if n := len(e.Journal()); n != 0 {
+			t.Errorf("%d runs in the journal, want none", n)
+		}
+	})
+}
--- a/internal/standin/executorwire.go
+++ b/internal/standin/executorwire.go
@@ -29,6 +29,35 @@
 	Need    job.Resources
 	Service string
 	current atomic.Pointer[Executor]
+	losing  atomic.Pointer[LoseOrders]
+}
+
+// Loss is what becomes of a call that gets no answer.
+type Loss struct {
+	// Unanswered: the caller hears nothing; the zero value passes the call.
+	Unanswered bool
+	// Late is how much later the call is carried out; 0 means never.
+	Late time.Duration
+}
+
+// LoseOrders says for each call to an executor what becomes of it.
+type LoseOrders func(kind string) Loss
+
+// SetLoseOrders has calls lost or carried out late from now on; nil ends that.
+func (p *ExecutorPort) SetLoseOrders(lose LoseOrders) {
+	if lose == nil {
+		p.losing.Store(nil)
+		return
+	}
+	p.losing.Store(&lose)
+}
+
+// loss returns what becomes of a call.
+func (p *ExecutorPort) loss(kind string) Loss {
+	if lose := p.losing.Load(); lose != nil {
+		return (*lose)(kind)
+	}
+	return Loss{}
 }
 
 // SetExecutor makes another life the newest.
@@ -60,15 +89,15 @@
 // Handler serves the executor's interface.
 func (p *ExecutorPort) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/run-start", p.serve(func(ctx context.Context, e *Executor, life string, o orderOnWire, n job.RunName) (gate.Answer, gate.HoldAnswer, error) {
+	mux.HandleFunc("POST /v1/run-start", p.serve(OrderStart, func(ctx context.Context, e *Executor, life string, o orderOnWire, n job.RunName) (gate.Answer, gate.HoldAnswer, error) {
 		a, err := e.Start(ctx, life, gate.StartCall{Name: n, Spec: o.Spec, Need: p.Need, Checkpoint: o.Checkpoint, UntilMS: o.UntilMS, Fence: o.Fence})
 		return a, gate.HoldAnswer{}, err
 	}))
-	mux.HandleFunc("POST /v1/run-stop", p.serve(func(ctx context.Context, e *Executor, life string, o orderOnWire, n job.RunName) (gate.Answer, gate.HoldAnswer, error) {
+	mux.HandleFunc("POST /v1/run-stop", p.serve(OrderStop, func(ctx context.Context, e *Executor, life string, o orderOnWire, n job.RunName) (gate.Answer, gate.HoldAnswer, error) {
 		a, err := e.Stop(ctx, life, gate.StopCall{Name: n, Fence: o.Fence})
 		return a, gate.HoldAnswer{}, err
 	}))
-	mux.HandleFunc("POST /v1/hold", p.serve(func(ctx context.Context, e *Executor, life string, o orderOnWire, _ job.RunName) (gate.Answer, gate.HoldAnswer, error) {
+	mux.HandleFunc("POST /v1/hold", p.serve(OrderHold, func(ctx context.Context, e *Executor, life string, o orderOnWire, _ job.RunName) (gate.Answer, gate.HoldAnswer, error) {
 		return e.Hold(ctx, life, gate.HoldCall{Fence: o.Fence, UntilMS: o.UntilMS, Seen: o.Seen, WaitMS: o.WaitMS})
 	}))
 	return mux
@@ -76,7 +105,7 @@
 
 type executorCall func(ctx context.Context, e *Executor, life string, o orderOnWire, n job.RunName) (gate.Answer, gate.HoldAnswer, error)
 
-func (p *ExecutorPort) serve(do executorCall) http.HandlerFunc {
+func (p *ExecutorPort) serve(kind string, do executorCall) http.HandlerFunc {
 	return func(w http.ResponseWriter, req *http.Request) {
 		var o orderOnWire
 		if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxWireBody)).Decode(&o); err != nil {
@@ -92,7 +121,14 @@
 			}
 			name.TaskName = task
 		}
-		a, lists, err := do(req.Context(), p.Executor(), req.Header.Get(headerIntended), o, name)
+		life := req.Header.Get(headerIntended)
+		if loss := p.loss(kind); loss.Unanswered {
+			// What is carried out late is judged by the life and the lease of then.
+			carryOutLate(loss.Late, func() { _, _, _ = do(context.Background(), p.Executor(), life, o, name) })
+			<-req.Context().Done()
+			breakOff()
+		}
+		a, lists, err := do(req.Context(), p.Executor(), life, o, name)
 		if errors.Is(err, gate.ErrUnanswered) {
 			breakOff()
 		}
@@ -102,6 +138,13 @@
 	}
 }
 
+// carryOutLate does something after a time; 0 means never.
+func carryOutLate(after time.Duration, do func()) {
+	if after > 0 {
+		time.AfterFunc(after, do)
+	}
+}
+
 // taskOnWire reads a task's name, ID.TIME.STEP.INDEX.
 func taskOnWire(text string) (job.TaskName, error) {
 	parts := strings.Split(text, ".")
--- a/test/deployment_test.go
+++ b/test/deployment_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -54,6 +55,8 @@
 	lives int
 	// entryArgs are further arguments of the entries.
 	entryArgs []string
+	// slowClocks: every other life of an executor has the slowest clock allowed.
+	slowClocks bool
 }
 
 // machine is a process of the program with the proxies around it.
@@ -73,6 +76,9 @@
 
 // platformWork gives each run a time and an end by its name; one in thirty fails.
 func platformWork(n job.RunName) (time.Duration, gate.EndKind) {
+	if lasts, ok := longWork(n.Job); ok {
+		return lasts, gate.EndDone
+	}
 	mix := uint64(n.Index)*2654435761 + uint64(n.Run)*40503 + uint64(n.Job[len(n.Job)-1])
 	if mix%30 == 7 {
 		return time.Duration(20+mix%100) * time.Millisecond, gate.EndFailed
@@ -82,7 +88,15 @@
 
 // newDeployment starts so many entries and agents and waits until they serve.
 func newDeployment(t testing.TB, entries, agents int, entryArgs ...string) *deployment {
-	d := &deployment{t: t, store: rowstore.NewMemory(), entryArgs: entryArgs}
+	d := &deployment{t: t, entryArgs: entryArgs}
+	d.begin(entries, agents)
+	return d
+}
+
+// begin starts so many entries and agents and waits until they serve.
+func (d *deployment) begin(entries, agents int) {
+	t := d.t
+	d.store = rowstore.NewMemory()
 	d.storeURL = serveOn(t, "127.0.0.1:0", standin.RowsHandler(d.store))
 	d.configure(1)
 	for i := range agents {
@@ -94,7 +108,6 @@
 	for _, e := range d.entries {
 		waitFor(t, "an entry is ready", func() bool { return answers("http://" + e.ip + ":" + platformReadinessPort + "/v1/ready") })
 	}
-	return d
 }
 
 // configure writes a version of the configuration. Each has the route of all jobs and
@@ -170,7 +183,11 @@
 		m.past = append(m.past, old)
 	}
 	d.lives++
-	m.port.SetExecutor(standin.NewExecutor(fmt.Sprintf("i-%d", d.lives), job.Resources{CPU: 16000, Memory: 32768}, m.work))
+	e := standin.NewExecutor(fmt.Sprintf("i-%d", d.lives), job.Resources{CPU: 16000, Memory: 32768}, m.work)
+	if d.slowClocks && d.lives%2 == 0 {
+		e.Slow = standin.MostSlow
+	}
+	m.port.SetExecutor(e)
 }
 
 // settings writes a machine's settings file and returns its path.
@@ -219,6 +236,9 @@
 // platformClient is a client of the platform that keeps its connections open.
 var platformClient = &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 
+// platformDeadline is how long a client says that it waits for an answer.
+const platformDeadline = 1500 * time.Millisecond
+
 // ask makes a client's call at an entry and returns the status and the state in
 // the answer; status 0 says that there was no answer.
 func (m *machine) ask(method, id string, body []byte) (status int, state string) {
@@ -227,13 +247,18 @@
 
 // askPath makes a client's call to a path.
 func (m *machine) askPath(method, path string, body []byte) (status int, state string) {
+	return m.askWithin(platformClient, platformDeadline, method, path, body)
+}
+
+// askWithin makes a client's call that names a deadline.
+func (m *machine) askWithin(client *http.Client, deadline time.Duration, method, path string, body []byte) (status int, state string) {
 	req, err := http.NewRequest(method, "http://"+m.inward.address+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, ""
 	}
 	req.Host = platformHost
-	req.Header.Set("Rackspur-Deadline-Ms", "1500")
-	res, err := platformClient.Do(req)
+	req.Header.Set("Rackspur-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
+	res, err := client.Do(req)
 	if err != nil {
 		return 0, ""
 	}
@@ -249,5 +274,14 @@
 
 // platformJob is the body of a submission.
 func platformJob(tasks int, bestEffort bool) []byte {
-	return fmt.Appendf(nil, `{"spec":"x","bestEffort":%v,"steps":[{"count":%d,"cpu":1600,"memMb":64,"estimateMs":110}]}`, bestEffort, tasks)
+	return platformJobOf(tasks, bestEffort, platformEstimate)
+}
+
+// platformEstimate is about what a run of platformWork takes.
+const platformEstimate = 110 * time.Millisecond
+
+// platformJobOf is the body of a submission whose tasks take about so long.
+func platformJobOf(tasks int, bestEffort bool, estimate time.Duration) []byte {
+	return fmt.Appendf(nil, `{"spec":"x","bestEffort":%v,"steps":[{"count":%d,"cpu":1600,"memMb":64,"estimateMs":%d}]}`,
+		bestEffort, tasks, estimate.Milliseconds())
 }
--- a/test/soak_check_test.go
+++ b/test/soak_check_test.go
@@ -75,7 +75,7 @@
 		}
 		byJob[id][task] = spans
 	}
-	accepted, refused, runs := 0, 0, 0
+	accepted, refused, runs, resent, long := 0, 0, 0, 0, 0
 	for _, j := range r.jobs {
 		if j.accepted {
 			accepted++
@@ -83,13 +83,20 @@
 		if j.refused {
 			refused++
 		}
+		if j.tries > 1 {
+			resent++
+		}
 		for task, spans := range byJob[j.id] {
 			runs += len(spans)
+			if j.long {
+				long += len(spans)
+			}
 			r.checkTask(j, task, spans)
 		}
 		r.checkJob(j, byJob[j.id])
 	}
-	r.t.Logf("%d jobs, %d accepted, %d refused, %d runs, %d faults", len(r.jobs), accepted, refused, runs, len(r.log))
+	r.t.Logf("%d jobs, %d accepted, %d refused, %d handed in again, %d runs, %d of them long, %d notes of faults",
+		len(r.jobs), accepted, refused, resent, runs, long, len(r.log))
 	if accepted == 0 {
 		r.t.Error("no job was accepted")
 	}
@@ -104,16 +111,31 @@
 		if i == 0 {
 			continue
 		}
+		r.checkAlone(j, spans[:i], s)
 		before := spans[i-1]
-		if before.End == 0 || s.Started.Before(before.Ended) {
-			r.t.Errorf("two runs of %v at one time: %+v and %+v", task, before, s)
-		}
 		if !j.bestEffort && before.End == gate.EndDone && before.Noted {
 			r.t.Errorf("%v started after a noted end: %+v and %+v", task, before, s)
 		}
 	}
 }
 
+// checkAlone checks that no run that began before another is at work beside it, whatever
+// the job's kind.
+func (r *soakRun) checkAlone(j *soakJob, earlier []standin.Span, s standin.Span) {
+	for _, before := range earlier {
+		if !together(before, s) {
+			continue
+		}
+		r.t.Errorf("two runs of %v at one time: %+v and %+v", s.Name.TaskName, before, s)
+		r.trace(j, before, s)
+	}
+}
+
+// together says whether a run was still at work when a later one began.
+func together(before, later standin.Span) bool {
+	return before.End == 0 || later.Started.Before(before.Ended)
+}
+
 // checkJob checks what a client was told of a job.
 func (r *soakRun) checkJob(j *soakJob, tasks map[job.TaskName][]standin.Span) {
 	if j.refused && len(tasks) > 0 {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -59,16 +59,43 @@
 func TestSoak(t *testing.T) {
 	length := time.Duration(soakNumber(soakSecondsVariable, 6)) * time.Second
 	rounds := int(soakNumber(soakRoundsVariable, 1))
-	seeds := soakSeeds
+	for _, seed := range soakSeedsOr(soakSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, shortTasks, seed, length, rounds) })
+	}
+}
+
+// soakSeedsOr returns the seeds to play: the one that is asked for or the usual ones,
+// and as many fresh ones as are asked for.
+func soakSeedsOr(usual []uint64) []uint64 {
+	seeds := append([]uint64(nil), usual...)
 	if seed := soakNumber(soakSeedVariable, 0); seed != 0 {
 		seeds = []uint64{seed}
 	}
 	for range soakNumber(soakSeedsVariable, 0) {
 		seeds = append(seeds, rand.Uint64N(1<<40))
 	}
-	for _, seed := range seeds {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { soak(t, seed, length, rounds) })
-	}
+	return seeds
+}
+
+// soakPlan is what a soak does beside its random faults.
+type soakPlan struct {
+	// resend is the time after which a job without an answer is handed in again.
+	resend time.Duration
+	// jobPause is the time between two jobs with short tasks.
+	jobPause time.Duration
+	// faultOdds: one in so many of these jobs brings a fault.
+	faultOdds int
+	// beside starts what else goes on until the round's end; its callers and faults
+	// join those of the round.
+	beside func(r *soakRun, end time.Time, callers *sync.WaitGroup)
+	// slowClocks: some executors have slow clocks.
+	slowClocks bool
+}
+
+// shortTasks is the plan of TestSoak.
+var shortTasks = soakPlan{
+	resend: soakResend, jobPause: soakJobPause, faultOdds: 20,
+	beside: func(*soakRun, time.Time, *sync.WaitGroup) {},
 }
 
 // soakJob is what a client saw of a job.
@@ -76,6 +103,12 @@
 	id         string
 	tasks      int
 	bestEffort bool
+	// long: its tasks take seconds.
+	long bool
+	// tries is how often it was handed in.
+	tries int
+	// story is what its caller did, for the log of a run that fails.
+	story []string
 	// accepted: answered with success; refused: every try was turned away.
 	accepted, refused bool
 	// state is the newest that was told.
@@ -87,20 +120,29 @@
 // soakRun is one run of the soak.
 type soakRun struct {
 	*deployment
+	plan   soakPlan
+	seed   uint64
 	random *rand.Rand
 	mu     sync.Mutex
 	jobs   []*soakJob
-	faults sync.WaitGroup
+	// longs are the jobs with long tasks of the round, longCount numbers them.
+	longs     []*soakJob
+	longCount int
+	faults    sync.WaitGroup
 	// version is the newest configuration; versionMu is held while it is written.
 	versionMu sync.Mutex
 	version   int
 	log       []string
 	began     time.Time
+	// rounds counts the rounds.
+	rounds int
 }
 
-func soak(t *testing.T, seed uint64, length time.Duration, rounds int) {
+func soak(t *testing.T, plan soakPlan, seed uint64, length time.Duration, rounds int) {
 	t.Logf("seed %d; again with %s=%d", seed, soakSeedVariable, seed)
-	r := &soakRun{deployment: newDeployment(t, 3, 4), random: rand.New(rand.NewPCG(seed, seed)), began: time.Now(), version: 1}
+	d := &deployment{t: t, slowClocks: plan.slowClocks}
+	d.begin(3, 4)
+	r := &soakRun{deployment: d, plan: plan, seed: seed, random: rand.New(rand.NewPCG(seed, seed)), began: time.Now(), version: 1}
 	t.Cleanup(func() {
 		if t.Failed() {
 			for _, line := range r.log {
@@ -118,13 +160,16 @@
 // round sends jobs and strikes for a time, then lets the faults end.
 func (r *soakRun) round(length time.Duration) {
 	changes := r.change()
+	r.rounds++
 	var callers sync.WaitGroup
 	slots := make(chan struct{}, soakCallers)
-	for end := time.Now().Add(length); time.Now().Before(end); {
+	end := time.Now().Add(length)
+	r.plan.beside(r, end, &callers)
+	for time.Now().Before(end) {
 		j := &soakJob{id: fmt.Sprintf("%016x", len(r.jobs)+1), tasks: 1 + r.random.IntN(8), bestEffort: r.random.IntN(2) == 0}
 		r.jobs = append(r.jobs, j)
 		first, cancel := r.random.IntN(len(r.entries)), r.random.IntN(12) == 0
-		if r.random.IntN(20) == 0 {
+		if r.random.IntN(r.plan.faultOdds) == 0 {
 			r.fault()
 		}
 		slots <- struct{}{}
@@ -137,7 +182,7 @@
 				r.cancel(j, first)
 			}
 		}()
-		pause(soakJobPause)
+		pause(r.plan.jobPause)
 	}
 	r.faults.Wait()
 	r.store.SetFault(nil)
@@ -145,6 +190,7 @@
 	r.checkInForce()
 	changes()
 	callers.Wait()
+	r.jobs, r.longs = append(r.jobs, r.longs...), nil
 }
 
 // change changes the configuration again and again until the function that it returns
@@ -189,7 +235,8 @@
 func (r *soakRun) call(j *soakJob, first int) {
 	j.refused = true
 	for try := range soakTries {
-		status, state := r.entries[(first+try)%len(r.entries)].ask(http.MethodPost, j.id, platformJob(j.tasks, j.bestEffort))
+		j.tries++
+		status, state := r.handIn(j, r.entries[(first+try)%len(r.entries)])
 		switch status {
 		case http.StatusOK:
 			j.accepted, j.refused, j.state = true, false, state
@@ -198,8 +245,16 @@
 			return
 		}
 		j.refused = false
-		pause(soakResend)
+		pause(r.plan.resend)
+	}
+}
+
+// handIn hands a job in at an entry and waits for the answer.
+func (r *soakRun) handIn(j *soakJob, e *machine) (status int, state string) {
+	if j.long {
+		return r.handInLong(j, e)
 	}
+	return e.ask(http.MethodPost, j.id, platformJob(j.tasks, j.bestEffort))
 }
 
 // cancel cancels a job until that is answered.
@@ -217,5 +272,10 @@
 func (r *soakRun) note(format string, args ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.log = append(r.log, fmt.Sprintf("%8.3f ", time.Since(r.began).Seconds())+fmt.Sprintf(format, args...))
+	r.log = append(r.log, r.line(time.Now(), format, args...))
+}
+
+// line is a line of the log with the time since the soak's begin.
+func (r *soakRun) line(at time.Time, format string, args ...any) string {
+	return fmt.Sprintf("%8.3f ", at.Sub(r.began).Seconds()) + fmt.Sprintf(format, args...)
 }
--- /dev/null
+++ b/test/soak_trace_test.go
@@ -0,0 +1,71 @@
+package test
+
+import (
+	"time"
+
+	"rackspur/internal/standin"
+)
+
+// traceBefore is how long before the second of two runs the trace begins: the bounds of
+// contact and lease together, and the callers' wait.
+const traceBefore = 3500 * time.Millisecond
+
+// traceGap is the least time between two holds that the trace tells of: a hold each
+// 150 ms or less is the rule.
+const traceGap = 250 * time.Millisecond
+
+// trace logs what led to two runs of a task at one time: what the job's caller did, and
+// the orders to the executor of the first run that are about it or the lease.
+func (r *soakRun) trace(j *soakJob, first, second standin.Span) {
+	for _, line := range j.story {
+		r.t.Logf("caller of %s: %s", j.id, line)
+	}
+	m, e := r.lifeOf(first.Life)
+	if e == nil {
+		return
+	}
+	at, _ := r.lifeOf(second.Life)
+	r.t.Log(r.line(first.Started, "first run %d at %s (%s), ends at %.3f", first.Name.Run, m.name, first.Life, first.Ended.Sub(r.began).Seconds()))
+	r.t.Log(r.line(second.Started, "second run %d at %s (%s), ends at %.3f", second.Name.Run, at.name, second.Life, second.Ended.Sub(r.began).Seconds()))
+	for _, o := range telling(e.Orders(), first, second) {
+		r.t.Log(r.line(o.At, "%s: %v", m.name, o))
+	}
+}
+
+// telling returns the orders that are about the first of two runs, and the holds near
+// the second one that were turned away or are the first or last for a while.
+func telling(orders []standin.Order, first, second standin.Span) []standin.Order {
+	var told []standin.Order
+	var last standin.Order
+	for _, o := range orders {
+		switch {
+		case o.Name == first.Name:
+			told = append(told, o)
+		case o.Kind != standin.OrderHold || o.At.Before(second.Started.Add(-traceBefore)) || (!first.Ended.IsZero() && o.At.After(first.Ended)):
+		case o.Err != nil || o.At.Sub(last.At) > traceGap:
+			if !last.At.IsZero() {
+				told = append(told, last)
+			}
+			told = append(told, o)
+			last = o
+		default:
+			last = o
+		}
+	}
+	if !last.At.IsZero() {
+		told = append(told, last)
+	}
+	return told
+}
+
+// lifeOf returns a life of an executor and its machine.
+func (r *soakRun) lifeOf(life string) (*machine, *standin.Executor) {
+	for _, m := range r.agents {
+		for _, e := range append(append([]*standin.Executor(nil), m.past...), m.port.Executor()) {
+			if e.Life == life {
+				return m, e
+			}
+		}
+	}
+	return nil, nil
+}
