Soak: the trace tells why starts were turned away, the summary the longest call

Cause: to trace two runs at one time one had to look up refused starts in the agents' logs, and a run of 38 s could not be told from a slow settling.

Change: the trace counts the starts of the task that executors turned away, by reason; the summary names the longest call of a job with long tasks.

--- a/test/deployment_test.go
+++ b/test/deployment_test.go
@@ -221,7 +221,7 @@
 	defer d.mu.Unlock()
 	all := map[job.TaskName][]standin.Span{}
 	for _, m := range d.agents {
-		for _, e := range append(append([]*standin.Executor(nil), m.past...), m.port.Executor()) {
+		for _, e := range m.allLives() {
 			for _, s := range e.Journal() {
 				all[s.Name.TaskName] = append(all[s.Name.TaskName], s)
 			}
@@ -233,6 +233,11 @@
 	return all
 }
 
+// allLives returns the lives of a machine's executor, the newest last.
+func (m *machine) allLives() []*standin.Executor {
+	return append(append([]*standin.Executor(nil), m.past...), m.port.Executor())
+}
+
 // platformClient is a client of the platform that keeps its connections open.
 var platformClient = &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 
--- a/test/soak_check_test.go
+++ b/test/soak_check_test.go
@@ -76,6 +76,7 @@
 		byJob[id][task] = spans
 	}
 	accepted, refused, runs, resent, long := 0, 0, 0, 0, 0
+	var longest time.Duration
 	for _, j := range r.jobs {
 		if j.accepted {
 			accepted++
@@ -83,6 +84,7 @@
 		if j.refused {
 			refused++
 		}
+		longest = max(longest, j.longest)
 		if j.tries > 1 {
 			resent++
 		}
@@ -95,8 +97,8 @@
 		}
 		r.checkJob(j, byJob[j.id])
 	}
-	r.t.Logf("%d jobs, %d accepted, %d refused, %d handed in again, %d runs, %d of them long, %d notes of faults",
-		len(r.jobs), accepted, refused, resent, runs, long, len(r.log))
+	r.t.Logf("%d jobs, %d accepted, %d refused, %d handed in again, %d runs, %d of them long, %d notes of faults, longest call %v",
+		len(r.jobs), accepted, refused, resent, runs, long, len(r.log), longest)
 	if accepted == 0 {
 		r.t.Error("no job was accepted")
 	}
--- a/test/soak_long_test.go
+++ b/test/soak_long_test.go
@@ -149,6 +149,7 @@
 func (r *soakRun) handInLong(j *soakJob, e *machine) (status int, state string) {
 	lasts, _ := longWork(job.ID(j.id))
 	body := platformJobOf(j.tasks, j.bestEffort, lasts)
+	began := time.Now()
 	r.tellOf(j, "to %s", e.name)
 	if j.bestEffort {
 		status, state = e.askWithin(longClient, longDeadline, http.MethodPost, platformPrefix+j.id, body)
@@ -156,6 +157,7 @@
 		status, state = e.ask(http.MethodPost, j.id, body)
 	}
 	r.tellOf(j, "%s answers %d %s", e.name, status, state)
+	j.longest = max(j.longest, time.Since(began))
 	return status, state
 }
 
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -105,8 +105,9 @@
 	bestEffort bool
 	// long: its tasks take seconds.
 	long bool
-	// tries is how often it was handed in.
-	tries int
+	// tries is how often it was handed in, longest the longest call for that.
+	tries   int
+	longest time.Duration
 	// story is what its caller did, for the log of a run that fails.
 	story []string
 	// accepted: answered with success; refused: every try was turned away.
--- a/test/soak_trace_test.go
+++ b/test/soak_trace_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rackspur/internal/standin"
+	"rackspur/job"
 )
 
 // traceBefore is how long before the second of two runs the trace begins: the bounds of
@@ -30,6 +31,24 @@
 	for _, o := range telling(e.Orders(), first, second) {
 		r.t.Log(r.line(o.At, "%s: %v", m.name, o))
 	}
+	r.traceTurnedAway(first.Name.TaskName)
+}
+
+// traceTurnedAway logs how often executors have turned starts of a task away, and why.
+func (r *soakRun) traceTurnedAway(task job.TaskName) {
+	for _, m := range r.agents {
+		reasons := map[string]int{}
+		for _, e := range m.allLives() {
+			for _, o := range e.Orders() {
+				if o.Kind == standin.OrderStart && o.Name.TaskName == task && o.Err != nil {
+					reasons[o.Err.Error()]++
+				}
+			}
+		}
+		if len(reasons) > 0 {
+			r.t.Logf("starts of %v turned away at %s: %v", task, m.name, reasons)
+		}
+	}
 }
 
 // telling returns the orders that are about the first of two runs, and the holds near
@@ -61,7 +80,7 @@
 // lifeOf returns a life of an executor and its machine.
 func (r *soakRun) lifeOf(life string) (*machine, *standin.Executor) {
 	for _, m := range r.agents {
-		for _, e := range append(append([]*standin.Executor(nil), m.past...), m.port.Executor()) {
+		for _, e := range m.allLives() {
 			if e.Life == life {
 				return m, e
 			}
