--- a/internal/standin/executor_test.go
+++ b/internal/standin/executor_test.go
@@ -143,3 +143,29 @@
 		}
 	})
 }
+
+// TestTwoRunsOfATask starts a lower run beside a higher one, which nobody has stopped:
+// the platform does not say that it is turned away. Both must have their own ends.
+func TestTwoRunsOfATask(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := NewExecutor("i-1", job.Resources{CPU: 1}, longWork)
+		task := job.TaskName{Job: "a"}
+		for _, run := range []int{7, 1} {
+			c := gate.StartCall{Name: job.RunName{TaskName: task, Run: run}, Fence: 1, UntilMS: e.Clock() + 1000}
+			if _, err := e.Start(context.Background(), "", c); err != nil {
+				t.Fatal(err)
+			}
+			<-time.After(100 * time.Millisecond)
+		}
+		<-time.After(20 * time.Second)
+		j := e.Journal()
+		if len(j) != 2 {
+			t.Fatalf("%d runs in the journal, want 2", len(j))
+		}
+		for _, s := range j {
+			if s.End != gate.EndLapsed {
+				t.Errorf("run %d ended as %v, want lapsed", s.Name.Run, s.End)
+			}
+		}
+	})
+}
--- a/test/soak_long_test.go
+++ b/test/soak_long_test.go
@@ -23,7 +23,7 @@
 	// again (the platform's retransmitMs).
 	longResend = 1300 * time.Millisecond
 	// longDeadline is how long a caller waits for the end of a job with long tasks.
-	longDeadline = 20 * time.Second
+	longDeadline = 15 * time.Second
 	// leastLong and mostLong bound a long task's time: beyond all bounds of contact
 	// and lease.
 	leastLong = 2 * time.Second
@@ -32,6 +32,9 @@
 	// 1.5 tasks of 5 s each 300 ms are 25 of 40 at one time.
 	longPause = 300 * time.Millisecond
 	longTasks = 2
+	// longBurst is how many jobs with long tasks come at once at first, so that the
+	// first series meets runs of each entry at each agent: 12 runs, 12 pairs.
+	longBurst = 8
 	// longCallers is how many jobs with long tasks may wait for an answer.
 	longCallers = 20
 	// longSeconds is the usual length of a round.
@@ -112,7 +115,10 @@
 func (r *soakRun) longJobs(end time.Time, callers *sync.WaitGroup) {
 	random := r.part(longJobsPart)
 	slots := make(chan struct{}, longCallers)
-	for ; time.Now().Before(end); pause(longPause) {
+	for count := 1; time.Now().Before(end); count++ {
+		if count > longBurst {
+			pause(longPause)
+		}
 		r.longCount++
 		lasts := leastLong + time.Duration(random.Int64N(int64(mostLong-leastLong)))
 		j := &soakJob{id: longID(r.longCount, lasts), tasks: 1 + random.IntN(longTasks), bestEffort: random.IntN(4) != 0, long: true}
--- a/test/soak_series_test.go
+++ b/test/soak_series_test.go
@@ -20,6 +20,11 @@
 	seriesLate    = 1600
 	seriesAgain   = 300
 	seriesMostAge = 1500
+	// Half of the agents' faults begin between these times after the entry's: from
+	// the callers' wait less a lease up to the bound of contact and a tick, where a
+	// lease that was given last outlives the callers' wait.
+	seriesClose = 200
+	seriesApart = 1100
 )
 
 // mostDown is how many agents may be away until the end of a round.
@@ -47,7 +52,10 @@
 )
 
 var (
-	entryBlows = [...]int{blowKill, blowKill, blowStop, blowFreeze, blowFreezeReset, blowCut, blowSilent, blowReset}
+	entryBlows = [...]int{
+		blowKill, blowKill, blowKill, blowKill, blowStop, blowStop, blowFreeze,
+		blowFreezeReset, blowFreezeReset, blowCut, blowSilent, blowReset, blowReset,
+	}
 	agentBlows = [...]int{blowKill, blowKill, blowKillToEnd, blowFreeze, blowFreeze, blowCut, blowSilent, blowSilent, blowExecutor, blowOrders}
 )
 
@@ -95,12 +103,22 @@
 		}
 		blows = append(blows, blow{
 			m: r.agents[i], kind: kind,
-			after: milliseconds(random.IntN(seriesEarly + seriesLate)), lasts: blowLasts(random, kind),
+			after: agentAfter(random), lasts: blowLasts(random, kind),
 		})
 	}
 	return blows
 }
 
+// agentAfter draws when an agent is struck, from the series' begin on.
+func agentAfter(random *rand.Rand) time.Duration {
+	anywhere := random.IntN(seriesEarly + seriesLate)
+	near := seriesEarly + seriesClose + random.IntN(seriesApart-seriesClose)
+	if random.IntN(2) == 0 {
+		return milliseconds(near)
+	}
+	return milliseconds(anywhere)
+}
+
 // blowLasts draws how long a blow at an agent lasts.
 func blowLasts(random *rand.Rand, kind int) time.Duration {
 	if kind == blowKill {
