--- a/test/soak_long_test.go
+++ b/test/soak_long_test.go
@@ -16,8 +16,8 @@
 //
 // Others that have shown two runs of a task at one time, to be played by hand: 423 (as
 // 407, for several jobs, and as 435), 435 (an agent is killed 0.4 s after an entry and its
-// new process renews the lease of runs whose owner is gone), 429 (the same, and another
-// entry takes over from the owner that has claimed the run: nobody stops it).
+// new process renews the lease of runs whose owner is gone), 429 (the same, with an entry
+// that stops after it has claimed the run; seldom the same pair twice).
 var longSoakSeeds = []uint64{
 	// An entry is frozen and loses its callers; an agent is killed 0.5 s later, before
 	// it has stopped the entry's runs: they go on for the lease that it gave last.
