A kept job that is handed in again during its take-over is lost: test, red

Found by reading: Adopt passes over a job that is being inserted, and the insert's conflict then drops it. Measured: TestJobHandedInDuringTakeOverIsKept: 0 starts of the job, want 1.

--- a/owner/adopt_test.go
+++ b/owner/adopt_test.go
@@ -167,3 +167,29 @@
 		t.Errorf("started %+v before the gate has told of the first life's runs", f.Starts)
 	}
 }
+
+// Symptom: a kept job that was accepted a moment before all boxes lost power never ran
+// again, though there was room: it had no owner.
+//
+// Sequence: its caller hands it in again at the box that is taking the lost owner's jobs
+// over; the insert is on its way as the take-over brings the job.
+//
+// Cause: the take-over passed over a job that the owner had already, and the insert, which
+// met the row that is there, dropped it.
+func TestJobHandedInDuringTakeOverIsKept(t *testing.T) {
+	for _, outcome := range []error{rowstore.ErrConflict, rowstore.ErrNotDone} {
+		b := newBench(t)
+		record := keptRecord(1)
+		var told []SubmitResult
+		b.owner.Submit(record.Submission, func(r SubmitResult) { told = append(told, r) })
+		insert := b.writer.take()
+		link := b.adoptJob(record, nil)
+		insert[0].Done(rowstore.Outcome{}, outcome)
+		if len(told) != 1 || told[0] != SubmitAccepted {
+			t.Errorf("%v: told %v, want that the job is accepted", outcome, told)
+		}
+		if f := b.flush("gate-1", link); len(f.Starts) != 1 {
+			t.Errorf("%v: %d starts of the job that was taken over, want 1", outcome, len(f.Starts))
+		}
+	}
+}
