A job that is handed in again during its take-over keeps its owner

Cause: see the test: the take-over passed over the job that was being inserted, and the insert's conflict, or its failure, then dropped it. Its row named this owner, who did not know it: nobody ran it. After a failed insert the caller was even told that it never runs. Change: a job that is taken over takes the place of one that is being inserted; the callers of that one are told that the job is accepted, whatever becomes of the insert. Measured: TestJobHandedInDuringTakeOverIsKept passes; go test -race ./owner ./node passes.

--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -77,10 +77,11 @@
 	return a
 }
 
-// takeIn makes jobs that are taken over the owner's; they go on with the adoption.
+// takeIn makes jobs that are taken over the owner's; they go on with the adoption. One that
+// its caller has handed in here again takes the place of the one that is being inserted.
 func (o *Owner) takeIn(now Time, a *adoption, jobs []Adopted) {
 	for _, adopted := range jobs {
-		if o.jobs[adopted.Record.ID] != nil {
+		if known := o.jobs[adopted.Record.ID]; known != nil && known.phase != jobInserting {
 			continue
 		}
 		j := newLiveJob(adopted.Record, now)
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -89,6 +89,11 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.options.Now()
+	if o.jobs[j.record.ID] != j {
+		// The job was there already, and has been taken over meanwhile.
+		j.tellAccepted(SubmitAccepted)
+		return
+	}
 	if err != nil {
 		delete(o.jobs, j.record.ID)
 	}
