--- a/gate/gate.go
+++ b/gate/gate.go
@@ -101,8 +101,8 @@
 
 // ownerState is what the gate knows of an owner's life.
 type ownerState struct {
-	// contact is the newest time at which the owner surely heard of the gate,
-	// keptContact the same with the owner's lease in the store holding.
+	// contact is the newest time at which the owner surely was alive, keptContact the
+	// newest that it has heard of while its lease in the store held; 0 before the first.
 	contact     Time
 	keptContact Time
 	// connected is when the newest link was made.
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -45,11 +45,11 @@
 
 // OwnerFrame is what an owner sends.
 type OwnerFrame struct {
-	// Echo is the newest time of the gate that the owner has received; runs of
-	// jobs that are not kept go by it.
+	// Echo is a time of the gate at which the owner was alive: the newest that it has
+	// received, and what has passed since. Runs of jobs that are not kept go by it.
 	Echo Time
-	// KeptEcho is the same while the owner's lease in the store holds; runs of
-	// jobs that are kept go by it.
+	// KeptEcho is the newest time of the gate that the owner has received while its
+	// lease in the store holds; runs of jobs that are kept go by it.
 	KeptEcho Time
 	Sequence uint64
 	Starts   []Order
