Evacuation of a failure domain

Change: entry boxes follow the operator's evacuations with the configuration (one feed). Each frame of a link carries them with the store's version and the time of the gate as of which they hold; a gate goes by the newest of what all its owners and its own reads of the store tell, closes, gives its queue back and reports why. An agent whose news grows older than evacuateMs less 2 s reads the store itself. A job whose service has all its linked gates in evacuated domains is refused at once.

Ruled out: owners that filter by their own news (one that is cut off from the store would go on starting, or keep a domain out that was taken back), every agent following the store (240 calls each 0.5 s at the large size), and closing by old news (each outage of the store would take all targets out of service).

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -123,6 +123,7 @@
 	return node.Options{
 		Node: s.Node, Zone: s.Zone, Listen: s.InternalAddress(), Seeds: s.SeedAddresses(),
 		Parts: parts, MaxHold: s.MaxHold(), KeepFinished: s.KeepFinished(), Resubmit: s.Resubmit(),
+		Evacuate: s.Evacuate(), ReadEvacuations: platform.ReadEvacuations,
 		Store: platform.NewStore(s), Metrics: observe.NewMetrics(), Log: log.WithValues("node", s.Node),
 	}
 }
@@ -130,7 +131,7 @@
 func runPlatformEntry(ctx context.Context, s *platform.Settings, o node.Options) error {
 	run, end := context.WithCancel(context.Background())
 	defer end()
-	e, err := node.NewEntry(o, platform.FollowConfiguration)
+	e, err := node.NewEntry(o, platform.FollowOperator)
 	if err != nil {
 		return err
 	}
--- a/gate/driver.go
+++ b/gate/driver.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/go-logr/logr"
+
+	"rackspur/evacuation"
 )
 
 // tickPause is the time between two looks at the gate's times. What ends or starts is
@@ -52,11 +54,18 @@
 	EventStop:    "Run is stopped.",
 	EventFound:   "Found a run of an earlier process.",
 	EventClaimed: "Run of an earlier process is claimed.",
+
+	EventEvacuated: "Failure domain is evacuated; nothing more starts.",
+	EventTakenBack: "Evacuation is taken back.",
 }
 
 // tellEvents writes a line for each event.
 func (d *Driver) tellEvents(events []Event) {
 	for _, e := range events {
+		if e.Kind == EventEvacuated || e.Kind == EventTakenBack {
+			d.log.Info(eventMessages[e.Kind], "newsAgeMS", e.NewsAge.Milliseconds())
+			continue
+		}
 		d.log.Info(eventMessages[e.Kind], "job", e.Run.Job, "step", e.Run.Step, "index", e.Run.Index, "run", e.Run.Run, "owner", e.Owner,
 			"reason", string(e.Reason), "contactAgeMS", e.ContactAge.Milliseconds(), "leaseLeftMS", e.LeaseLeft.Milliseconds())
 	}
@@ -315,6 +324,22 @@
 	return d.gate.LinkedOwners()
 }
 
+// Now returns the time on the gate's clock.
+func (d *Driver) Now() Time { return d.now() }
+
+// TakeEvacuations takes in which failure domains are evacuated; see Gate.TakeEvacuations.
+func (d *Driver) TakeEvacuations(n evacuation.News) {
+	d.do(func(now Time, g *Gate) Actions { return g.TakeEvacuations(now, n) })
+}
+
+// EvacuationsAge returns how old the newest news of evacuations is; see
+// Gate.EvacuationsAge.
+func (d *Driver) EvacuationsAge() (age time.Duration, evacuated, known bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gate.EvacuationsAge(d.now())
+}
+
 // Drain makes the gate take no more orders and waits until it is idle.
 func (d *Driver) Drain(ctx context.Context) {
 	d.do(func(_ Time, g *Gate) Actions {
--- a/gate/event.go
+++ b/gate/event.go
@@ -17,6 +17,10 @@
 	EventFound
 	// EventClaimed: an owner has claimed such a run.
 	EventClaimed
+	// EventEvacuated: the gate's failure domain is evacuated. It concerns no run.
+	EventEvacuated
+	// EventTakenBack: the evacuation is taken back.
+	EventTakenBack
 )
 
 // Event is something that a gate has done or found. They are rare: no run that
@@ -31,6 +35,8 @@
 	ContactAge time.Duration
 	// LeaseLeft is how much of the target's lease is left at least.
 	LeaseLeft time.Duration
+	// NewsAge is the age of the news of an evacuation.
+	NewsAge time.Duration
 }
 
 // mostEvents is how many events are kept until they are taken: a gate has some tens
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -12,6 +12,7 @@
 import (
 	"time"
 
+	"rackspur/evacuation"
 	"rackspur/job"
 )
 
@@ -22,6 +23,8 @@
 type Options struct {
 	Node        string
 	Incarnation string
+	// Domain is the failure domain of the gate and its executor.
+	Domain string
 	// MaxHold is the longest lease that the executor grants.
 	MaxHold time.Duration
 	// Contact is how long runs go on without word from their owner.
@@ -133,6 +136,8 @@
 	recalled Description
 	leaving  bool
 	sequence int64
+	// evacuations is the newest word of which failure domains are evacuated.
+	evacuations evacuation.News
 
 	fence uint64
 	// clockMS was the executor's clock at clockAt.
@@ -347,5 +352,5 @@
 
 // Open says whether the gate takes orders.
 func (g *Gate) Open(now Time) bool {
-	return g.known && !g.draining && !g.leaving && !g.lapsing && g.fence != 0 && !g.targetSilent(now)
+	return g.known && !g.draining && !g.leaving && !g.evacuated() && !g.lapsing && g.fence != 0 && !g.targetSilent(now)
 }
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rackspur/evacuation"
 	"rackspur/job"
 )
 
@@ -51,11 +52,13 @@
 	// KeptEcho is the newest time of the gate that the owner has received while its
 	// lease in the store holds; runs of jobs that are kept go by it.
 	KeptEcho Time
-	Sequence uint64
-	Starts   []Order
-	Stops    []job.RunName
-	Verdicts []Verdict
-	Adopt    []string
+	// Evacuations is what the owner knows of evacuations, as of a time of the gate.
+	Evacuations evacuation.News
+	Sequence    uint64
+	Starts      []Order
+	Stops       []job.RunName
+	Verdicts    []Verdict
+	Adopt       []string
 }
 
 // Connect takes in a new link of an owner. It returns false if the link is
@@ -116,11 +119,11 @@
 	o.contact = max(o.contact, min(f.Echo, now))
 	o.keptContact = max(o.keptContact, min(f.KeptEcho, now))
 	o.received = f.Sequence
+	a := g.TakeEvacuations(now, f.Evacuations)
 	g.adopt(now, owner, f.Adopt)
 	for _, v := range f.Verdicts {
 		g.judge(now, owner, v)
 	}
-	var a Actions
 	for _, name := range f.Stops {
 		g.stopOrder(now, owner, name)
 	}
@@ -129,7 +132,7 @@
 	}
 	before := g.seen
 	g.advanceSeen()
-	a.HoldNow = g.seen > before
+	a.HoldNow = a.HoldNow || g.seen > before
 	a = g.stopWhatMust(now, a)
 	return g.startFromQueue(now, a), true
 }
--- a/node/agent.go
+++ b/node/agent.go
@@ -36,12 +36,14 @@
 	o.listening(listener)
 	incarnation := o.Node + "~" + uuid.NewString()[:8]
 	g := gate.New(gateOptions(o, incarnation))
-	return &Agent{
+	a := &Agent{
 		options: o, executor: e, listener: listener, log: o.Log,
 		driver: gate.NewDriver(ctx, g, e, o.Log),
 		seeds:  newSeeds(o.Seeds, o.Advertise, o.Metrics),
 		daemon: member.Daemon{Node: o.Node, Role: member.RoleAgent, Zone: o.Zone, Address: o.Advertise, Incarnation: incarnation},
-	}, nil
+	}
+	a.gauges()
+	return a, nil
 }
 
 // Driver returns the driver of the gate.
@@ -59,6 +61,9 @@
 	go member.Register(ctx, store, a.daemon, a.log)
 	kept := &descriptions{store: store, node: a.options.Node, driver: a.driver, log: a.log}
 	go kept.run(ctx)
+	if a.options.ReadEvacuations != nil {
+		go newEvacuationWatch(a.options, store, a.driver).run(ctx)
+	}
 	seeker := &ownerSeeker{store: store, gate: a.driver, daemon: a.daemon, metrics: a.options.Metrics, log: a.log}
 	go seeker.run(ctx)
 	a.driver.Run(ctx)
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -95,8 +95,8 @@
 }
 
 // followTest gives one version of a configuration.
-func followTest(_ context.Context, _ rowstore.Store, h *route.Holder, _ logr.Logger) {
-	h.Take(&route.Table{Version: 1, Routes: []route.Route{{Host: "h", Prefix: "/a/", Queue: testQueue()}}})
+func followTest(_ context.Context, _ rowstore.Store, to Operator, _ logr.Logger) {
+	to.Routes.Take(&route.Table{Version: 1, Routes: []route.Route{{Host: "h", Prefix: "/a/", Queue: testQueue()}}})
 }
 
 func (c *cluster) startEntry(i int) *daemon[*Entry] {
--- a/node/entry.go
+++ b/node/entry.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
+	"rackspur/evacuation"
 	"rackspur/job"
 	"rackspur/member"
 	"rackspur/observe"
@@ -45,9 +46,15 @@
 	// Resubmit is how long after a lost answer callers hand in a job that is not kept
 	// again, maybe elsewhere; 0 for the usual time.
 	Resubmit time.Duration
-	Store    rowstore.Store
-	Metrics  *observe.Metrics
-	Log      logr.Logger
+	// Evacuate is the time in which nothing more may start in a failure domain after its
+	// evacuation was acknowledged; 0 for the usual time.
+	Evacuate time.Duration
+	// ReadEvacuations reads evacuations from a store; an agent without it goes by its
+	// owners' news alone.
+	ReadEvacuations ReadEvacuations
+	Store           rowstore.Store
+	Metrics         *observe.Metrics
+	Log             logr.Logger
 	// Policy makes the decisions that operators have programmed; it may be nil.
 	Policy owner.Policy
 }
@@ -75,17 +82,26 @@
 	defaultPatience = 30 * time.Second
 )
 
-// FollowConfiguration keeps the newest configuration in a holder until the context
-// ends.
-type FollowConfiguration func(ctx context.Context, s rowstore.Store, h *route.Holder, log logr.Logger)
+// Operator is where what the operator has written is taken in.
+type Operator struct {
+	Routes *route.Holder
+	// Evacuated takes in which failure domains, sorted, were evacuated as of a version of
+	// the store that was the newest at a time or later.
+	Evacuated func(domains []string, version uint64, at time.Time)
+}
+
+// FollowOperator keeps up with what the operator writes until the context ends.
+type FollowOperator func(ctx context.Context, s rowstore.Store, to Operator, log logr.Logger)
 
 // Entry is an entry daemon.
 type Entry struct {
 	options Options
-	follow  FollowConfiguration
+	follow  FollowOperator
 	routes  route.Holder
-	log     logr.Logger
-	started time.Time
+	// evacuations has its times since the start.
+	evacuations evacuation.Holder
+	log         logr.Logger
+	started     time.Time
 	// store reaches the platform's store directly or through peers.
 	store    *peer.RelayedStore
 	listener net.Listener
@@ -99,7 +115,7 @@
 }
 
 // NewEntry returns an entry daemon that listens for other daemons.
-func NewEntry(o Options, follow FollowConfiguration) (*Entry, error) {
+func NewEntry(o Options, follow FollowOperator) (*Entry, error) {
 	listener, err := net.Listen("tcp", o.Listen)
 	if err != nil {
 		return nil, eris.Wrap(ErrServe, err.Error())
@@ -111,6 +127,7 @@
 		seeds: newSeeds(o.Seeds, o.Advertise, o.Metrics),
 	}
 	e.store = peer.NewRelayedStore(o.Store, e, o.Metrics, o.Log)
+	e.evacuations.OnNews(e.tellEvacuations)
 	e.gauges()
 	return e, nil
 }
@@ -133,7 +150,7 @@
 	})
 	go func() { _ = server.Serve(e.listener) }()
 	defer server.Stop()
-	go e.follow(ctx, e.store, &e.routes, e.log)
+	go e.follow(ctx, e.store, Operator{Routes: &e.routes, Evacuated: e.evacuated}, e.log)
 	go member.Follow(ctx, e.store, e.found, e.log)
 	for ctx.Err() == nil {
 		e.runTerm(ctx)
@@ -156,6 +173,18 @@
 	return route.Limits{}
 }
 
+// evacuated implements Operator.Evacuated.
+func (e *Entry) evacuated(domains []string, version uint64, at time.Time) {
+	e.evacuations.Take(evacuation.News{Domains: domains, Version: version, AsOf: at.Sub(e.started)})
+}
+
+// tellEvacuations passes news on to the owner of the current life.
+func (e *Entry) tellEvacuations(n evacuation.News) {
+	if t := e.current.Load(); t != nil {
+		t.owner.TakeEvacuations(n)
+	}
+}
+
 // found takes in a daemon of the membership.
 func (e *Entry) found(d member.Daemon) {
 	e.mu.Lock()
@@ -192,6 +221,7 @@
 	incarnation := e.options.Node + "~" + uuid.NewString()[:8]
 	t := e.newTerm(ctx, incarnation)
 	e.current.Store(t)
+	t.owner.TakeEvacuations(e.evacuations.News())
 	for _, d := range e.known() {
 		t.found(d)
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -49,6 +49,7 @@
 		}
 		return age.Milliseconds()
 	})
+	e.options.Metrics.Gauge("domains.evacuated", func() int64 { return int64(len(e.evacuations.News().Domains)) })
 	e.options.Metrics.Gauge("gates.linked", func() int64 {
 		if t := e.current.Load(); t != nil {
 			return int64(t.links.Linked())
@@ -56,3 +57,21 @@
 		return 0
 	})
 }
+
+// gauges registers whether the agent's failure domain is evacuated, as far as its gate
+// knows, and the age of that news; -1 before the first.
+func (a *Agent) gauges() {
+	a.options.Metrics.Gauge("gate.evacuated", func() int64 {
+		if _, evacuated, _ := a.driver.EvacuationsAge(); evacuated {
+			return 1
+		}
+		return 0
+	})
+	a.options.Metrics.Gauge("gate.evacuations_age_ms", func() int64 {
+		age, _, known := a.driver.EvacuationsAge()
+		if !known {
+			return -1
+		}
+		return age.Milliseconds()
+	})
+}
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -68,6 +68,8 @@
 	ctx     context.Context
 	agents  []*agentBox
 	entries []*entryBox
+	// begun is when the site was made.
+	begun time.Time
 	// trouble is the time from which a test counts.
 	trouble time.Time
 }
@@ -77,7 +79,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		s := &virtualSite{t: t, ctx: ctx}
+		s := &virtualSite{t: t, ctx: ctx, begun: time.Now()}
 		for i := range 3 {
 			s.agents = append(s.agents, newAgentBox(s, i))
 		}
@@ -259,6 +261,8 @@
 	target *virtualTarget
 	// awake is shut while the agent's process is frozen.
 	awake valve
+	// operator is who evacuates failure domains; nil in most tests.
+	operator *virtualOperator
 
 	mu      sync.Mutex
 	count   int
@@ -290,11 +294,14 @@
 	b.count++
 	p := &agentProcess{wakes: map[*virtualLink]func(){}}
 	p.ctx, p.kill = context.WithCancel(b.site.ctx)
-	o := Options{Node: b.name, MaxHold: virtualMaxHold}
+	o := Options{Node: b.name, Zone: b.domain(), MaxHold: virtualMaxHold}
 	g := gate.New(gateOptions(o, fmt.Sprintf("%s~%d", b.name, b.count)))
 	p.driver = gate.NewDriver(p.ctx, g, &agentCalls{box: b}, logr.Discard())
 	p.driver.OnReport(p.wakeLinks)
 	b.process = p
+	if b.operator != nil {
+		b.operator.watch(b, p)
+	}
 	go p.driver.Run(p.ctx)
 	go b.beat(p)
 	if b.count > 1 {
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -28,6 +28,9 @@
 // admits says whether a new job can start in time, or what a policy says of it.
 func (o *Owner) admits(now Time, j *liveJob) bool {
 	capacity, room := o.roomFor(j)
+	if capacity == 0 && o.allEvacuated(j.record.Queue.Service) {
+		return false
+	}
 	if capacity == 0 {
 		// Gates are back within moments after a restart of this daemon or theirs.
 		return now-o.capacityAt < linkGrace
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -16,6 +16,7 @@
 
 	"github.com/go-logr/logr"
 
+	"rackspur/evacuation"
 	"rackspur/job"
 	"rackspur/rowstore"
 )
@@ -117,6 +118,8 @@
 	unanswered int
 	// shortSince is since when tasks wait for room; 0 while none does.
 	shortSince Time
+	// evacuations is the newest word of which failure domains are evacuated.
+	evacuations evacuation.News
 	// outsideHeard is when another process last reached this one.
 	outsideHeard Time
 	log          logr.Logger
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"rackspur/evacuation"
 	"rackspur/gate"
 	"rackspur/job"
 	"rackspur/peer/peerpb"
@@ -27,8 +28,16 @@
 	}
 }
 
+func toEvacuations(n evacuation.News) *peerpb.Evacuations {
+	return &peerpb.Evacuations{Domains: n.Domains, Version: n.Version, AsOf: uint64(n.AsOf.Microseconds())}
+}
+
+func fromEvacuations(n *peerpb.Evacuations) evacuation.News {
+	return evacuation.News{Domains: n.GetDomains(), Version: n.GetVersion(), AsOf: time.Duration(n.GetAsOf()) * time.Microsecond}
+}
+
 func toOwnerFrame(f gate.OwnerFrame) *peerpb.OwnerFrame {
-	out := &peerpb.OwnerFrame{Echo: uint64(f.Echo.Microseconds()), KeptEcho: uint64(f.KeptEcho.Microseconds()), Sequence: f.Sequence, Adopt: f.Adopt}
+	out := &peerpb.OwnerFrame{Echo: uint64(f.Echo.Microseconds()), KeptEcho: uint64(f.KeptEcho.Microseconds()), Sequence: f.Sequence, Adopt: f.Adopt, Evacuations: toEvacuations(f.Evacuations)}
 	for _, s := range f.Starts {
 		out.Starts = append(out.Starts, &peerpb.StartOrder{
 			Name: toRunName(s.Name), Spec: s.Spec, Need: toResources(s.Need),
@@ -45,7 +54,7 @@
 }
 
 func fromOwnerFrame(f *peerpb.OwnerFrame) gate.OwnerFrame {
-	out := gate.OwnerFrame{Echo: time.Duration(f.GetEcho()) * time.Microsecond, KeptEcho: time.Duration(f.GetKeptEcho()) * time.Microsecond, Sequence: f.GetSequence(), Adopt: f.GetAdopt()}
+	out := gate.OwnerFrame{Echo: time.Duration(f.GetEcho()) * time.Microsecond, KeptEcho: time.Duration(f.GetKeptEcho()) * time.Microsecond, Sequence: f.GetSequence(), Adopt: f.GetAdopt(), Evacuations: fromEvacuations(f.GetEvacuations())}
 	for _, s := range f.GetStarts() {
 		out.Starts = append(out.Starts, gate.Order{
 			Name: fromRunName(s.GetName()), Spec: s.GetSpec(), Need: fromResources(s.GetNeed()),
@@ -70,7 +79,7 @@
 		Report: &peerpb.Report{
 			Executor: f.Report.Life, Service: f.Report.Service, Capacity: toResources(f.Report.Capacity),
 			Free: toResources(f.Report.Free), Queued: toResources(f.Report.Queued), Labels: f.Report.Labels,
-			Open: f.Report.Open, Slowness: uint32(f.Report.Slowness * thousand), Suspect: f.Report.Suspect,
+			Open: f.Report.Open, Slowness: uint32(f.Report.Slowness * thousand), Suspect: f.Report.Suspect, Evacuated: f.Report.Evacuated,
 		},
 	}
 	for _, s := range f.States {
@@ -102,7 +111,7 @@
 		Report: gate.Report{
 			Life: r.GetExecutor(), Service: r.GetService(), Capacity: fromResources(r.GetCapacity()),
 			Free: fromResources(r.GetFree()), Queued: fromResources(r.GetQueued()), Labels: r.GetLabels(),
-			Open: r.GetOpen(), Slowness: float64(r.GetSlowness()) / thousand, Suspect: r.GetSuspect(),
+			Open: r.GetOpen(), Slowness: float64(r.GetSlowness()) / thousand, Suspect: r.GetSuspect(), Evacuated: r.GetEvacuated(),
 		},
 	}
 	for _, s := range f.GetStates() {
--- a/peer/silence_test.go
+++ b/peer/silence_test.go
@@ -52,7 +52,7 @@
 		var confirmed atomic.Pointer[time.Time]
 		follower := rowstore.Follower{
 			Store: s, Table: "op", Log: logr.Discard(),
-			Confirmed: func(at time.Time) { confirmed.Store(&at) },
+			Confirmed: func(at time.Time, _ uint64) { confirmed.Store(&at) },
 			ReadAll: func(ctx context.Context) (uint64, error) {
 				page, err := s.Read(ctx, rowstore.Query{Table: "op"})
 				return page.Version, err
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -40,8 +40,8 @@
 	// Change takes in a row that was written or deleted.
 	Change func(Row)
 	// Confirmed, if it is not nil, is called once everything that stood in the store
-	// when a call was sent has been taken in.
-	Confirmed func(sent time.Time)
+	// when a call was sent has been taken in, with the version that is covered.
+	Confirmed func(sent time.Time, version uint64)
 	// Wait is how long the store holds a call for changes back; 0 means 0.5 s. What
 	// is known is at most this and half a second old.
 	Wait time.Duration
@@ -160,7 +160,7 @@
 	t.lost = false
 	t.confirmed = t.sent
 	if t.Confirmed != nil {
-		t.Confirmed(t.sent)
+		t.Confirmed(t.sent, t.version)
 	}
 }
 
--- a/rowstore/follow_test.go
+++ b/rowstore/follow_test.go
@@ -32,7 +32,7 @@
 	f.value = value
 }
 
-func (f *followed) confirm(at time.Time) {
+func (f *followed) confirm(at time.Time, _ uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.confirmed = at
