--- a/test/deployment_test.go
+++ b/test/deployment_test.go
@@ -57,12 +57,16 @@
 	entryArgs []string
 	// slowClocks: every other life of an executor has the slowest clock allowed.
 	slowClocks bool
+	// domains is how many failure domains the machines are spread over; 0 means one.
+	domains int
 }
 
 // machine is a process of the program with the proxies around it.
 type machine struct {
 	*process
 	ip string
+	// domain is its failure domain.
+	domain string
 	// store and app are between the process and the store or its executor;
 	// inward is where other daemons reach an agent and clients an entry.
 	store, app, inward *proxy
@@ -149,8 +153,11 @@
 	return l.Addr().String()
 }
 
+// domainOf is the failure domain of a role's machine by its number.
+func (d *deployment) domainOf(i int) string { return domainName(i % max(1, d.domains)) }
+
 func (d *deployment) startEntry(i int) *machine {
-	m := &machine{ip: machineIP(0, i)}
+	m := &machine{ip: machineIP(0, i), domain: d.domainOf(i)}
 	m.store = newProxy(d.t, m.ip+":"+platformStoreProxy, d.storeURL)
 	m.process = startWith(d.t, fmt.Sprintf("entry-%d", i), []string{"RACKSPUR_SETTINGS=" + d.settings(m, fmt.Sprintf("entry-%d", i), "edge")},
 		append([]string{"platform", "entry"}, d.entryArgs...)...)
@@ -159,7 +166,7 @@
 }
 
 func (d *deployment) startAgent(i int) *machine {
-	m := &machine{ip: machineIP(1, i), work: platformWork}
+	m := &machine{ip: machineIP(1, i), domain: d.domainOf(i), work: platformWork}
 	m.port = &standin.ExecutorPort{Need: job.Resources{CPU: 1600, Memory: 64}, Service: platformService}
 	d.newLife(m)
 	app := serveOn(d.t, "127.0.0.1:0", m.port.Handler())
@@ -194,7 +201,7 @@
 func (d *deployment) settings(m *machine, node, class string) string {
 	d.t.Helper()
 	s := map[string]any{
-		"node": node, "class": class, "ip": m.ip, "zone": "zone-a", "internalPorts": []int{platformInternalPort, platformInternalPort + 9},
+		"node": node, "class": class, "ip": m.ip, "zone": m.domain, "internalPorts": []int{platformInternalPort, platformInternalPort + 9},
 		"listen":   map[string]string{"front": m.ip + ":" + platformFrontPort, "readiness": m.ip + ":" + platformReadinessPort, "control": m.ip + ":" + platformControlPort},
 		"commands": "dispatch",
 		"bounds":   map[string]any{"maxHoldMs": platformMaxHold.Milliseconds(), "status_s": 120, "graceS": 4},
--- a/test/soak_long_test.go
+++ b/test/soak_long_test.go
@@ -58,6 +58,7 @@
 	longJobsPart = iota + 1
 	longSeriesPart
 	longOrdersPart
+	evacuationsPart
 )
 
 // longMark begins the id of a job with long tasks; the milliseconds that each of its
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -90,6 +91,8 @@
 	beside func(r *soakRun, end time.Time, callers *sync.WaitGroup)
 	// slowClocks: some executors have slow clocks.
 	slowClocks bool
+	// domains is how many failure domains the machines are spread over; 0 means one.
+	domains int
 }
 
 // shortTasks is the plan of TestSoak.
@@ -137,11 +140,13 @@
 	began     time.Time
 	// rounds counts the rounds.
 	rounds int
+	// evacuationJobs numbers the jobs that look for starts in a failure domain.
+	evacuationJobs atomic.Int64
 }
 
 func soak(t *testing.T, plan soakPlan, seed uint64, length time.Duration, rounds int) {
 	t.Logf("seed %d; again with %s=%d", seed, soakSeedVariable, seed)
-	d := &deployment{t: t, slowClocks: plan.slowClocks}
+	d := &deployment{t: t, slowClocks: plan.slowClocks, domains: plan.domains}
 	d.begin(3, 4)
 	r := &soakRun{deployment: d, plan: plan, seed: seed, random: rand.New(rand.NewPCG(seed, seed)), began: time.Now(), version: 1}
 	t.Cleanup(func() {
