A held-back heartbeat does not end the life that is known

A beat of a former life that a cut had held back so made a new agent process ignore every later word of the living target: never open again after a silence, and deaf to 'draining' after a recall.

Change: a life is past only when a call that named it was turned away, or by its own word.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -284,6 +284,15 @@
 	return a
 }
 
+// endLife takes in that the life that is known is over, for good: a call that named it
+// was turned away, or it has said so itself. A heartbeat of another life does not prove
+// that: it may have been held up, and the gate would never use the newer life again.
+func (g *Gate) endLife(now Time) {
+	over := g.life
+	g.newLife(now, "")
+	g.pastLives[over] = true
+}
+
 // newLife takes in that another life of the executor has begun: what ran on the
 // old one is over. The life that the gate found when it started takes its name
 // from the first heartbeat.
@@ -292,9 +301,6 @@
 		g.life = life
 		return
 	}
-	if g.life != "" {
-		g.pastLives[g.life] = true
-	}
 	for _, r := range g.runs {
 		if r.phase == phaseQueued {
 			continue
@@ -325,8 +331,7 @@
 	if life != g.life {
 		return
 	}
-	g.newLife(now, "")
-	g.pastLives[life] = true
+	g.endLife(now)
 	g.rejectQueue("executor left")
 	g.tellAll()
 }
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -100,7 +100,7 @@
 		return Actions{HoldNow: true}
 	case errors.Is(err, ErrOtherLife):
 		if g.life != "" {
-			g.newLife(now, "")
+			g.endLife(now)
 			g.rejectQueue("executor left")
 			g.tellAll()
 			a := g.takeClaimant(now)
--- a/gate/life_test.go
+++ b/gate/life_test.go
@@ -50,3 +50,75 @@
 		t.Errorf("life %q", b.gate.life)
 	}
 }
+
+// Symptom: an agent never gave its executor work again. Sequence: the agent's process is
+// new; a cut holds back a heartbeat of the executor's former life, which arrives after the
+// next life has registered at the same address, at a moment when the gate can't be sure
+// of the life that it knows. Cause: the gate took the life that it knew for over, for
+// good, on the word of another's heartbeat. Now only a call that was turned away, or the
+// life's own word, ends it.
+func TestHeldBackHeartbeat(t *testing.T) {
+	tests := []struct {
+		name string
+		// before brings the gate to the moment at which the late heartbeat arrives.
+		before func(t *testing.T) *bench
+	}{
+		{"the newer life is recalled and has not answered yet", func(t *testing.T) *bench { return restarted(t, recalled) }},
+		{"the newer life is known and says nothing for a while", func(t *testing.T) *bench {
+			b := newBench(t)
+			b.now += 5 * time.Second
+			return b
+		}},
+		{"nothing is known yet", func(t *testing.T) *bench {
+			b := restarted(t, Description{})
+			return b
+		}},
+		{"the newer life answers and is at work", func(t *testing.T) *bench {
+			b := newBench(t)
+			b.started(b.order(false, testRun("aa", 0, 1)))
+			return b
+		}},
+	}
+	for _, test := range tests {
+		for _, draining := range []bool{false, true} {
+			t.Run(test.name, func(t *testing.T) {
+				b := test.before(t)
+				b.heartbeat("older", draining)
+				// The executor answers, as the newer life.
+				for range 4 {
+					b.holdOf(testLife)
+				}
+				b.now += 700 * time.Millisecond
+				b.heartbeat(testLife, false)
+				for range 4 {
+					b.holdOf(testLife)
+				}
+				if b.gate.life != testLife || !b.gate.Open(b.now) {
+					t.Errorf("life %q, open %v, want the newer life and open", b.gate.life, b.gate.Open(b.now))
+				}
+				b.gate.OnDeregister(b.now, "older")
+				if !b.gate.Open(b.now) {
+					t.Error("closed by a late word of the older life that it ends")
+				}
+				b.now += 700 * time.Millisecond
+				b.heartbeat(testLife, true)
+				b.holdOf(testLife)
+				if b.gate.Open(b.now) {
+					t.Error("open although the newer life has said that it drains")
+				}
+			})
+		}
+	}
+}
+
+// holdOf makes the hold that is due; an executor of one life answers it.
+func (b *bench) holdOf(life string) {
+	h := b.gate.NextHold(b.now, 0)
+	b.now += time.Millisecond
+	answer := Answer{ClockMS: b.executorClock(), Life: life}
+	if h.Life != "" && h.Life != life {
+		b.gate.OnHold(b.now, h, answer, HoldAnswer{}, ErrOtherLife)
+		return
+	}
+	b.gate.OnHold(b.now, h, answer, HoldAnswer{}, nil)
+}
