--- a/gate/gate.go
+++ b/gate/gate.go
@@ -23,7 +23,7 @@
 type Options struct {
 	Node        string
 	Incarnation string
-	// Domain is the failure domain of the gate and its executor.
+	// Domain is the failure domain of the gate and its target.
 	Domain string
 	// MaxHold is the longest lease that the executor grants.
 	MaxHold time.Duration
--- a/gate/life_test.go
+++ b/gate/life_test.go
@@ -51,8 +51,8 @@
 	}
 }
 
-// Symptom: an agent never gave its executor work again. Sequence: the agent's process is
-// new; a cut holds back a heartbeat of the executor's former life, which arrives after the
+// Symptom: an agent never gave its target work again. Sequence: the agent's process is
+// new; a cut holds back a heartbeat of the target's former life, which arrives after the
 // next life has registered at the same address, at a moment when the gate can't be sure
 // of the life that it knows. Cause: the gate took the life that it knew for over, for
 // good, on the word of another's heartbeat. Now only a call that was turned away, or the
@@ -84,7 +84,7 @@
 			t.Run(test.name, func(t *testing.T) {
 				b := test.before(t)
 				b.heartbeat("older", draining)
-				// The executor answers, as the newer life.
+				// The target answers, as the newer life.
 				for range 4 {
 					b.holdOf(testLife)
 				}
@@ -111,7 +111,7 @@
 	}
 }
 
-// holdOf makes the hold that is due; an executor of one life answers it.
+// holdOf makes the hold that is due; a target of one life answers it.
 func (b *bench) holdOf(life string) {
 	h := b.gate.NextHold(b.now, 0)
 	b.now += time.Millisecond
--- a/test/soak_evacuate_test.go
+++ b/test/soak_evacuate_test.go
@@ -160,7 +160,7 @@
 	return served
 }
 
-// startsIn counts the starts at executors of a domain since a time.
+// startsIn counts the starts at targets of a domain since a time.
 func (r *soakRun) startsIn(domain string, since time.Time) int {
 	r.deployment.mu.Lock()
 	defer r.deployment.mu.Unlock()
