--- a/owner/admission.go
+++ b/owner/admission.go
@@ -29,6 +29,7 @@
 func (o *Owner) admits(now Time, j *liveJob) bool {
 	capacity, room := o.roomFor(j)
 	if capacity == 0 && o.allEvacuated(j.record.Queue.Service) {
+		// Waiting would not help: that is the operator's word, not a restart.
 		return false
 	}
 	if capacity == 0 {
