--- a/owner/admission.go
+++ b/owner/admission.go
@@ -12,8 +12,6 @@
 	// it was placed; then it is refused, while its caller can still go elsewhere.
 	// 0.16 to 0.24 were measured alike, 0.36 and more as worse in overload.
 	offerShare = 0.2
-	// briefShortage is how long tasks may wait for room for the shortage to count as brief.
-	briefShortage = 1000 * time.Second
 	// finishShare is the part of a job's tasks that may be left for it to go on
 	// before others although it is late: most of its work would be lost.
 	finishShare = 0.25
@@ -45,7 +43,7 @@
 	if room >= j.need() {
 		return true
 	}
-	return now+o.expectedWait(j, capacity) <= min(j.startBy, o.offerBy(now, j))+admitSlack
+	return now+o.expectedWait(j, capacity) <= min(j.startBy, j.offerBy())+admitSlack
 }
 
 // expectedWait is how long the work that waits ahead of a job takes on its part
