--- a/owner/admission.go
+++ b/owner/admission.go
@@ -102,17 +102,7 @@
 // setUrgency sets the times by which a job's tasks are ordered.
 func (j *liveJob) setUrgency() {
 	j.startBy = j.objective - j.chain()
-	j.urgency = j.startBy + time.Duration(j.record.Queue.Priority)*priorityStep + j.workDelay()
-}
-
-// workDelay is by how much later a job counts as due for its work.
-func (j *liveJob) workDelay() time.Duration {
-	work := 0.0
-	for i := range j.record.Steps {
-		s := &j.record.Steps[i]
-		work += float64(s.Count*s.Need.CPU) / 1000 * float64(s.EstimateMS) / 1000
-	}
-	return time.Duration(work * float64(20*time.Millisecond))
+	j.urgency = j.startBy + time.Duration(j.record.Queue.Priority)*priorityStep
 }
 
 // SetEntries takes in how many owners share the executors.
