--- a/owner/place.go
+++ b/owner/place.go
@@ -96,7 +96,7 @@
 	if !room.Fits(t.step.Need) {
 		return 0, false
 	}
-	score := float64(free.CPU-t.step.Need.CPU)/32000 + o.random.Float64()*0.02
+	score := float64(free.CPU-t.step.Need.CPU)/float64(capacity.CPU) + o.random.Float64()*0.02
 	if median > 0 && v.report.Slowness > slowFactor*median {
 		score -= 1
 	}
