--- a/gate/start.go
+++ b/gate/start.go
@@ -58,7 +58,7 @@
 	case g.leaseShort(now) || now < g.fullUntil || !g.health.mayStart(now):
 		return stepWaitAll
 	case !g.capacity.Minus(g.used).Fits(r.need):
-		return stepSetAside
+		return stepWaitAll
 	}
 	return stepStart
 }
