--- a/gate/executor.go
+++ b/gate/executor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -136,6 +137,8 @@
 	Capacity job.Resources
 	Labels   []string
 	Draining bool
-	ClockMS  int64
-	Sequence int64
+	// Remaining is the least time that a draining executor stays; 0 if it is not known.
+	Remaining time.Duration
+	ClockMS   int64
+	Sequence  int64
 }
