--- a/gate/executor.go
+++ b/gate/executor.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -137,8 +136,6 @@
 	Capacity job.Resources
 	Labels   []string
 	Draining bool
-	// Remaining is the least time that a draining executor stays; 0 if it is not known.
-	Remaining time.Duration
-	ClockMS   int64
-	Sequence  int64
+	ClockMS  int64
+	Sequence int64
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -130,8 +130,6 @@
 	labels    []string
 	known     bool
 	draining  bool
-	// leavesAt is when a draining executor may leave; 0 if that is not known.
-	leavesAt Time
 	// claimant is the newest heartbeat of a life that is not the one that answers.
 	claimant Heartbeat
 	// recalled is what an earlier process knew of the executor.
@@ -245,7 +243,7 @@
 	g.capacity = b.Capacity
 	g.labels = b.Labels
 	if b.Draining {
-		g.drain(now, b.Remaining)
+		g.draining = true
 	}
 	g.takeClock(now, b.ClockMS)
 	g.tellAll()
@@ -317,7 +315,6 @@
 	g.life = life
 	g.known = false
 	g.draining = false
-	g.leavesAt = 0
 	g.fence = 0
 	g.clockMS = 0
 	g.listedMS = 0
@@ -360,5 +357,5 @@
 
 // Open says whether the gate takes orders.
 func (g *Gate) Open(now Time) bool {
-	return g.known && !g.drained(now) && !g.leaving && !g.evacuated() && !g.lapsing && g.fence != 0 && !g.targetSilent(now)
+	return g.known && !g.draining && !g.leaving && !g.evacuated() && !g.lapsing && g.fence != 0 && !g.targetSilent(now)
 }
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -192,8 +192,6 @@
 		g.reject(r, "stale order")
 	case !g.Open(now):
 		g.reject(r, "closed")
-	case !g.endsBeforeLeaving(now, r):
-		g.reject(r, "leaving")
 	case g.health.suspect && (g.queue.first() != nil || !g.health.mayStart(now)):
 		g.reject(r, "suspect")
 	case !g.capacity.Fits(o.Need):
--- a/gate/report.go
+++ b/gate/report.go
@@ -15,8 +15,6 @@
 	Queued   job.Resources
 	Labels   []string
 	Open     bool
-	// Remaining is how long the executor stays if it is leaving; 0 if it is not.
-	Remaining time.Duration
 	// Evacuated says that the gate is closed since its failure domain is evacuated.
 	Evacuated bool
 	Slowness  float64
@@ -198,7 +196,7 @@
 func (g *Gate) report(now Time) Report {
 	return Report{
 		Life: g.life, Service: g.service, Capacity: g.capacity, Free: g.capacity.Minus(g.used),
-		Queued: g.queued(), Labels: g.labels, Open: g.Open(now), Remaining: g.remaining(now), Evacuated: g.evacuated(), Slowness: g.health.slowness,
+		Queued: g.queued(), Labels: g.labels, Open: g.Open(now), Evacuated: g.evacuated(), Slowness: g.health.slowness,
 		Suspect: g.health.suspect && !g.health.mayStart(now),
 	}
 }
--- a/gate/start.go
+++ b/gate/start.go
@@ -55,8 +55,6 @@
 		return stepSetAside
 	case g.ownerSilent(now, r):
 		return stepReject
-	case !g.endsBeforeLeaving(now, r):
-		return stepReject
 	case g.leaseShort(now) || now < g.fullUntil || !g.health.mayStart(now):
 		return stepWaitAll
 	case !g.capacity.Minus(g.used).Fits(r.need):
--- a/owner/place.go
+++ b/owner/place.go
@@ -67,7 +67,7 @@
 	var best *gateView
 	bestScore := 0.0
 	for _, v := range usable {
-		score, ok := o.score(now, v, t, median)
+		score, ok := o.score(v, t, median)
 		if ok && (best == nil || score > bestScore) {
 			best = v
 			bestScore = score
@@ -80,7 +80,7 @@
 }
 
 // score rates a gate for a task; higher is better.
-func (o *Owner) score(now Time, v *gateView, t *task, median float64) (float64, bool) {
+func (o *Owner) score(v *gateView, t *task, median float64) (float64, bool) {
 	capacity := v.report.Capacity
 	if t.avoid[v.name] || v.report.Service != t.job.record.Queue.Service || capacity.CPU == 0 || !capacity.Fits(t.step.Need) {
 		return 0, false
@@ -88,9 +88,6 @@
 	if t.step.Label != "" && !slices.Contains(v.report.Labels, t.step.Label) {
 		return 0, false
 	}
-	if left := v.report.Remaining; left > 0 && !gate.EndsWithin(time.Duration(t.step.EstimateMS)*time.Millisecond, left-(now-v.heard)) {
-		return 0, false
-	}
 	if t.step.Spread > 0 && o.onGate(v, t) >= t.step.Spread {
 		return 0, false
 	}
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -79,7 +79,7 @@
 		Report: &peerpb.Report{
 			Executor: f.Report.Life, Service: f.Report.Service, Capacity: toResources(f.Report.Capacity),
 			Free: toResources(f.Report.Free), Queued: toResources(f.Report.Queued), Labels: f.Report.Labels,
-			Open: f.Report.Open, Slowness: uint32(f.Report.Slowness * thousand), Suspect: f.Report.Suspect, Evacuated: f.Report.Evacuated, RemainingMs: uint32(f.Report.Remaining.Milliseconds()),
+			Open: f.Report.Open, Slowness: uint32(f.Report.Slowness * thousand), Suspect: f.Report.Suspect, Evacuated: f.Report.Evacuated,
 		},
 	}
 	for _, s := range f.States {
@@ -111,7 +111,7 @@
 		Report: gate.Report{
 			Life: r.GetExecutor(), Service: r.GetService(), Capacity: fromResources(r.GetCapacity()),
 			Free: fromResources(r.GetFree()), Queued: fromResources(r.GetQueued()), Labels: r.GetLabels(),
-			Open: r.GetOpen(), Slowness: float64(r.GetSlowness()) / thousand, Suspect: r.GetSuspect(), Evacuated: r.GetEvacuated(), Remaining: time.Duration(r.GetRemainingMs()) * time.Millisecond,
+			Open: r.GetOpen(), Slowness: float64(r.GetSlowness()) / thousand, Suspect: r.GetSuspect(), Evacuated: r.GetEvacuated(),
 		},
 	}
 	for _, s := range f.GetStates() {
