Try: an owner in its first second lets jobs wait until their latest start

Load: all boxes lose power for 1.1 to 1.6 s and come back; 0.35 s pass from the first entry box until an owner has its gates, and jobs are refused as if these were full.

--- a/owner/review.go
+++ b/owner/review.go
@@ -17,7 +17,7 @@
 		}
 		seen[j] = true
 		switch {
-		case j.record.BestEffort && !j.placed && now > j.offerBy():
+		case j.record.BestEffort && !j.placed && now > o.offerBy(now, j):
 			refused = append(refused, j)
 		case j.late != j.isLate(now):
 			changed = append(changed, j)
@@ -39,7 +39,10 @@
 }
 
 // offerBy is when a job of which nothing was placed is refused.
-func (j *liveJob) offerBy() Time {
+func (o *Owner) offerBy(now Time, j *liveJob) Time {
+	if now-o.begun < linkGrace {
+		return j.startBy
+	}
 	return j.arrived + time.Duration(offerShare*float64(j.objective-j.arrived))
 }
 
