--- a/owner/admission.go
+++ b/owner/admission.go
@@ -43,7 +43,7 @@
 	if room >= j.need() {
 		return true
 	}
-	return now+o.expectedWait(j, capacity) <= min(j.startBy, o.offerBy(now, j))+admitSlack
+	return now+o.expectedWait(j, capacity) <= min(j.startBy, j.offerBy())+admitSlack
 }
 
 // expectedWait is how long the work that waits ahead of a job takes on its part
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -97,8 +97,6 @@
 	entries int
 	// capacityAt is when a gate was last open, at first the owner's beginning.
 	capacityAt Time
-	// begun is when the owner began.
-	begun Time
 	// valid says until when the owner's lease holds.
 	validUntil Time
 	over       bool
@@ -140,7 +138,6 @@
 		options:      o,
 		entries:      1,
 		capacityAt:   o.Now(),
-		begun:        o.Now(),
 		outsideHeard: o.Now(),
 		writer:       w,
 		jobs:         map[job.ID]*liveJob{},
--- a/owner/review.go
+++ b/owner/review.go
@@ -17,7 +17,7 @@
 		}
 		seen[j] = true
 		switch {
-		case j.record.BestEffort && !j.placed && now > o.offerBy(now, j):
+		case j.record.BestEffort && !j.placed && now > j.offerBy():
 			refused = append(refused, j)
 		case j.late != j.isLate(now):
 			changed = append(changed, j)
@@ -39,10 +39,7 @@
 }
 
 // offerBy is when a job of which nothing was placed is refused.
-func (o *Owner) offerBy(now Time, j *liveJob) Time {
-	if now-o.begun < linkGrace {
-		return j.startBy
-	}
+func (j *liveJob) offerBy() Time {
 	return j.arrived + time.Duration(offerShare*float64(j.objective-j.arrived))
 }
 
