--- a/owner/admission.go
+++ b/owner/admission.go
@@ -55,7 +55,7 @@
 // roomFor returns the capacity of the gates that a job may use and the room
 // that is free on them, in thousandths of a core.
 func (o *Owner) roomFor(j *liveJob) (capacity, room int) {
-	for _, v := range o.usableGates(o.options.Now()) {
+	for _, v := range o.usableGates() {
 		if v.report.Service != j.record.Queue.Service {
 			continue
 		}
--- a/owner/place.go
+++ b/owner/place.go
@@ -23,7 +23,7 @@
 	if o.over || o.waiting.len() == 0 {
 		return
 	}
-	usable := o.usableGates(now)
+	usable := o.usableGates()
 	median := medianSlowness(usable)
 	var back []*task
 	misses := 0
@@ -49,10 +49,10 @@
 // maxMisses is how many tasks that find no room are looked at in one go.
 const maxMisses = 8
 
-func (o *Owner) usableGates(now Time) []*gateView {
+func (o *Owner) usableGates() []*gateView {
 	usable := make([]*gateView, 0, len(o.gateOrder))
 	for _, v := range o.gateOrder {
-		if v.linked && v.report.Open && !v.report.Suspect && !v.quiet(now) {
+		if v.linked && v.report.Open && !v.report.Suspect {
 			usable = append(usable, v)
 		}
 	}
--- a/owner/policy.go
+++ b/owner/policy.go
@@ -24,7 +24,7 @@
 	v := o.jobView(now, j, &j.record.Steps[0])
 	v.Tasks = len(j.tasks)
 	v.ExpectedWaitMS = milliseconds(o.expectedWait(j, capacity))
-	for _, g := range o.usableGates(now) {
+	for _, g := range o.usableGates() {
 		if g.report.Service != j.record.Queue.Service {
 			continue
 		}
--- a/owner/stall.go
+++ b/owner/stall.go
@@ -23,7 +23,7 @@
 			o.stats.Stalled++
 			o.log.Info("Task stands still.", "job", j.record.ID, "task", t.index, "phase", t.phase.String(), "run", t.run,
 				"gate", t.gate, "since", (now - t.since).String(), "jobPhase", int(j.phase), "waiting", o.waiting.len(),
-				"usable", len(o.usableGates(now)), "avoided", len(t.avoid), "queued", t.position >= 0, "late", j.late)
+				"usable", len(o.usableGates()), "avoided", len(t.avoid), "queued", t.position >= 0, "late", j.late)
 			break
 		}
 	}
--- a/owner/view.go
+++ b/owner/view.go
@@ -41,8 +41,6 @@
 	sequence uint64
 	name     job.RunName
 	need     job.Resources
-	// sent is when it was handed to the link.
-	sent Time
 }
 
 // AddGate takes in a gate that is a member.
@@ -146,7 +144,7 @@
 	v.sequence++
 	f = gate.OwnerFrame{Echo: o.echo(v), KeptEcho: o.keptEcho(v), Evacuations: o.evacuationsFor(o.options.Now(), v), Sequence: v.sequence, Starts: v.starts, Stops: v.stops, Verdicts: v.verdicts, Adopt: v.adopt}
 	for _, s := range v.starts {
-		v.inFlight = append(v.inFlight, sentOrder{sequence: v.sequence, name: s.Name, need: s.Need, sent: o.options.Now()})
+		v.inFlight = append(v.inFlight, sentOrder{sequence: v.sequence, name: s.Name, need: s.Need})
 	}
 	v.starts = nil
 	v.stops = nil
@@ -155,19 +153,6 @@
 	return f, true
 }
 
-// quietAfter
-const quietAfter = 350 * time.Millisecond
-
-// quiet says whether the gate should have been heard of since: runs are there, or it was
-// sent orders.
-func (v *gateView) quiet(now Time) bool {
-	since := v.heard
-	if len(v.inFlight) > 0 {
-		since = max(since, v.inFlight[0].sent)
-	}
-	return (v.busy || len(v.inFlight) > 0) && now-since > quietAfter
-}
-
 // free returns the room that the owner may count on at a gate.
 func (v *gateView) free() job.Resources {
 	free := v.report.Free.Minus(v.report.Queued)
