--- a/gate/lease.go
+++ b/gate/lease.go
@@ -8,9 +8,9 @@
 // a lease of 1 s from each hold, an agent lost 0.85 s after an owner left a run at work for
 // 0.53 s beside the one that the next owner had started (TestAgentLostAfterOwner).
 const (
-	// BestEffortLapse is how long after BestEffortContact a run of a job that is not
+	// bestEffortLapse is how long after BestEffortContact a run of a job that is not
 	// kept may still be at work, if its stop does not take or the gate is lost.
-	BestEffortLapse = 400 * time.Millisecond
+	bestEffortLapse = 400 * time.Millisecond
 	// leastLease is the shortest lease worth starting a run with: a start that gets no
 	// answer is sent again for orderTimeout.
 	leastLease = 100 * time.Millisecond
@@ -33,7 +33,7 @@
 	}
 	by = contact + g.options.Contact + g.options.MaxHold
 	if r.bestEffort {
-		by = contact + g.options.BestEffortContact + BestEffortLapse
+		by = contact + g.options.BestEffortContact + bestEffortLapse
 	}
 	if r.stopBy != 0 {
 		by = min(by, r.stopBy)
--- a/owner/view.go
+++ b/owner/view.go
@@ -20,11 +20,10 @@
 	// clock is the newest time of the gate, heard when it came.
 	clock gate.Time
 	heard Time
-	// presumed is set once the gate's runs were held to be over, presumedBestEffort once
-	// those of jobs that are not kept were.
-	presumed, presumedBestEffort bool
-	report                       gate.Report
-	adopted                      map[string]bool
+	// presumed is set once the gate's runs were held to be over.
+	presumed bool
+	report   gate.Report
+	adopted  map[string]bool
 
 	// busy says that runs are at the gate, or may be.
 	busy bool
@@ -180,7 +179,6 @@
 	v.clock = f.Clock
 	v.heard = now
 	v.presumed = false
-	v.presumedBestEffort = false
 	v.report = f.Report
 	for len(v.inFlight) > 0 && v.inFlight[0].sequence <= f.Received {
 		v.inFlight = v.inFlight[1:]
@@ -235,38 +233,21 @@
 // enough to be over.
 func (o *Owner) presumeSilentGates(now Time) {
 	for _, v := range o.gates {
-		if !v.presumedBestEffort && now-v.heard >= o.bestEffortOverAfter() {
-			v.presumedBestEffort = true
-			o.presumeOver(now, v, true)
-		}
-		if !v.presumed && now-max(v.heard, o.resumed) >= o.overAfter() {
-			v.presumed = true
-			o.presumeOver(now, v, false)
-		}
-	}
-}
-
-// presumeOver holds the runs of one kind of job at a gate to be over.
-func (o *Owner) presumeOver(now Time, v *gateView, bestEffort bool) {
-	for _, j := range o.jobs {
-		if j.record.BestEffort != bestEffort {
+		if v.presumed || now-max(v.heard, o.resumed) < o.overAfter() {
 			continue
 		}
-		for _, t := range j.tasks {
-			if t.gate == v.name && (t.phase == taskPlaced || t.phase == taskRunning) {
-				o.stats.PresumedOver++
-				o.replace(now, t)
+		v.presumed = true
+		for _, j := range o.jobs {
+			for _, t := range j.tasks {
+				if t.gate == v.name && (t.phase == taskPlaced || t.phase == taskRunning) {
+					o.stats.PresumedOver++
+					o.replace(now, t)
+				}
 			}
 		}
 	}
 }
 
-// bestEffortOverAfter is overAfter for jobs that are not kept.
-func (o *Owner) bestEffortOverAfter() time.Duration {
-	longest := mostSinceHeard + o.options.BestEffortContact + gate.BestEffortLapse
-	return time.Duration(float64(longest)/slowestClock) + presumeMargin
-}
-
 // overAfter is how long after the last word from a gate its runs are over: the
 // gate has stopped them after the contact time, or their lease has lapsed after it.
 func (o *Owner) overAfter() time.Duration {
