An open link to a gate is a type of its own

Links.serve took seven parameters and sendOrders as many; what they share is now openLink, in a file of its own (links.go 363 lines to 304). No change of behaviour; go test -race ./peer passes.

--- a/peer/links.go
+++ b/peer/links.go
@@ -264,7 +264,8 @@
 	if stream.Send(&peerpb.OwnerFrame{Hello: hello}) != nil {
 		return false
 	}
-	return l.serve(ctx, cancel, stream, d.Node, number, conn, watch)
+	o := &openLink{links: l, node: d.Node, number: number, conn: conn, stream: stream, watch: watch, end: cancel}
+	return o.serve(ctx)
 }
 
 // reportPause is how far apart the owner wants reports of a gate to be at least: all
@@ -276,26 +277,6 @@
 	return min(max(reportPause, pause), mostReportPause)
 }
 
-func (l *Links) serve(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[peerpb.OwnerFrame, peerpb.GateFrame], node string, number uint64, conn *grpc.ClientConn, watch *frameWatch) (worked bool) {
-	wake := make(chan struct{}, 1)
-	l.owner.LinkUp(node, number, poker(wake))
-	defer l.owner.LinkDown(node, number)
-	defer l.setDown(node, conn)
-	for {
-		f, err := stream.Recv()
-		if err != nil {
-			return worked
-		}
-		l.owner.OnFrame(node, number, fromGateFrame(f))
-		watch.heard(l.owner.Busy(node))
-		if !worked {
-			worked = true
-			l.setUp(node, conn, f.GetIncarnation())
-			go l.sendOrders(ctx, cancel, stream, node, number, wake, watch)
-		}
-	}
-}
-
 // setUp takes in that a link works, and which process it has reached.
 func (l *Links) setUp(node string, conn *grpc.ClientConn, incarnation string) {
 	l.mu.Lock()
@@ -315,46 +296,6 @@
 	}
 }
 
-// sendOrders sends frames whenever there is something to send, and heartbeats.
-func (l *Links) sendOrders(ctx context.Context, cancel func(), stream grpc.BidiStreamingClient[peerpb.OwnerFrame, peerpb.GateFrame], node string, number uint64, wake <-chan struct{}, watch *frameWatch) {
-	defer cancel()
-	beat := make(chan struct{}, 1)
-	defer l.pulse.join(poker(beat), 0)()
-	for ctx.Err() == nil {
-		f, ok := l.owner.Flush(node, number)
-		if !ok {
-			return
-		}
-		if stream.Send(toOwnerFrame(f)) != nil {
-			return
-		}
-		watch.sent(len(f.Starts) > 0)
-		l.awaitDue(ctx, node, wake, beat)
-	}
-}
-
-// awaitDue waits until a frame is to be sent: there is something to send, or one
-// of the beats, which come each heartbeat, is the last before the time.
-func (l *Links) awaitDue(ctx context.Context, node string, wake, beat <-chan struct{}) {
-	sent := time.Now()
-	for {
-		select {
-		case <-wake:
-			return
-		case <-ctx.Done():
-			return
-		case <-beat:
-		}
-		pause := idleHeartbeat
-		if l.owner.Busy(node) {
-			pause = heartbeat
-		}
-		if time.Since(sent) >= pause-heartbeat/2 {
-			return
-		}
-	}
-}
-
 // Linked returns the number of gates that are linked.
 func (l *Links) Linked() int {
 	l.mu.Lock()
