Gate: words of the target that are passed over, and lost runs, are told

Cause: the logs of the incident can't tell whether lists or heartbeats of a target are passed over as late, nor why runs count as over. Change: a log line each (at most one each 2 s and kind for what is passed over, with what was compared), and the counters gate.lists_passed_over, gate.heartbeats_passed_over and gate.runs_lost. No change of logic. Measured: go test ./gate ./node pass.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -57,20 +57,44 @@
 
 	EventEvacuated: "Failure domain is evacuated; nothing more starts.",
 	EventTakenBack: "Evacuation is taken back.",
+
+	EventLost:                "Run counts as over.",
+	EventListsPassedOver:     "Lists of the target passed over.",
+	EventHeartbeatPassedOver: "Heartbeat passed over.",
 }
 
 // tellEvents writes a line for each event.
 func (d *Driver) tellEvents(events []Event) {
 	for _, e := range events {
-		if e.Kind == EventEvacuated || e.Kind == EventTakenBack {
-			d.log.Info(eventMessages[e.Kind], "newsAgeMS", e.NewsAge.Milliseconds())
-			continue
-		}
-		d.log.Info(eventMessages[e.Kind], "job", e.Run.Job, "step", e.Run.Step, "index", e.Run.Index, "run", e.Run.Run, "owner", e.Owner,
+		d.tellEvent(e)
+	}
+}
+
+func (d *Driver) tellEvent(e Event) {
+	message := eventMessages[e.Kind]
+	switch e.Kind {
+	case EventEvacuated, EventTakenBack:
+		d.log.Info(message, "newsAgeMS", e.NewsAge.Milliseconds())
+	case EventListsPassedOver:
+		d.log.Info(message, "clockMS", e.Passed.Got, "newestMS", e.Passed.Newest, "times", e.Passed.Times, "leaseLeftMS", e.LeaseLeft.Milliseconds())
+	case EventHeartbeatPassedOver:
+		d.log.Info(message, "sequence", e.Passed.Got, "newest", e.Passed.Newest, "draining", e.Passed.Draining, "times", e.Passed.Times)
+	case EventLost:
+		d.log.Info(message, "job", e.Run.Job, "step", e.Run.Step, "index", e.Run.Index, "run", e.Run.Run, "owner", e.Owner,
+			"cause", e.Cause, "leaseLeftMS", e.LeaseLeft.Milliseconds())
+	default:
+		d.log.Info(message, "job", e.Run.Job, "step", e.Run.Step, "index", e.Run.Index, "run", e.Run.Run, "owner", e.Owner,
 			"reason", string(e.Reason), "contactAgeMS", e.ContactAge.Milliseconds(), "leaseLeftMS", e.LeaseLeft.Milliseconds())
 	}
 }
 
+// Counts returns what the gate has counted; see Gate.Counts.
+func (d *Driver) Counts() Counts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gate.Counts()
+}
+
 func (d *Driver) carryOut(a Actions) {
 	for _, c := range a.Starts {
 		go d.start(a.Life, c)
--- a/gate/event.go
+++ b/gate/event.go
@@ -21,6 +21,13 @@
 	EventEvacuated
 	// EventTakenBack: the evacuation is taken back.
 	EventTakenBack
+	// EventLost: a run at work counts as over without an end that the target has listed.
+	EventLost
+	// EventListsPassedOver: the target's lists were passed over as overtaken by others.
+	// It concerns no run.
+	EventListsPassedOver
+	// EventHeartbeatPassedOver: a heartbeat was passed over as late. It concerns no run.
+	EventHeartbeatPassedOver
 )
 
 // Event is something that a gate has done or found. They are rare: no run that
@@ -37,6 +44,72 @@
 	LeaseLeft time.Duration
 	// NewsAge is the age of the news of an evacuation.
 	NewsAge time.Duration
+	// Cause says why a run counts as over.
+	Cause string
+	// Passed is given with a word of the target that was passed over.
+	Passed PassedOver
+}
+
+// PassedOver is a word of the target that was passed over since another is held to be
+// newer.
+type PassedOver struct {
+	// Got and Newest are what the two were compared by: the target's clock in
+	// milliseconds of lists, the sequence of heartbeats.
+	Got, Newest int64
+	// Draining is what the heartbeat said.
+	Draining bool
+	// Times is how many were passed over since the last event of the kind.
+	Times int
+}
+
+// Counts are what the gate counts for metrics.
+type Counts struct {
+	ListsPassedOver      int64
+	HeartbeatsPassedOver int64
+	RunsLost             int64
+}
+
+// Counts returns what was counted since the gate was made.
+func (g *Gate) Counts() Counts { return g.counts }
+
+// passedOverPause is the least time between two events of a kind about words that were
+// passed over: while calls are hedged, lists are overtaken many times a second.
+const passedOverPause = 2 * time.Second
+
+// passedOverLog bounds the events about words that were passed over.
+type passedOverLog struct {
+	told  Time
+	times int
+}
+
+// take counts a word and says whether an event is due, for how many.
+func (l *passedOverLog) take(now Time) (times int, due bool) {
+	l.times++
+	if l.told != 0 && now-l.told < passedOverPause {
+		return 0, false
+	}
+	times = l.times
+	*l = passedOverLog{told: now}
+	return times, true
+}
+
+// recordPassedOver keeps an event about a word that was passed over, if one is due.
+func (g *Gate) recordPassedOver(now Time, kind EventKind, l *passedOverLog, p PassedOver) {
+	times, due := l.take(now)
+	if !due || len(g.events) >= mostEvents {
+		return
+	}
+	p.Times = times
+	g.events = append(g.events, Event{Kind: kind, Passed: p, LeaseLeft: g.leaseLeft(now)})
+}
+
+// recordLost counts a run that is held to be over and keeps an event about it.
+func (g *Gate) recordLost(now Time, r *run, cause string) {
+	g.counts.RunsLost++
+	if len(g.events) >= mostEvents {
+		return
+	}
+	g.events = append(g.events, Event{Kind: EventLost, Run: r.RunName, Owner: r.owner, Cause: cause, LeaseLeft: g.leaseLeft(now)})
 }
 
 // mostEvents is how many events are kept until they are taken: a gate has some tens
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -182,6 +182,9 @@
 	health  health
 	// events are what has happened since they were last taken.
 	events []Event
+	counts Counts
+	// listsPassed and heartbeatsPassed bound the events about words passed over.
+	listsPassed, heartbeatsPassed passedOverLog
 }
 
 // New returns a gate that knows nothing yet.
@@ -235,6 +238,8 @@
 	if b.Life != g.life {
 		g.newLife(now, b.Life)
 	} else if b.Sequence < g.sequence {
+		g.counts.HeartbeatsPassedOver++
+		g.recordPassedOver(now, EventHeartbeatPassedOver, &g.heartbeatsPassed, PassedOver{Got: b.Sequence, Newest: g.sequence, Draining: b.Draining})
 		return Actions{}, true
 	}
 	g.sequence = b.Sequence
@@ -306,6 +311,7 @@
 			continue
 		}
 		if r.phase != phaseEnded {
+			g.recordLost(now, r, "the target's life is over")
 			g.release(r)
 			g.finish(now, r, EndLost, 0)
 		}
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -66,6 +66,8 @@
 	g.confirmRecalled()
 	if a.ClockMS < g.listedMS {
 		// Answers on different connections may overtake one another.
+		g.counts.ListsPassedOver++
+		g.recordPassedOver(now, EventListsPassedOver, &g.listsPassed, PassedOver{Got: a.ClockMS, Newest: g.listedMS})
 		return Actions{}
 	}
 	g.listedMS = a.ClockMS
--- a/gate/lists.go
+++ b/gate/lists.go
@@ -80,6 +80,9 @@
 
 // lose ends a run that the executor will not list.
 func (g *Gate) lose(now Time, r *run, kind EndKind, reason string) {
+	if kind == EndLost {
+		g.recordLost(now, r, reason)
+	}
 	g.release(r)
 	r.noted = true
 	r.reason = reason
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -1,6 +1,9 @@
 package node
 
-import "rackspur/owner"
+import (
+	"rackspur/gate"
+	"rackspur/owner"
+)
 
 // Names of the metrics of an entry daemon.
 const (
@@ -58,9 +61,15 @@
 	})
 }
 
-// gauges registers whether the agent's failure domain is evacuated, as far as its gate
-// knows, and the age of that news; -1 before the first.
+// gauges registers what the agent's gate counts, whether its failure domain is evacuated,
+// as far as the gate knows, and the age of that news; -1 before the first.
 func (a *Agent) gauges() {
+	register := func(name string, read func(gate.Counts) int64) {
+		a.options.Metrics.Gauge(name, func() int64 { return read(a.driver.Counts()) })
+	}
+	register("gate.lists_passed_over", func(c gate.Counts) int64 { return c.ListsPassedOver })
+	register("gate.heartbeats_passed_over", func(c gate.Counts) int64 { return c.HeartbeatsPassedOver })
+	register("gate.runs_lost", func(c gate.Counts) int64 { return c.RunsLost })
 	a.options.Metrics.Gauge("gate.evacuated", func() int64 {
 		if _, evacuated, _ := a.driver.EvacuationsAge(); evacuated {
 			return 1
