Test: targets that start again under their id, failing

Cause: the stand-ins gave each start of a target a new id, so nothing of ours ever compared two lives under one. No change of logic.

--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -14,8 +14,11 @@
 // leases what runs, obeys the highest fencing token only, and lists ends until
 // they are noted. It keeps a journal of starts and ends for checkers.
 type Executor struct {
-	// Life is the executor's id.
+	// Life is the executor's id. It may be started again under the same one.
 	Life string
+	// Born is when it was started, in milliseconds of Unix time; it tells the lives under
+	// one id apart.
+	Born int64
 	// Capacity is its room.
 	Capacity job.Resources
 	// MaxHold is the longest lease.
@@ -28,16 +31,19 @@
 
 	mu      sync.Mutex
 	started time.Time
-	fence   uint64
-	until   int64
-	seen    int64
-	ends    []gate.Ended
-	running map[job.RunName]*executorRun
-	highest map[job.TaskName]int
-	changed chan struct{}
-	journal []Span
-	orders  []Order
-	down    bool
+	// beats is how many heartbeats were made; draining is what they say.
+	beats    int64
+	draining bool
+	fence    uint64
+	until    int64
+	seen     int64
+	ends     []gate.Ended
+	running  map[job.RunName]*executorRun
+	highest  map[job.TaskName]int
+	changed  chan struct{}
+	journal  []Span
+	orders   []Order
+	down     bool
 	// lapsed is when the lease was last seen to be over.
 	lapsed time.Time
 }
@@ -53,8 +59,10 @@
 
 // Span is a run as the executor saw it; End is zero while it runs.
 type Span struct {
-	Name    job.RunName
+	Name job.RunName
+	// Life and Born are those of the executor.
 	Life    string
+	Born    int64
 	Started time.Time
 	Ended   time.Time
 	End     gate.EndKind
@@ -69,8 +77,9 @@
 
 // NewExecutor returns an executor that runs nothing.
 func NewExecutor(life string, capacity job.Resources, work func(job.RunName) (time.Duration, gate.EndKind)) *Executor {
+	started := time.Now()
 	return &Executor{
-		Life: life, Capacity: capacity, MaxHold: time.Second, Work: work, started: time.Now(),
+		Life: life, Born: started.UnixMilli(), Capacity: capacity, MaxHold: time.Second, Work: work, started: started,
 		running: map[job.RunName]*executorRun{}, highest: map[job.TaskName]int{}, changed: make(chan struct{}),
 	}
 }
@@ -89,6 +98,47 @@
 	return e.down
 }
 
+// Again returns the executor's next life under the same id. It runs nothing and has
+// seen no fencing token, and its clock and its counts begin anew.
+func (e *Executor) Again() *Executor {
+	next := NewExecutor(e.Life, e.Capacity, e.Work)
+	next.MaxHold = e.MaxHold
+	next.Slow = e.Slow
+	// A life that begins within the same millisecond is still another one.
+	next.Born = max(next.Born, e.Born+1)
+	return next
+}
+
+// Drain makes the executor say from now on that it is about to leave.
+func (e *Executor) Drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = true
+}
+
+// Beat returns what the executor's next heartbeat says; ok is false while it answers
+// nothing.
+func (e *Executor) Beat() (b Beat, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.down {
+		return Beat{}, false
+	}
+	e.beats++
+	return Beat{Life: e.Life, Born: e.Born, Capacity: e.Capacity, ClockMS: e.clock(time.Now()), Sequence: e.beats, Draining: e.draining}, true
+}
+
+// Beat is what a heartbeat says.
+type Beat struct {
+	Life     string
+	Born     int64
+	Capacity job.Resources
+	ClockMS  int64
+	// Sequence counts the heartbeats of this life from 1.
+	Sequence int64
+	Draining bool
+}
+
 // Clock returns the executor's own time in milliseconds.
 func (e *Executor) Clock() int64 {
 	e.mu.Lock()
@@ -219,7 +269,7 @@
 		return a, gate.ErrNoRoom
 	}
 	lasts, how := e.Work(c.Name)
-	e.journal = append(e.journal, Span{Name: c.Name, Life: e.Life, Started: now})
+	e.journal = append(e.journal, Span{Name: c.Name, Life: e.Life, Born: e.Born, Started: now})
 	e.running[c.Name] = &executorRun{name: c.Name, need: c.Need, started: now, lasts: lasts, end: how, span: len(e.journal) - 1}
 	return a, nil
 }
--- a/internal/standin/executorwire.go
+++ b/internal/standin/executorwire.go
@@ -80,7 +80,9 @@
 
 // listsOnWire is the answer of an executor.
 type listsOnWire struct {
-	ClockMS  int64   `json:"clockMs"`
+	ClockMS int64 `json:"clockMs"`
+	// Born is given with lists only.
+	Born     int64   `json:"born,omitempty"`
 	Reason   string  `json:"reason,omitempty"`
 	Running  [][]any `json:"running,omitempty"`
 	Finished [][]any `json:"finished,omitempty"`
@@ -128,13 +130,18 @@
 			<-req.Context().Done()
 			breakOff()
 		}
-		a, lists, err := do(req.Context(), p.Executor(), life, o, name)
+		e := p.Executor()
+		a, lists, err := do(req.Context(), e, life, o, name)
 		if errors.Is(err, gate.ErrUnanswered) {
 			breakOff()
 		}
 		w.Header().Set(headerAnswered, a.Life)
 		status, reason := statusOnWire(err)
-		writeWire(w, status, listsOnWire{ClockMS: a.ClockMS, Reason: reason, Running: runningOnWire(lists.Running), Finished: finishedOnWire(lists.Finished)})
+		answer := listsOnWire{ClockMS: a.ClockMS, Reason: reason, Running: runningOnWire(lists.Running), Finished: finishedOnWire(lists.Finished)}
+		if kind == OrderHold && err == nil {
+			answer.Born = e.Born
+		}
+		writeWire(w, status, answer)
 	}
 }
 
@@ -213,6 +220,7 @@
 	Capacity capacityOnWire `json:"capacity"`
 	Labels   []string       `json:"labels"`
 	ClockMS  int64          `json:"clockMs"`
+	Born     int64          `json:"born"`
 	Sequence int64          `json:"seq"`
 }
 
@@ -225,23 +233,12 @@
 // Beat sends heartbeats of the newest life to a control address until the
 // context ends.
 func (p *ExecutorPort) Beat(ctx context.Context, control string, every time.Duration) {
-	client := &http.Client{Timeout: time.Second}
 	ticker := time.NewTicker(every)
 	defer ticker.Stop()
-	for sequence := int64(1); ctx.Err() == nil; sequence++ {
-		e := p.Executor()
-		body, err := json.Marshal(heartbeatOnWire{
-			Service: p.Service, State: "ready", Sequence: sequence, ClockMS: e.Clock(),
-			Capacity: capacityOnWire{CPU: e.Capacity.CPU, Memory: e.Capacity.Memory, GPU: e.Capacity.GPU},
-		})
-		if err != nil {
-			return
-		}
-		if !e.Down() {
-			res, err := client.Post("http://"+control+"/v1/executors/"+e.Life+"/heartbeat", "application/json", bytes.NewReader(body))
-			if err == nil {
-				res.Body.Close()
-			}
+	for ctx.Err() == nil {
+		if b, ok := p.Executor().Beat(); ok {
+			// One that is lost is followed by the next.
+			_ = p.SendBeat(ctx, control, b)
 		}
 		select {
 		case <-ctx.Done():
@@ -249,3 +246,44 @@
 		}
 	}
 }
+
+// beatTimeout is how long an executor waits for the acknowledgement of a heartbeat.
+const beatTimeout = time.Second
+
+// errNotAcknowledged: a heartbeat was answered, but not with success.
+var errNotAcknowledged = errors.New("standin: heartbeat not acknowledged")
+
+// SendBeat sends a heartbeat to a control address; nil says that it was acknowledged.
+func (p *ExecutorPort) SendBeat(ctx context.Context, control string, b Beat) error {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	body, err := json.Marshal(p.beatOnWire(b))
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+control+"/v1/executors/"+b.Life+"/heartbeat", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return errNotAcknowledged
+	}
+	return nil
+}
+
+func (p *ExecutorPort) beatOnWire(b Beat) heartbeatOnWire {
+	state := "ready"
+	if b.Draining {
+		state = "draining"
+	}
+	return heartbeatOnWire{
+		Service: p.Service, State: state, Sequence: b.Sequence, ClockMS: b.ClockMS, Born: b.Born,
+		Capacity: capacityOnWire{CPU: b.Capacity.CPU, Memory: b.Capacity.Memory, GPU: b.Capacity.GPU},
+	}
+}
--- a/test/deployment_test.go
+++ b/test/deployment_test.go
@@ -197,6 +197,22 @@
 	m.port.SetExecutor(e)
 }
 
+// restartTarget crashes a machine's executor and starts it again under the same id after
+// a time.
+func (d *deployment) restartTarget(m *machine, down time.Duration) {
+	old := m.port.Executor()
+	old.Crash()
+	pause(down)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if m.port.Executor() != old {
+		// It was started anew under another id meanwhile.
+		return
+	}
+	m.past = append(m.past, old)
+	m.port.SetExecutor(old.Again())
+}
+
 // settings writes a machine's settings file and returns its path.
 func (d *deployment) settings(m *machine, node, class string) string {
 	d.t.Helper()
