Gate: a life of the target is its id and its start

Cause: what the gate knows of its target was kept under the id alone. A target that starts again under its id counts anew: lists with a clock behind the former one were passed over, its ends up to the former lastSeen were forgotten unheard, heartbeats with a lower sequence were dropped, draining among them, and leases were held to be over by the former clock. Change: Life is id and start, made from what the target says, and compared as a whole. All that is known of a life is one value (lifeState) that the next life begins empty. The target's answers decide which life is there: a life that answers a call which was sent after another one was known is newer. Runs that were at work wait for the first lists of the newer life, since orders that named the id may have been carried out there; the fencing token rises over lives and processes (time of day in place of the target's clock, which begins anew), so that later ones are not. lastSeen is sent only while the newest hold was answered by the life that is known. A word that does not tell which life it is of is not believed, and not acknowledged. Existing tests change in the type of a life only.

--- a/gate/contact.go
+++ b/gate/contact.go
@@ -38,6 +38,7 @@
 
 // Tick looks at times: silent owners, stops to send again, runs that stand still.
 func (g *Gate) Tick(now Time) Actions {
+	g.loseFormer(now)
 	g.loseAll(now)
 	g.stopOverdue(now)
 	g.forgetOwners(now)
@@ -80,7 +81,7 @@
 // judgeOrphan decides about an end that no owner has claimed for a long time:
 // it is noted after the lease has lapsed, so that it does not count.
 func (g *Gate) judgeOrphan(now Time, r *run) {
-	if r.noted || r.discarded || r.number == 0 {
+	if r.noted || r.discarded {
 		return
 	}
 	if r.owner != "" && now-g.contactOf(r.owner) < orphanPatience*g.options.Contact {
--- a/gate/driver.go
+++ b/gate/driver.go
@@ -61,6 +61,7 @@
 	EventLost:                "Run counts as over.",
 	EventListsPassedOver:     "Lists of the target passed over.",
 	EventHeartbeatPassedOver: "Heartbeat passed over.",
+	EventRestart:             "Target has started again.",
 }
 
 // tellEvents writes a line for each event.
@@ -79,6 +80,8 @@
 		d.log.Info(message, "clockMS", e.Passed.Got, "newestMS", e.Passed.Newest, "times", e.Passed.Times, "leaseLeftMS", e.LeaseLeft.Milliseconds())
 	case EventHeartbeatPassedOver:
 		d.log.Info(message, "sequence", e.Passed.Got, "newest", e.Passed.Newest, "draining", e.Passed.Draining, "times", e.Passed.Times)
+	case EventRestart:
+		d.log.Info(message, "id", e.Life.ID, "born", e.Life.Born, "formerBorn", e.Former.Born, "atWork", e.AtWork)
 	case EventLost:
 		d.log.Info(message, "job", e.Run.Job, "step", e.Run.Step, "index", e.Run.Index, "run", e.Run.Run, "owner", e.Owner,
 			"cause", e.Cause, "leaseLeftMS", e.LeaseLeft.Milliseconds())
@@ -114,7 +117,7 @@
 	}
 }
 
-func (d *Driver) start(life string, c StartCall) {
+func (d *Driver) start(life Life, c StartCall) {
 	call := newRetriedCall(&d.rto, func(ctx context.Context) (Answer, error) { return d.executor.Start(ctx, life, c) })
 	ans, err := call.run(d.ctx)
 	if err != nil {
@@ -123,7 +126,7 @@
 	d.do(func(now Time, g *Gate) Actions { return g.OnStart(now, life, c, ans, err) })
 }
 
-func (d *Driver) stop(life string, c StopCall) {
+func (d *Driver) stop(life Life, c StopCall) {
 	call := newRetriedCall(&d.rto, func(ctx context.Context) (Answer, error) { return d.executor.Stop(ctx, life, c) })
 	ans, err := call.run(d.ctx)
 	d.do(func(now Time, g *Gate) Actions { return g.OnStop(now, life, c, ans, err) })
@@ -165,7 +168,7 @@
 	var wait time.Duration
 	d.do(func(_ Time, g *Gate) Actions {
 		switch {
-		case err != nil, g.Lapsing():
+		case err != nil, g.Lapsing(), !g.Confirmed():
 			wait = failurePause
 		case g.Unnoted():
 			wait = unnotedPause
@@ -234,7 +237,7 @@
 
 // tellDescribed passes on a description; one that was not taken yet is replaced.
 func (d *Driver) tellDescribed(latest Description) {
-	d.log.Info("Executor described itself.", "life", latest.Life, "service", latest.Service, "capacityCPU", latest.Capacity.CPU, "draining", latest.Draining)
+	d.log.Info("Executor described itself.", "life", latest.ID, "born", latest.Born, "service", latest.Service, "capacityCPU", latest.Capacity.CPU, "draining", latest.Draining)
 	select {
 	case <-d.described:
 	default:
@@ -254,11 +257,8 @@
 }
 
 // Deregister takes in that a life of the executor has ended.
-func (d *Driver) Deregister(life string) {
-	d.do(func(now Time, g *Gate) Actions {
-		g.OnDeregister(now, life)
-		return Actions{}
-	})
+func (d *Driver) Deregister(life Life) {
+	d.do(func(now Time, g *Gate) Actions { return g.OnDeregister(now, life) })
 }
 
 // Connect takes in a new link; see Gate.Connect.
--- a/gate/driver_test.go
+++ b/gate/driver_test.go
@@ -23,17 +23,17 @@
 
 func (e *hangingExecutor) answer() Answer { return Answer{ClockMS: e.clock.Add(1), Life: testLife} }
 
-func (e *hangingExecutor) Start(_ context.Context, _ string, c StartCall) (Answer, error) {
+func (e *hangingExecutor) Start(_ context.Context, _ Life, c StartCall) (Answer, error) {
 	e.run.Store(c.Name)
 	e.ended.Store(true)
 	return e.answer(), nil
 }
 
-func (e *hangingExecutor) Stop(context.Context, string, StopCall) (Answer, error) {
+func (e *hangingExecutor) Stop(context.Context, Life, StopCall) (Answer, error) {
 	return e.answer(), nil
 }
 
-func (e *hangingExecutor) Hold(_ context.Context, _ string, c HoldCall) (Answer, HoldAnswer, error) {
+func (e *hangingExecutor) Hold(_ context.Context, _ Life, c HoldCall) (Answer, HoldAnswer, error) {
 	if e.ended.Load() && e.hung.CompareAndSwap(false, true) {
 		<-e.release
 		return Answer{}, HoldAnswer{}, ErrUnanswered
--- a/gate/evacuation_test.go
+++ b/gate/evacuation_test.go
@@ -121,7 +121,7 @@
 	b := newEvacuationBench(t)
 	b.news(5, testDomain)
 	b.gate.OnDeregister(b.now, testLife)
-	b.heartbeat("i-2", false)
+	b.heartbeat(Life{ID: "i-2"}, false)
 	b.hold(HoldAnswer{})
 	b.hold(HoldAnswer{})
 	if a := b.order(false, testRun("j1", 0, 1)); len(a.Starts) != 0 || b.gate.Open(b.now) {
--- a/gate/event.go
+++ b/gate/event.go
@@ -26,8 +26,11 @@
 	// EventListsPassedOver: the target's lists were passed over as overtaken by others.
 	// It concerns no run.
 	EventListsPassedOver
-	// EventHeartbeatPassedOver: a heartbeat was passed over as late. It concerns no run.
+	// EventHeartbeatPassedOver: a heartbeat was passed over as late, or since it does not
+	// tell which life it is of. It concerns no run.
 	EventHeartbeatPassedOver
+	// EventRestart: the target has started again under its id. It concerns no run.
+	EventRestart
 )
 
 // Event is something that a gate has done or found. They are rare: no run that
@@ -48,6 +51,10 @@
 	Cause string
 	// Passed is given with a word of the target that was passed over.
 	Passed PassedOver
+	// Life is the target's new life, Former the one before, AtWork how many runs were at
+	// work then.
+	Life, Former Life
+	AtWork       int
 }
 
 // PassedOver is a word of the target that was passed over since another is held to be
@@ -67,6 +74,7 @@
 	ListsPassedOver      int64
 	HeartbeatsPassedOver int64
 	RunsLost             int64
+	Restarts             int64
 }
 
 // Counts returns what was counted since the gate was made.
@@ -103,6 +111,34 @@
 	g.events = append(g.events, Event{Kind: kind, Passed: p, LeaseLeft: g.leaseLeft(now)})
 }
 
+// passOverHeartbeat counts a heartbeat that is passed over.
+func (g *Gate) passOverHeartbeat(now Time, b Heartbeat) {
+	g.counts.HeartbeatsPassedOver++
+	g.recordPassedOver(now, EventHeartbeatPassedOver, &g.heartbeatsPassed, PassedOver{Got: b.Sequence, Newest: g.sequence, Draining: b.Draining})
+}
+
+// passOverLists counts lists that are passed over.
+func (g *Gate) passOverLists(now Time, a Answer) {
+	g.counts.ListsPassedOver++
+	g.recordPassedOver(now, EventListsPassedOver, &g.listsPassed, PassedOver{Got: a.ClockMS, Newest: g.listedMS})
+}
+
+// recordRestart counts that the target has started again under its id and keeps an event
+// about it.
+func (g *Gate) recordRestart(now Time, life Life) {
+	g.counts.Restarts++
+	if len(g.events) >= mostEvents {
+		return
+	}
+	e := Event{Kind: EventRestart, Life: life, Former: g.life}
+	for _, r := range g.runs {
+		if r.atWork() {
+			e.AtWork++
+		}
+	}
+	g.events = append(g.events, e)
+}
+
 // recordLost counts a run that is held to be over and keeps an event about it.
 func (g *Gate) recordLost(now Time, r *run, cause string) {
 	g.counts.RunsLost++
--- a/gate/executor.go
+++ b/gate/executor.go
@@ -102,16 +102,18 @@
 type Answer struct {
 	// ClockMS is the executor's own steady clock; 0 if it was not given.
 	ClockMS int64
-	// Life is the life that answered; "" if it was not given.
-	Life string
+	// Life is the life that answered, as far as it was told: a target tells its id where
+	// a call was meant for another one, and when it was born with its lists.
+	Life Life
 }
 
-// Executor is the executor beside a gate. Life names the life that is meant; ""
-// means any. Errors are those of this package.
+// Executor is the executor beside a gate. A call names the id of the life that is meant;
+// an empty one means any. A life under the same id can't tell that a call was meant for a
+// former one. Errors are those of this package.
 type Executor interface {
-	Start(ctx context.Context, life string, c StartCall) (Answer, error)
-	Stop(ctx context.Context, life string, c StopCall) (Answer, error)
-	Hold(ctx context.Context, life string, c HoldCall) (Answer, HoldAnswer, error)
+	Start(ctx context.Context, life Life, c StartCall) (Answer, error)
+	Stop(ctx context.Context, life Life, c StopCall) (Answer, error)
+	Hold(ctx context.Context, life Life, c HoldCall) (Answer, HoldAnswer, error)
 }
 
 // newConnectionKey marks a context; see OnNewConnection.
@@ -131,7 +133,7 @@
 
 // Heartbeat is what an executor says of itself.
 type Heartbeat struct {
-	Life     string
+	Life     Life
 	Service  string
 	Capacity job.Resources
 	Labels   []string
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -31,6 +31,9 @@
 	Contact time.Duration
 	// BestEffortContact is the same for runs of jobs that are not kept.
 	BestEffortContact time.Duration
+	// Unix returns the time of day in milliseconds of Unix time, for fencing tokens; the
+	// default is that of the box.
+	Unix func() int64
 }
 
 // Times of a gate.
@@ -83,6 +86,10 @@
 	untilMS int64
 	// found is when a run of nobody was found.
 	found Time
+	// former: the run was started in a former life of the target, under the id that the
+	// one that is known has too. Until that has listed what it runs, the run may be at
+	// work there: the start may have been carried out after the restart.
+	former bool
 
 	// stop is set once the run shall be stopped; stopSent is the last call.
 	stop     bool
@@ -123,31 +130,20 @@
 type Gate struct {
 	options Options
 
-	life      string
-	pastLives map[string]bool
-	service   string
-	capacity  job.Resources
-	labels    []string
-	known     bool
-	draining  bool
-	// claimant is the newest heartbeat of a life that is not the one that answers.
-	claimant Heartbeat
+	lifeState
+	// topFence is the highest fencing token that was used, for any life; fenceStep is
+	// added to it when the target has seen a higher one.
+	topFence  uint64
+	fenceStep uint64
+	pastLives map[Life]bool
+	// claims are the newest heartbeats of lives that are not the one that is known.
+	claims []claim
 	// recalled is what an earlier process knew of the executor.
 	recalled Description
 	leaving  bool
-	sequence int64
 	// evacuations is the newest word of which failure domains are evacuated.
 	evacuations evacuation.News
 
-	fence uint64
-	// clockMS was the executor's clock at clockAt.
-	clockMS int64
-	clockAt Time
-	// grantedMS is the longest lease asked for, on the executor's clock: it may have been
-	// given.
-	grantedMS int64
-	// listedMS is the executor's clock of the newest lists that were taken in.
-	listedMS int64
 	// held is when the executor last answered a hold, heard when it last answered
 	// any call.
 	held  Time
@@ -156,12 +152,6 @@
 	unreached bool
 	// toldOpen is whether owners were last told that the gate is open.
 	toldOpen bool
-	// surveyed is set once the executor has listed what an earlier process of
-	// this gate has left there.
-	surveyed bool
-	// fullUntil is until when the executor is taken to have no room.
-	fullUntil Time
-
 	// looked is when the gate last looked for runs without an owner in contact.
 	looked Time
 
@@ -175,11 +165,6 @@
 	reported uint64
 	onReport func()
 
-	seen   int64
-	listed map[int64]*run
-	// lapsing is set while the lease is left to lapse.
-	lapsing bool
-	health  health
 	// events are what has happened since they were last taken.
 	events []Event
 	counts Counts
@@ -189,159 +174,29 @@
 
 // New returns a gate that knows nothing yet.
 func New(o Options) *Gate {
+	if o.Unix == nil {
+		o.Unix = func() int64 { return time.Now().UnixMilli() }
+	}
 	return &Gate{
 		options:   o,
-		pastLives: map[string]bool{},
+		fenceStep: firstFenceStep,
+		pastLives: map[Life]bool{},
 		runs:      map[job.RunName]*run{},
 		owners:    map[string]*ownerState{},
 		adopted:   map[string]string{},
-		listed:    map[int64]*run{},
+		lifeState: newLifeState(Life{}, 0),
 	}
 }
 
 // Actions are calls to the executor that follow from an event.
 type Actions struct {
-	Life   string
+	Life   Life
 	Starts []StartCall
 	Stops  []StopCall
 	// HoldNow asks for a hold at once.
 	HoldNow bool
 }
 
-// executorClock returns a lower bound of the executor's clock.
-func (g *Gate) executorClock(now Time) int64 {
-	passed := float64(now-g.clockAt) * (1 - clockSlack)
-	return g.clockMS + time.Duration(passed).Milliseconds()
-}
-
-// takeClock takes in the clock that came with an answer.
-func (g *Gate) takeClock(now Time, clockMS int64) {
-	if clockMS == 0 {
-		return
-	}
-	if clockMS >= g.executorClock(now) {
-		g.clockMS = clockMS
-		g.clockAt = now
-	}
-}
-
-// OnHeartbeat takes in what the executor says of itself. It returns false for a
-// word of an earlier life or a late one.
-func (g *Gate) OnHeartbeat(now Time, b Heartbeat) (Actions, bool) {
-	if g.pastLives[b.Life] {
-		return Actions{}, false
-	}
-	if b.Life != g.life && (g.answersAs(now) || g.mayBeAtWork(now)) {
-		g.claimant = b
-		return Actions{HoldNow: true}, true
-	}
-	if b.Life != g.life {
-		g.newLife(now, b.Life)
-	} else if b.Sequence < g.sequence {
-		g.counts.HeartbeatsPassedOver++
-		g.recordPassedOver(now, EventHeartbeatPassedOver, &g.heartbeatsPassed, PassedOver{Got: b.Sequence, Newest: g.sequence, Draining: b.Draining})
-		return Actions{}, true
-	}
-	g.sequence = b.Sequence
-	g.known = true
-	g.service = b.Service
-	g.capacity = b.Capacity
-	g.labels = b.Labels
-	if b.Draining {
-		g.draining = true
-	}
-	g.takeClock(now, b.ClockMS)
-	g.tellAll()
-	return g.startFromQueue(now, Actions{HoldNow: g.fence == 0}), true
-}
-
-// answersAs says whether the target has just answered calls that name the life that
-// is known. A heartbeat of another life may then be one that was held up: an earlier
-// process of this gate knew that life, and this one does not. The answer to the next
-// call decides.
-func (g *Gate) answersAs(now Time) bool {
-	return g.known && g.life != "" && !g.targetSilent(now)
-}
-
-// mayBeAtWork says whether runs of the life that is known may be at work, as far as
-// its lease tells.
-func (g *Gate) mayBeAtWork(now Time) bool {
-	if g.leaseOver(now) {
-		return false
-	}
-	for _, r := range g.runs {
-		if r.phase != phaseQueued && r.phase != phaseEnded {
-			return true
-		}
-	}
-	return false
-}
-
-// takeClaimant takes in the newest heartbeat of another life, once calls to the one
-// that was known are turned away.
-func (g *Gate) takeClaimant(now Time) Actions {
-	b := g.claimant
-	g.claimant = Heartbeat{}
-	if b.Life == "" || b.Life == g.life {
-		return Actions{}
-	}
-	a, _ := g.OnHeartbeat(now, b)
-	return a
-}
-
-// endLife takes in that the life that is known is over, for good: a call that named it
-// was turned away, or it has said so itself. A heartbeat of another life does not prove
-// that: it may have been held up, and the gate would never use the newer life again.
-func (g *Gate) endLife(now Time) {
-	over := g.life
-	g.newLife(now, "")
-	g.pastLives[over] = true
-}
-
-// newLife takes in that another life of the executor has begun: what ran on the
-// old one is over. The life that the gate found when it started takes its name
-// from the first heartbeat.
-func (g *Gate) newLife(now Time, life string) {
-	if g.life == "" && g.fence != 0 {
-		g.life = life
-		return
-	}
-	for _, r := range g.runs {
-		if r.phase == phaseQueued {
-			continue
-		}
-		if r.phase != phaseEnded {
-			g.recordLost(now, r, "the target's life is over")
-			g.release(r)
-			g.finish(now, r, EndLost, 0)
-		}
-		r.noted = true
-		g.removeIfNoted(r)
-	}
-	g.life = life
-	g.known = false
-	g.draining = false
-	g.fence = 0
-	g.clockMS = 0
-	g.listedMS = 0
-	g.clockAt = now
-	g.grantedMS = 0
-	g.seen = 0
-	g.listed = map[int64]*run{}
-	g.lapsing = false
-	g.health = health{}
-}
-
-// OnDeregister takes in that the executor has ended.
-func (g *Gate) OnDeregister(now Time, life string) {
-	if life != g.life {
-		return
-	}
-	g.endLife(now)
-	g.rejectQueue("executor left")
-	g.tellAll()
-}
-
 // Leave makes the gate take no more orders.
 func (g *Gate) Leave() {
 	g.leaving = true
@@ -363,5 +218,5 @@
 
 // Open says whether the gate takes orders.
 func (g *Gate) Open(now Time) bool {
-	return g.known && !g.draining && !g.leaving && !g.evacuated() && !g.lapsing && g.fence != 0 && !g.targetSilent(now)
+	return g.known && !g.draining && !g.claimedDraining() && !g.leaving && !g.evacuated() && !g.lapsing && g.fence != 0 && g.knowsRuns(now) && !g.targetSilent(now)
 }
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -18,7 +18,13 @@
 
 const (
 	testOwner = "entry-1~a"
-	testLife  = "i-1"
+)
+
+// Lives of a target that takes a new id with each start.
+var (
+	testLife  = Life{ID: "i-1"}
+	olderLife = Life{ID: "older"}
+	newerLife = Life{ID: "newer"}
 )
 
 func newBench(t *testing.T) *bench {
@@ -33,7 +39,7 @@
 
 func (b *bench) executorClock() int64 { return b.clock + b.now.Milliseconds() }
 
-func (b *bench) heartbeat(life string, draining bool) {
+func (b *bench) heartbeat(life Life, draining bool) {
 	b.gate.OnHeartbeat(b.now, Heartbeat{
 		Life: life, Service: "engine", Capacity: job.Resources{CPU: 16000, Memory: 32768},
 		Draining: draining, ClockMS: b.executorClock(), Sequence: b.now.Milliseconds(),
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -7,7 +7,7 @@
 
 // Hold is a hold that is due: the call and what the gate knew when it was made.
 type Hold struct {
-	Life string
+	Life Life
 	Call HoldCall
 	sent Time
 	// peek: the first look, made to learn the clock.
@@ -24,7 +24,12 @@
 	if g.watching() {
 		wait = min(wait, watchWait)
 	}
-	h.Call = HoldCall{Fence: g.fence, Seen: g.seen, WaitMS: int(wait.Milliseconds())}
+	h.Call = HoldCall{Fence: g.fence, WaitMS: int(wait.Milliseconds())}
+	if g.confirmed {
+		// After a call that failed the target may have started again: a newer life would
+		// forget as many of its own ends, unheard.
+		h.Call.Seen = g.seen
+	}
 	if g.lapsing {
 		h.Call.WaitMS = 0
 		return h
@@ -36,12 +41,6 @@
 	return h
 }
 
-// knowsRuns says whether the gate knows all that runs on its executor: it was
-// listed, or the lease that an earlier process gave is surely over.
-func (g *Gate) knowsRuns(now Time) bool {
-	return g.surveyed || now > g.options.MaxHold*103/100+lapseMargin
-}
-
 // unanswered says whether holds have gone without an answer for so long that
 // the lease is not extended any more, so that it is known when it is over.
 func (g *Gate) unanswered(now Time) bool {
@@ -53,30 +52,38 @@
 
 // OnHold takes in the answer to a hold.
 func (g *Gate) OnHold(now Time, h Hold, a Answer, lists HoldAnswer, err error) Actions {
-	if h.Life != g.life {
+	if h.Life.ID != g.life.ID {
 		return Actions{}
 	}
-	g.takeAnswer(now, a, err)
 	if err != nil {
+		if h.Life != g.life {
+			return Actions{}
+		}
+		g.takeAnswer(now, a, err)
+		g.confirmed = false
 		return g.holdFailed(now, h, a, err)
 	}
-	if g.life == "" && a.Life != "" {
-		g.life = a.Life
+	g.answeredNow(now)
+	former := g.life
+	if !g.takeAnswerer(now, h, a) {
+		g.confirmed = false
+		return Actions{HoldNow: g.life != former}
 	}
+	g.takeClock(now, a.ClockMS)
 	g.confirmRecalled()
 	if a.ClockMS < g.listedMS {
 		// Answers on different connections may overtake one another.
-		g.counts.ListsPassedOver++
-		g.recordPassedOver(now, EventListsPassedOver, &g.listsPassed, PassedOver{Got: a.ClockMS, Newest: g.listedMS})
+		g.passOverLists(now, a)
 		return Actions{}
 	}
 	g.listedMS = a.ClockMS
 	g.held = now
+	g.confirmed = true
 	if h.peek {
 		if a.ClockMS == 0 {
 			return Actions{}
 		}
-		g.fence = uint64(a.ClockMS) + 1
+		g.fenced(h.Call.Fence)
 		g.grantedMS = max(g.grantedMS, a.ClockMS+g.options.MaxHold.Milliseconds())
 		return Actions{HoldNow: true}
 	}
@@ -95,17 +102,14 @@
 func (g *Gate) holdFailed(now Time, h Hold, a Answer, err error) Actions {
 	switch {
 	case errors.Is(err, ErrFenced):
-		// An earlier process of this gate has set a higher token; the
-		// executor's clock has passed it.
-		g.fence = uint64(a.ClockMS) + 1
+		// An earlier process of this gate has set a higher token.
+		g.fenced(h.Call.Fence)
 		g.grantedMS = max(g.grantedMS, a.ClockMS+g.options.MaxHold.Milliseconds())
 		return Actions{HoldNow: true}
 	case errors.Is(err, ErrOtherLife):
-		if g.life != "" {
+		if g.life.named() {
 			g.endLife(now)
-			g.rejectQueue("executor left")
-			g.tellAll()
-			a := g.takeClaimant(now)
+			a := g.takeClaimOf(now, a.Life.ID)
 			a.HoldNow = true
 			return a
 		}
@@ -203,10 +207,9 @@
 	return len(g.listed) > 0
 }
 
-// NoteDue says whether a hold would note an end at the executor.
-func (g *Gate) NoteDue(h Hold) bool {
-	return g.seen > h.Call.Seen
-}
+// Confirmed says whether the hold that was answered last brought lists of the life that is
+// known.
+func (g *Gate) Confirmed() bool { return g.confirmed }
 
 // Lapsing says whether the lease is left to lapse.
 func (g *Gate) Lapsing() bool { return g.lapsing }
--- a/gate/leftover_test.go
+++ b/gate/leftover_test.go
@@ -273,13 +273,13 @@
 	b.hold(working(name))
 	b.states()
 	b.now += silentAfter + time.Millisecond
-	b.heartbeat("older", false)
+	b.heartbeat(olderLife, false)
 	if s := b.states()[name]; s.End != 0 {
 		t.Errorf("told %+v while the run's lease holds", s)
 	}
 	// The target answers again, and still as the life that was known.
 	h := b.gate.NextHold(b.now, 0)
-	if h.Life != testLife && h.Life != "" {
+	if h.Life != testLife && h.Life != (Life{}) {
 		b.gate.OnHold(b.now, h, Answer{}, HoldAnswer{}, ErrOtherLife)
 	}
 	for range 3 {
--- a/gate/life_test.go
+++ b/gate/life_test.go
@@ -11,9 +11,9 @@
 	b := newBench(t)
 	running := testRun("aa", 0, 1)
 	b.started(b.order(true, running))
-	b.heartbeat("older", true)
+	b.heartbeat(olderLife, true)
 	if b.gate.life != testLife || b.gate.draining || !b.open() {
-		t.Fatalf("life %q, draining %v, open %v after a late heartbeat", b.gate.life, b.gate.draining, b.open())
+		t.Fatalf("life %v, draining %v, open %v after a late heartbeat", b.gate.life, b.gate.draining, b.open())
 	}
 	b.hold(HoldAnswer{Running: []Running{{Name: running}}})
 	if r := b.gate.runs[running]; r == nil || r.phase != phaseRunning {
@@ -25,18 +25,18 @@
 // heartbeats since is taken in at once.
 func TestNewLifeAfterQuickRestart(t *testing.T) {
 	b := newBench(t)
-	b.heartbeat("newer", false)
+	b.heartbeat(newerLife, false)
 	if b.gate.life != testLife {
 		t.Fatal("the new life was taken in before a call has told of it")
 	}
 	h := b.gate.NextHold(b.now, 0)
 	b.now += time.Millisecond
 	b.gate.OnHold(b.now, h, Answer{}, HoldAnswer{}, ErrOtherLife)
-	if b.gate.life != "newer" || !b.gate.known {
-		t.Errorf("life %q, known %v after calls were turned away", b.gate.life, b.gate.known)
+	if b.gate.life != newerLife || !b.gate.known {
+		t.Errorf("life %v, known %v after calls were turned away", b.gate.life, b.gate.known)
 	}
 	b.heartbeat(testLife, false)
-	if b.gate.life != "newer" {
+	if b.gate.life != newerLife {
 		t.Error("a heartbeat of the life that is over was taken in")
 	}
 }
@@ -45,9 +45,9 @@
 func TestNewLifeAfterSilence(t *testing.T) {
 	b := newBench(t)
 	b.now += silentAfter + time.Millisecond
-	b.heartbeat("newer", false)
-	if b.gate.life != "newer" {
-		t.Errorf("life %q", b.gate.life)
+	b.heartbeat(newerLife, false)
+	if b.gate.life != newerLife {
+		t.Errorf("life %v", b.gate.life)
 	}
 }
 
@@ -83,7 +83,7 @@
 		for _, draining := range []bool{false, true} {
 			t.Run(test.name, func(t *testing.T) {
 				b := test.before(t)
-				b.heartbeat("older", draining)
+				b.heartbeat(olderLife, draining)
 				// The target answers, as the newer life.
 				for range 4 {
 					b.holdOf(testLife)
@@ -94,9 +94,9 @@
 					b.holdOf(testLife)
 				}
 				if b.gate.life != testLife || !b.gate.Open(b.now) {
-					t.Errorf("life %q, open %v, want the newer life and open", b.gate.life, b.gate.Open(b.now))
+					t.Errorf("life %v, open %v, want the newer life and open", b.gate.life, b.gate.Open(b.now))
 				}
-				b.gate.OnDeregister(b.now, "older")
+				b.gate.OnDeregister(b.now, olderLife)
 				if !b.gate.Open(b.now) {
 					t.Error("closed by a late word of the older life that it ends")
 				}
@@ -112,11 +112,11 @@
 }
 
 // holdOf makes the hold that is due; a target of one life answers it.
-func (b *bench) holdOf(life string) {
+func (b *bench) holdOf(life Life) {
 	h := b.gate.NextHold(b.now, 0)
 	b.now += time.Millisecond
 	answer := Answer{ClockMS: b.executorClock(), Life: life}
-	if h.Life != "" && h.Life != life {
+	if h.Life != (Life{}) && h.Life != life {
 		b.gate.OnHold(b.now, h, answer, HoldAnswer{}, ErrOtherLife)
 		return
 	}
--- a/gate/lists.go
+++ b/gate/lists.go
@@ -54,6 +54,7 @@
 			r.checkpoint = x.Checkpoint
 		}
 		g.judgeProgress(r, x.Percent)
+		r.former = false
 		if r.phase == phaseUnsure && !r.stop {
 			g.setRunning(now, r)
 			g.tell(r)
@@ -68,6 +69,8 @@
 			continue
 		}
 		switch {
+		case r.former:
+			g.lose(now, r, EndLost, reasonLifeOver)
 		case r.phase == phaseUnsure && r.unsureSince < h.sent && !r.stop:
 			g.stopRun(now, r, StopUnanswered)
 		case g.neverStarted(r, h):
@@ -90,6 +93,19 @@
 	g.removeIfNoted(r)
 }
 
+// loseFormer ends the runs of a former life once the newer one, which has listed nothing,
+// can have none of them any more.
+func (g *Gate) loseFormer(now Time) {
+	if g.surveyed || !g.knowsRuns(now) {
+		return
+	}
+	for _, r := range g.runs {
+		if r.former && r.atWork() {
+			g.lose(now, r, EndLost, reasonLifeOver)
+		}
+	}
+}
+
 // loseAll ends all runs once the lease of an executor that does not answer is
 // surely over.
 func (g *Gate) loseAll(now Time) {
@@ -97,7 +113,7 @@
 		return
 	}
 	for _, r := range g.runs {
-		if r.phase != phaseQueued && r.phase != phaseEnded {
+		if r.atWork() {
 			g.lose(now, r, EndLost, "executor silent")
 		}
 	}
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -227,7 +227,7 @@
 	r.need = v.Need
 	r.bestEffort = v.BestEffort
 	g.record(now, EventClaimed, r, "")
-	if r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning {
+	if r.atWork() {
 		g.used = g.used.Plus(r.need)
 	}
 	// It may have ended since the owner was told of it.
@@ -243,7 +243,7 @@
 	case r.phase != phaseEnded:
 		g.stopRun(now, r, StopDiscarded)
 		r.discarded = true
-	case r.end == EndDone || r.end == EndFailed:
+	case r.number != 0 && (r.end == EndDone || r.end == EndFailed):
 		r.discarded = true
 		g.lapsing = true
 	default:
--- a/gate/recall.go
+++ b/gate/recall.go
@@ -10,7 +10,7 @@
 // executor tells it in its heartbeats; a gate that has just started would wait for
 // the next one.
 type Description struct {
-	Life     string        `json:"life"`
+	Life
 	Service  string        `json:"service"`
 	Capacity job.Resources `json:"capacity"`
 	Labels   []string      `json:"labels"`
@@ -30,10 +30,12 @@
 }
 
 // Recall takes in what an earlier process of this gate knew of its executor. It
-// counts once a call that names that life is answered; calls to another life are
-// turned away.
+// counts once a call that names that life is answered by it.
 func (g *Gate) Recall(d Description) Actions {
-	if g.known || (g.life != "" && g.life != d.Life) || d.Life == "" || g.pastLives[d.Life] {
+	if g.known || !d.named() || g.pastLives[d.Life] {
+		return Actions{}
+	}
+	if g.life != d.Life && g.life != (Life{}) && !g.namedBy(d.Life) {
 		return Actions{}
 	}
 	g.life = d.Life
@@ -44,7 +46,7 @@
 // confirmRecalled takes in that the life that was recalled is there.
 func (g *Gate) confirmRecalled() {
 	d := g.recalled
-	if g.known || d.Life == "" || d.Life != g.life {
+	if g.known || !d.named() || d.Life != g.life {
 		return
 	}
 	g.known = true
--- a/gate/recall_test.go
+++ b/gate/recall_test.go
@@ -35,13 +35,13 @@
 func TestRecallOfOtherLife(t *testing.T) {
 	b := restarted(t, recalled)
 	h := b.gate.NextHold(b.now, 0)
-	b.gate.OnHold(b.now, h, Answer{Life: "i-2"}, HoldAnswer{}, ErrOtherLife)
+	b.gate.OnHold(b.now, h, Answer{Life: Life{ID: "i-2"}}, HoldAnswer{}, ErrOtherLife)
 	b.hold(HoldAnswer{})
 	b.hold(HoldAnswer{})
 	if b.gate.Open(b.now) {
 		t.Error("open with the description of another life")
 	}
-	b.heartbeat("i-2", false)
+	b.heartbeat(Life{ID: "i-2"}, false)
 	b.hold(HoldAnswer{})
 	b.hold(HoldAnswer{})
 	if !b.gate.Open(b.now) {
@@ -61,7 +61,7 @@
 		t.Error("open beside a draining executor")
 	}
 	b = newBench(t)
-	b.gate.Recall(Description{Life: "i-0", Service: "other"})
+	b.gate.Recall(Description{Life: Life{ID: "i-0"}, Service: "other"})
 	if d, _ := b.gate.Description(); d.Life != testLife || d.Service != "engine" {
 		t.Errorf("described as %v", d)
 	}
--- a/gate/report.go
+++ b/gate/report.go
@@ -8,6 +8,7 @@
 
 // Report is what a gate says of its executor.
 type Report struct {
+	// Life is the id of the executor.
 	Life     string
 	Service  string
 	Capacity job.Resources
@@ -195,7 +196,7 @@
 
 func (g *Gate) report(now Time) Report {
 	return Report{
-		Life: g.life, Service: g.service, Capacity: g.capacity, Free: g.capacity.Minus(g.used),
+		Life: g.life.ID, Service: g.service, Capacity: g.capacity, Free: g.capacity.Minus(g.used),
 		Queued: g.queued(), Labels: g.labels, Open: g.Open(now), Evacuated: g.evacuated(), Slowness: g.health.slownessAt(now),
 		Suspect: g.health.suspect && !g.health.mayStart(now),
 	}
--- a/gate/retry_test.go
+++ b/gate/retry_test.go
@@ -107,7 +107,7 @@
 	underWay, longest atomic.Int32
 }
 
-func (e *lossyHolds) Hold(ctx context.Context, _ string, _ HoldCall) (Answer, HoldAnswer, error) {
+func (e *lossyHolds) Hold(ctx context.Context, _ Life, _ HoldCall) (Answer, HoldAnswer, error) {
 	n := e.underWay.Add(1)
 	defer e.underWay.Add(-1)
 	e.longest.Store(max(e.longest.Load(), n))
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -12,13 +12,18 @@
 	g.takeClock(now, a.ClockMS)
 	switch {
 	case answered(err):
-		g.heard = now
-		g.unreached = false
+		g.answeredNow(now)
 	case errors.Is(err, ErrUnreached):
 		g.unreached = true
 	}
 }
 
+// answeredNow takes in that the target has answered a call.
+func (g *Gate) answeredNow(now Time) {
+	g.heard = now
+	g.unreached = false
+}
+
 // targetSilent says whether the target is gone, cut off or stopped, as far as
 // the gate can tell. What is sent to it then would only wait for its lease.
 func (g *Gate) targetSilent(now Time) bool {
--- a/gate/start.go
+++ b/gate/start.go
@@ -8,7 +8,7 @@
 func (g *Gate) startFromQueue(now Time, a Actions) Actions {
 	a.Life = g.life
 	g.tellOpen(now)
-	if !g.Open(now) || g.life == "" {
+	if !g.Open(now) || !g.life.named() {
 		g.rejectQueue("closed")
 		return a
 	}
@@ -67,7 +67,7 @@
 // that had the job before, or one that is being stopped.
 func (g *Gate) olderRunAtWork(r *run) bool {
 	for name, other := range g.runs {
-		if name.TaskName == r.TaskName && other != r && other.phase != phaseQueued && other.phase != phaseEnded {
+		if name.TaskName == r.TaskName && other != r && other.atWork() {
 			return true
 		}
 	}
@@ -96,15 +96,20 @@
 	return false
 }
 
+// atWork says whether a run was started and is not over.
+func (r *run) atWork() bool {
+	return r.phase != phaseQueued && r.phase != phaseEnded
+}
+
 // release gives back the room of a run that is over.
 func (g *Gate) release(r *run) {
-	if r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning {
+	if r.atWork() {
 		g.used = g.used.Minus(r.need)
 	}
 }
 
 // OnStart takes in the answer to a start.
-func (g *Gate) OnStart(now Time, life string, c StartCall, ans Answer, err error) Actions {
+func (g *Gate) OnStart(now Time, life Life, c StartCall, ans Answer, err error) Actions {
 	r := g.runs[c.Name]
 	if life != g.life || r == nil || r.phase != phaseStarting {
 		return Actions{}
@@ -139,7 +144,7 @@
 }
 
 // OnStop takes in the answer to a stop.
-func (g *Gate) OnStop(now Time, life string, c StopCall, ans Answer, err error) Actions {
+func (g *Gate) OnStop(now Time, life Life, c StopCall, ans Answer, err error) Actions {
 	r := g.runs[c.Name]
 	if life != g.life || r == nil {
 		return Actions{}
--- a/gate/stop.go
+++ b/gate/stop.go
@@ -50,8 +50,7 @@
 func (g *Gate) stopWhatMust(now Time, a Actions) Actions {
 	a.Life = g.life
 	for _, r := range g.runs {
-		alive := r.phase == phaseStarting || r.phase == phaseUnsure || r.phase == phaseRunning
-		if !alive || !r.stop {
+		if !r.atWork() || !r.stop {
 			continue
 		}
 		if r.stopSent != 0 && now-r.stopSent < resend {
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -228,11 +228,11 @@
 }
 
 // check takes in the fencing token; the lock is held.
-func (e *Executor) check(life string, fence uint64) error {
+func (e *Executor) check(id string, fence uint64) error {
 	if e.down {
 		return gate.ErrUnanswered
 	}
-	if life != "" && life != e.Life {
+	if id != "" && id != e.Life {
 		return gate.ErrOtherLife
 	}
 	if fence < e.fence {
@@ -247,14 +247,14 @@
 }
 
 // Start implements gate.Executor.Start.
-func (e *Executor) Start(_ context.Context, life string, c gate.StartCall) (a gate.Answer, err error) {
+func (e *Executor) Start(_ context.Context, life gate.Life, c gate.StartCall) (a gate.Answer, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.advance(now)
 	defer func() { e.record(now, OrderStart, c.Name, c.UntilMS, err) }()
-	a = gate.Answer{ClockMS: e.clock(now), Life: e.Life}
-	if err := e.check(life, c.Fence); err != nil {
+	a = gate.Answer{ClockMS: e.clock(now), Life: gate.Life{ID: e.Life}}
+	if err := e.check(life.ID, c.Fence); err != nil {
 		return a, err
 	}
 	e.extend(now, c.UntilMS)
@@ -283,14 +283,14 @@
 }
 
 // Stop implements gate.Executor.Stop.
-func (e *Executor) Stop(_ context.Context, life string, c gate.StopCall) (a gate.Answer, err error) {
+func (e *Executor) Stop(_ context.Context, life gate.Life, c gate.StopCall) (a gate.Answer, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.advance(now)
 	defer func() { e.record(now, OrderStop, c.Name, 0, err) }()
-	a = gate.Answer{ClockMS: e.clock(now), Life: e.Life}
-	if err := e.check(life, c.Fence); err != nil {
+	a = gate.Answer{ClockMS: e.clock(now), Life: gate.Life{ID: e.Life}}
+	if err := e.check(life.ID, c.Fence); err != nil {
 		return a, err
 	}
 	e.highest[c.Name.TaskName] = max(e.highest[c.Name.TaskName], c.Name.Run)
@@ -303,17 +303,17 @@
 }
 
 // Hold implements gate.Executor.Hold.
-func (e *Executor) Hold(ctx context.Context, life string, c gate.HoldCall) (gate.Answer, gate.HoldAnswer, error) {
+func (e *Executor) Hold(ctx context.Context, life gate.Life, c gate.HoldCall) (gate.Answer, gate.HoldAnswer, error) {
 	e.mu.Lock()
 	now := time.Now()
 	e.advance(now)
-	err := e.check(life, c.Fence)
+	err := e.check(life.ID, c.Fence)
 	if err == nil {
 		e.extend(now, c.UntilMS)
 		e.forget(c.Seen)
 	}
 	e.record(now, OrderHold, job.RunName{}, c.UntilMS, err)
-	a := gate.Answer{ClockMS: e.clock(now), Life: e.Life}
+	a := gate.Answer{ClockMS: e.clock(now), Life: gate.Life{ID: e.Life}}
 	e.mu.Unlock()
 	if err != nil {
 		return a, gate.HoldAnswer{}, err
@@ -321,7 +321,10 @@
 	e.await(ctx, time.Duration(c.WaitMS)*time.Millisecond)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return gate.Answer{ClockMS: e.clock(time.Now()), Life: e.Life}, e.lists(), nil
+	if e.down {
+		return gate.Answer{}, gate.HoldAnswer{}, gate.ErrUnanswered
+	}
+	return gate.Answer{ClockMS: e.clock(time.Now()), Life: gate.Life{ID: e.Life, Born: e.Born}}, e.lists(), nil
 }
 
 // forget drops the ends that are noted.
--- a/node/cluster_test.go
+++ b/node/cluster_test.go
@@ -126,7 +126,7 @@
 // beat sends an executor's heartbeats to its agent.
 func (c *cluster) beat(ctx context.Context, a *Agent, e *standin.Executor) {
 	for sequence := int64(1); ctx.Err() == nil; sequence++ {
-		a.Driver().Heartbeat(gate.Heartbeat{Life: e.Life, Service: testService, Capacity: e.Capacity, Sequence: sequence})
+		a.Driver().Heartbeat(gate.Heartbeat{Life: gate.Life{ID: e.Life, Born: e.Born}, Service: testService, Capacity: e.Capacity, Sequence: sequence})
 		wait.For(ctx, 300*time.Millisecond)
 	}
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -69,6 +69,7 @@
 	}
 	register("gate.lists_passed_over", func(c gate.Counts) int64 { return c.ListsPassedOver })
 	register("gate.heartbeats_passed_over", func(c gate.Counts) int64 { return c.HeartbeatsPassedOver })
+	register("gate.target_restarts", func(c gate.Counts) int64 { return c.Restarts })
 	register("gate.runs_lost", func(c gate.Counts) int64 { return c.RunsLost })
 	a.options.Metrics.Gauge("gate.evacuated", func() int64 {
 		if _, evacuated, _ := a.driver.EvacuationsAge(); evacuated {
--- a/node/recall_test.go
+++ b/node/recall_test.go
@@ -45,7 +45,7 @@
 }
 
 func (r *recallRig) beat(a *Agent) {
-	a.Driver().Heartbeat(gate.Heartbeat{Life: r.executor.Life, Service: testService, Capacity: r.executor.Capacity, Labels: []string{"r1"}, Sequence: 1})
+	a.Driver().Heartbeat(gate.Heartbeat{Life: gate.Life{ID: r.executor.Life, Born: r.executor.Born}, Service: testService, Capacity: r.executor.Capacity, Labels: []string{"r1"}, Sequence: 1})
 }
 
 // open says whether the agent's gate takes orders, with the capacity that it tells.
--- a/node/twice_test.go
+++ b/node/twice_test.go
@@ -381,11 +381,13 @@
 }
 
 const (
-	coresOwner = "entry-0~1"
-	coresGate  = "agent-0"
-	coresLife  = "i-1"
+	coresOwner  = "entry-0~1"
+	coresGate   = "agent-0"
+	coresTarget = "i-1"
 )
 
+var coresLife = gate.Life{ID: coresTarget}
+
 func (c *cores) clock() int64 { return c.now.Milliseconds() }
 
 // link makes the gate ready and links it to the owner.
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -185,6 +185,9 @@
 	return &virtualTarget{Executor: e}
 }
 
+// life is the life of the executor.
+func (x *virtualTarget) life() gate.Life { return gate.Life{ID: x.Life, Born: x.Born} }
+
 // setStops sets what becomes of stops from now on.
 func (x *virtualTarget) setStops(f stopFault) {
 	x.mu.Lock()
@@ -219,7 +222,7 @@
 func (x *virtualTarget) Clock() int64 { return told(x.Executor.Clock()) }
 
 // Start implements gate.Executor.Start.
-func (x *virtualTarget) Start(ctx context.Context, life string, c gate.StartCall) (gate.Answer, error) {
+func (x *virtualTarget) Start(ctx context.Context, life gate.Life, c gate.StartCall) (gate.Answer, error) {
 	c.UntilMS = meant(c.UntilMS)
 	if late := x.startsLateNow(); late > 0 {
 		time.AfterFunc(late, func() { _, _ = x.Executor.Start(context.Background(), life, c) })
@@ -232,7 +235,7 @@
 }
 
 // Stop implements gate.Executor.Stop.
-func (x *virtualTarget) Stop(ctx context.Context, life string, c gate.StopCall) (gate.Answer, error) {
+func (x *virtualTarget) Stop(ctx context.Context, life gate.Life, c gate.StopCall) (gate.Answer, error) {
 	fault := x.stopsNow()
 	if !fault.on {
 		a, err := x.Executor.Stop(ctx, life, c)
@@ -247,7 +250,7 @@
 }
 
 // Hold implements gate.Executor.Hold.
-func (x *virtualTarget) Hold(ctx context.Context, life string, c gate.HoldCall) (gate.Answer, gate.HoldAnswer, error) {
+func (x *virtualTarget) Hold(ctx context.Context, life gate.Life, c gate.HoldCall) (gate.Answer, gate.HoldAnswer, error) {
 	c.UntilMS = meant(c.UntilMS)
 	a, lists, err := x.Executor.Hold(ctx, life, c)
 	a.ClockMS = told(a.ClockMS)
@@ -307,7 +310,7 @@
 	if b.count > 1 {
 		go func() {
 			wait.For(p.ctx, recallLatency)
-			p.driver.Recall(gate.Description{Life: b.target.Life, Service: testService, Capacity: b.target.Capacity})
+			p.driver.Recall(gate.Description{Life: b.target.life(), Service: testService, Capacity: b.target.Capacity})
 		}()
 	}
 }
@@ -325,7 +328,7 @@
 func (b *agentBox) beat(p *agentProcess) {
 	wait.For(p.ctx, firstBeat)
 	for sequence := int64(1); b.awake.pass(p.ctx); sequence++ {
-		p.driver.Heartbeat(gate.Heartbeat{Life: b.target.Life, Service: testService, Capacity: b.target.Capacity, ClockMS: b.target.Clock(), Sequence: sequence})
+		p.driver.Heartbeat(gate.Heartbeat{Life: b.target.life(), Service: testService, Capacity: b.target.Capacity, ClockMS: b.target.Clock(), Sequence: sequence})
 		wait.For(p.ctx, executorBeat)
 	}
 }
@@ -367,7 +370,7 @@
 }
 
 // Start implements gate.Executor.Start.
-func (c *agentCalls) Start(ctx context.Context, life string, s gate.StartCall) (a gate.Answer, err error) {
+func (c *agentCalls) Start(ctx context.Context, life gate.Life, s gate.StartCall) (a gate.Answer, err error) {
 	err = c.call(ctx, func() error {
 		a, err = c.box.target.Start(ctx, life, s)
 		return err
@@ -376,7 +379,7 @@
 }
 
 // Stop implements gate.Executor.Stop.
-func (c *agentCalls) Stop(ctx context.Context, life string, s gate.StopCall) (a gate.Answer, err error) {
+func (c *agentCalls) Stop(ctx context.Context, life gate.Life, s gate.StopCall) (a gate.Answer, err error) {
 	err = c.call(ctx, func() error {
 		a, err = c.box.target.Stop(ctx, life, s)
 		return err
@@ -385,7 +388,7 @@
 }
 
 // Hold implements gate.Executor.Hold.
-func (c *agentCalls) Hold(ctx context.Context, life string, h gate.HoldCall) (a gate.Answer, lists gate.HoldAnswer, err error) {
+func (c *agentCalls) Hold(ctx context.Context, life gate.Life, h gate.HoldCall) (a gate.Answer, lists gate.HoldAnswer, err error) {
 	err = c.call(ctx, func() error {
 		a, lists, err = c.box.target.Hold(ctx, life, h)
 		return err
--- a/owner/leftover_test.go
+++ b/owner/leftover_test.go
@@ -38,7 +38,7 @@
 	}
 	r := &restartedGate{bench: b, run: f.Starts[0].Name, link: link + 1}
 	r.gate = gate.New(gate.Options{Node: restartedName, MaxHold: time.Second, Contact: keptContact, BestEffortContact: bestEffortContact})
-	r.gate.OnHeartbeat(b.now, gate.Heartbeat{Life: "i-1", Service: testService, Capacity: job.Resources{CPU: 16000, Memory: 32768}, Sequence: 1})
+	r.gate.OnHeartbeat(b.now, gate.Heartbeat{Life: gate.Life{ID: "i-1"}, Service: testService, Capacity: job.Resources{CPU: 16000, Memory: 32768}, Sequence: 1})
 	r.hold()
 	r.hold()
 	if !r.gate.Connect(b.now, "entry~1", r.link, nil) {
@@ -54,7 +54,7 @@
 	h := r.gate.NextHold(r.now, 0)
 	r.now += time.Millisecond
 	lists := gate.HoldAnswer{Running: []gate.Running{{Name: r.run, Percent: 10}}}
-	return r.gate.OnHold(r.now, h, gate.Answer{ClockMS: r.now.Milliseconds(), Life: "i-1"}, lists, nil)
+	return r.gate.OnHold(r.now, h, gate.Answer{ClockMS: r.now.Milliseconds(), Life: gate.Life{ID: "i-1"}}, lists, nil)
 }
 
 // exchange carries a frame of the gate to the owner and one back.
