Gate: the newer life is fenced with the first call; tests of restarts

Change: a heartbeat of a newer life has a hold made over a new connection, in place of those under way, which bears a token above all before; runs of a life that has ended by its own word wait for the next life's lists, as with any restart.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -22,6 +23,8 @@
 	log      logr.Logger
 	// kick wakes the loop of holds.
 	kick chan struct{}
+	// afresh is set when the next hold is to replace those under way.
+	afresh atomic.Bool
 	// described holds the newest description that nobody has taken yet.
 	described chan Description
 	// ctx ends the calls.
@@ -105,7 +108,10 @@
 	for _, c := range a.Stops {
 		go d.stop(a.Life, c)
 	}
-	if a.HoldNow {
+	if a.HoldAfresh {
+		d.afresh.Store(true)
+	}
+	if a.HoldNow || a.HoldAfresh {
 		d.poke()
 	}
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -195,6 +195,9 @@
 	Stops  []StopCall
 	// HoldNow asks for a hold at once.
 	HoldNow bool
+	// HoldAfresh asks for one over a new connection, in place of those under way: they may
+	// wait for a life of the target that is over.
+	HoldAfresh bool
 }
 
 // Leave makes the gate take no more orders.
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -92,13 +92,23 @@
 	}
 	g.takeFinished(now, lists.Finished)
 	g.takeRunning(now, h, lists)
-	g.surveyed = true
+	g.takeSurvey(a)
 	g.finishLapse(a)
 	g.advanceSeen()
 	g.stopOverdue(now)
 	return g.startFromQueue(now, g.stopWhatMust(now, Actions{}))
 }
 
+// takeSurvey takes in that the target has listed what earlier processes, or orders to a
+// former life, have left there; they may have given it the longest lease.
+func (g *Gate) takeSurvey(a Answer) {
+	if g.surveyed {
+		return
+	}
+	g.surveyed = true
+	g.grantedMS = max(g.grantedMS, a.ClockMS+g.options.MaxHold.Milliseconds())
+}
+
 func (g *Gate) holdFailed(now Time, h Hold, a Answer, err error) Actions {
 	switch {
 	case errors.Is(err, ErrFenced):
@@ -108,7 +118,7 @@
 		return Actions{HoldNow: true}
 	case errors.Is(err, ErrOtherLife):
 		if g.life.named() {
-			g.endLife(now)
+			g.endLife(now, false)
 			a := g.takeClaimOf(now, a.Life.ID)
 			a.HoldNow = true
 			return a
--- a/gate/holdloop.go
+++ b/gate/holdloop.go
@@ -57,7 +57,7 @@
 		case c := <-l.answers:
 			l.finished(ctx, c)
 		case <-l.driver.kick:
-			l.send(ctx)
+			l.kicked(ctx)
 		case <-timer.C:
 			l.passedDue(ctx)
 		case <-ctx.Done():
@@ -66,6 +66,26 @@
 	}
 }
 
+// kicked makes a hold at once. With a target that has started again, all holds under way
+// may hang: that left the newer life unheard for up to 250 ms, in which it carried out what
+// was meant for the former one.
+func (l *holdLoop) kicked(ctx context.Context) {
+	if l.driver.afresh.Swap(false) {
+		l.breakOffAll()
+		ctx = OnNewConnection(ctx)
+	}
+	l.send(ctx)
+}
+
+// breakOffAll gives up all holds under way.
+func (l *holdLoop) breakOffAll() {
+	for _, c := range l.underWay {
+		c.brokenOff = true
+		c.cancel()
+	}
+	l.underWay = nil
+}
+
 func (l *holdLoop) newest() *holdCall { return l.underWay[len(l.underWay)-1] }
 
 // passedDue sends another hold beside the newest one, which should have been
--- a/gate/life.go
+++ b/gate/life.go
@@ -31,6 +31,9 @@
 	life Life
 	// begun is when the gate took the life in.
 	begun Time
+	// formerID is the id of the life before, whose runs may be at work here; while the id
+	// is not known, the one that calls under way bear.
+	formerID string
 
 	// What its heartbeats say; known is set with the first.
 	known    bool
@@ -97,15 +100,30 @@
 	case g.namedBy(b.Life):
 		g.life = b.Life
 	case g.answersAs(now) || g.mayBeAtWork(now):
-		g.addClaim(now, b)
-		return Actions{HoldNow: true}, true
+		return g.addClaim(now, b), true
 	default:
-		g.newLife(now, b.Life)
+		crosses := b.Life.ID == g.callsID()
+		g.newLife(now, b.Life, crosses)
+		if crosses {
+			g.describe(now, b)
+			return g.callAfresh(now, b.ClockMS), true
+		}
 	}
 	g.describe(now, b)
 	return g.startFromQueue(now, Actions{HoldNow: g.fence == 0}), true
 }
 
+// callAfresh makes the next call to a target that has started again bear a new fencing
+// token: from then on nothing is carried out there that was meant for the former life. It
+// needs no first look, which tells the clock.
+func (g *Gate) callAfresh(now Time, clockMS int64) Actions {
+	if clockMS != 0 {
+		g.resetClock(now, clockMS)
+		g.raiseFence()
+	}
+	return Actions{HoldAfresh: true}
+}
+
 // describe takes in a heartbeat of the life that is known.
 func (g *Gate) describe(now Time, b Heartbeat) {
 	g.known = true
@@ -156,8 +174,21 @@
 	return false
 }
 
-// addClaim keeps a heartbeat of a life that is not known until the target's next answer.
-func (g *Gate) addClaim(now Time, b Heartbeat) {
+// addClaim keeps a heartbeat of a life that is not known until the target's next answer,
+// and asks for that. If the id is the same, the call bears a new token; see callAfresh.
+func (g *Gate) addClaim(now Time, b Heartbeat) Actions {
+	g.keepClaim(now, b)
+	if g.life.named() && b.Life.ID != g.life.ID {
+		return Actions{HoldNow: true}
+	}
+	if g.fence != 0 {
+		g.raiseFence()
+	}
+	return Actions{HoldAfresh: true}
+}
+
+// keepClaim keeps the newest heartbeat of each life that is not known.
+func (g *Gate) keepClaim(now Time, b Heartbeat) {
 	for i, c := range g.claims {
 		if c.Life != b.Life {
 			continue
@@ -252,10 +283,9 @@
 // life has answered. Its lists count once a call with a token above those of all calls to
 // the former life was answered: then none of these is carried out any more.
 func (g *Gate) succeed(now Time, life Life, clockMS int64) {
-	g.recordRestart(now, life)
 	g.pastLives[g.life] = true
 	delete(g.pastLives, life)
-	g.newLife(now, life)
+	g.newLife(now, life, true)
 	g.resetClock(now, clockMS)
 	g.raiseFence()
 	g.takeClaim(now)
@@ -266,33 +296,49 @@
 // endLife takes in that the life that is known is over, for good: a call that named it
 // was turned away, or it has said so itself. A heartbeat of another life does not prove
 // that: it may have been held up, and the gate would never use the newer life again.
-func (g *Gate) endLife(now Time) {
+// Crosses says whether the target may come again under its id; see newLife.
+func (g *Gate) endLife(now Time, crosses bool) {
 	over := g.life
-	g.newLife(now, Life{})
+	g.newLife(now, Life{}, crosses)
 	g.pastLives[over] = true
 	g.tellAll()
 }
 
-// newLife takes in that another life of the target has begun. What ran on the old one is
-// over; but if the new one has the same id, starts that were meant for the old one may
-// have been carried out there. The gate finds out with the first lists.
-func (g *Gate) newLife(now Time, life Life) {
-	sameID := life.named() && life.ID == g.life.ID
+// newLife takes in that the life that was known is over and another one begins; an empty
+// one is not known yet. Crosses says whether the new one has, or may have, the id that calls
+// to the former one bear: it may then have carried out, or still carry out, starts that were
+// meant for that. Runs that were at work wait for its first lists. Else they are over.
+func (g *Gate) newLife(now Time, life Life, crosses bool) {
+	if crosses && life != (Life{}) {
+		g.recordRestart(now, life)
+	}
+	id := g.callsID()
 	for _, r := range g.runs {
 		switch {
 		case r.phase == phaseQueued:
 		case r.phase == phaseEnded:
 			g.settleEnd(r)
-		case sameID:
+		case crosses:
 			r.crossRestart(now)
 		default:
 			g.lose(now, r, EndLost, reasonLifeOver)
 		}
 	}
 	g.lifeState = newLifeState(life, now)
+	if crosses {
+		g.formerID = id
+	}
 	g.rejectQueue("target restarted")
 }
 
+// callsID returns the id that calls under way bear.
+func (g *Gate) callsID() string {
+	if g.life.named() {
+		return g.life.ID
+	}
+	return g.formerID
+}
+
 // reasonLifeOver is why runs of a life that is over are lost.
 const reasonLifeOver = "the target's life is over"
 
@@ -323,8 +369,8 @@
 	if life != g.life {
 		return Actions{HoldNow: g.life.ambiguous(life)}
 	}
-	g.endLife(now)
-	return Actions{}
+	g.endLife(now, life.Born != 0)
+	return g.takeClaimOf(now, "")
 }
 
 // executorClock returns a lower bound of the executor's clock.
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -25,6 +25,8 @@
 	MaxHold time.Duration
 	// Work returns how long a run takes and how it ends.
 	Work func(job.RunName) (time.Duration, gate.EndKind)
+	// FirstClock is the time on its clock at its start, in milliseconds.
+	FirstClock int64
 	// Slow is the part of a time that the executor's clock loses: 0 means a right
 	// clock, MostSlow the slowest that the users' platform allows.
 	Slow float64
@@ -79,7 +81,7 @@
 func NewExecutor(life string, capacity job.Resources, work func(job.RunName) (time.Duration, gate.EndKind)) *Executor {
 	started := time.Now()
 	return &Executor{
-		Life: life, Born: started.UnixMilli(), Capacity: capacity, MaxHold: time.Second, Work: work, started: started,
+		Life: life, Born: started.UnixMilli(), Capacity: capacity, MaxHold: time.Second, Work: work, FirstClock: firstClock, started: started,
 		running: map[job.RunName]*executorRun{}, highest: map[job.TaskName]int{}, changed: make(chan struct{}),
 	}
 }
@@ -116,6 +118,13 @@
 	e.draining = true
 }
 
+// Draining says whether the executor says that it is about to leave.
+func (e *Executor) Draining() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.draining
+}
+
 // Beat returns what the executor's next heartbeat says; ok is false while it answers
 // nothing.
 func (e *Executor) Beat() (b Beat, ok bool) {
@@ -166,11 +175,11 @@
 	return append([]Span(nil), e.journal...)
 }
 
-// firstClock is the time on an executor's clock at its start, in milliseconds.
+// firstClock is the usual time on an executor's clock at its start, in milliseconds.
 const firstClock = 1000
 
 func (e *Executor) clock(now time.Time) int64 {
-	return firstClock + time.Duration(float64(now.Sub(e.started))*(1-e.Slow)).Milliseconds()
+	return e.FirstClock + time.Duration(float64(now.Sub(e.started))*(1-e.Slow)).Milliseconds()
 }
 
 // advance ends what has run long enough, or everything once the lease is over,
@@ -203,7 +212,7 @@
 
 // at returns when the executor's clock shows a time.
 func (e *Executor) at(clockMS int64) time.Time {
-	onClock := time.Duration(clockMS-firstClock) * time.Millisecond
+	onClock := time.Duration(clockMS-e.FirstClock) * time.Millisecond
 	return e.started.Add(time.Duration(float64(onClock) / (1 - e.Slow)))
 }
 
--- a/node/evacuation_test.go
+++ b/node/evacuation_test.go
@@ -62,7 +62,7 @@
 		go o.feed(e)
 	}
 	for _, a := range s.agents {
-		a.target.Work = func(job.RunName) (time.Duration, gate.EndKind) { return shortTask, gate.EndDone }
+		a.target.newest().Work = func(job.RunName) (time.Duration, gate.EndKind) { return shortTask, gate.EndDone }
 		a.operator = o
 		o.watch(a, a.running())
 	}
@@ -398,7 +398,7 @@
 		result := make(chan owner.SubmitResult, 1)
 		// Its first run is under way when the domains are evacuated, and fails.
 		for _, a := range s.agents {
-			a.target.Work = func(n job.RunName) (time.Duration, gate.EndKind) {
+			a.target.newest().Work = func(n job.RunName) (time.Duration, gate.EndKind) {
 				if n.Run == 1 {
 					return time.Second, gate.EndFailed
 				}
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 
 	"rackspur/dispatch"
 	"rackspur/gate"
@@ -62,6 +64,9 @@
 	taskTime = 6800 * time.Millisecond
 )
 
+// logVariable has the agents' log lines printed.
+const logVariable = "RACKSPUR_VIRTUAL_LOG"
+
 // virtualSite is a site of a few boxes.
 type virtualSite struct {
 	t       *testing.T
@@ -70,6 +75,8 @@
 	entries []*entryBox
 	// begun is when the site was made.
 	begun time.Time
+	// log is that of the agents; the lines are told with the times of the trouble.
+	log logr.Logger
 	// trouble is the time from which a test counts.
 	trouble time.Time
 }
@@ -79,7 +86,12 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		s := &virtualSite{t: t, ctx: ctx, begun: time.Now()}
+		s := &virtualSite{t: t, ctx: ctx, begun: time.Now(), log: logr.Discard()}
+		if os.Getenv(logVariable) != "" {
+			s.log = funcr.New(func(prefix, args string) {
+				t.Logf("%.3f %s %s", time.Since(s.trouble).Seconds(), prefix, args)
+			}, funcr.Options{})
+		}
 		for i := range 3 {
 			s.agents = append(s.agents, newAgentBox(s, i))
 		}
@@ -167,10 +179,13 @@
 	after time.Duration
 }
 
-// virtualTarget is an executor with a slow clock and faults.
+// virtualTarget is an executor with a slow clock and faults, which may start again.
 type virtualTarget struct {
-	*standin.Executor
-	mu    sync.Mutex
+	mu sync.Mutex
+	// lives are its lives, the newest last.
+	lives []*standin.Executor
+	// dark: while it is down, calls get no answer; else connections are refused.
+	dark  bool
 	stops stopFault
 	// startsLate is how much later starts are carried out, which are not answered then; 0
 	// for none.
@@ -182,11 +197,66 @@
 	e := standin.NewExecutor("life-of-"+name, job.Resources{CPU: 16000, Memory: 32768}, work)
 	// The lease is counted on the slow clock.
 	e.MaxHold = virtualMaxHold * 100 / targetClock
-	return &virtualTarget{Executor: e}
+	return &virtualTarget{lives: []*standin.Executor{e}}
+}
+
+// newest returns the newest life.
+func (x *virtualTarget) newest() *standin.Executor {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.lives[len(x.lives)-1]
+}
+
+// all returns all lives.
+func (x *virtualTarget) all() []*standin.Executor {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.Clone(x.lives)
+}
+
+// begin makes another life the newest; the one before must have crashed.
+func (x *virtualTarget) begin(e *standin.Executor) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.lives = append(x.lives, e)
+}
+
+// crash ends the newest life. Until the next begins, calls are refused, or get no answer.
+func (x *virtualTarget) crash(dark bool) {
+	x.newest().Crash()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.dark = dark
+}
+
+// Journal returns the runs of all lives.
+func (x *virtualTarget) Journal() (all []standin.Span) {
+	for _, e := range x.all() {
+		all = append(all, e.Journal()...)
+	}
+	return all
+}
+
+// down answers a call while the newest life is down; it returns nil if it is up.
+func (x *virtualTarget) down(ctx context.Context) error {
+	if !x.newest().Down() {
+		return nil
+	}
+	x.mu.Lock()
+	dark := x.dark
+	x.mu.Unlock()
+	if !dark {
+		return gate.ErrUnreached
+	}
+	<-ctx.Done()
+	return gate.ErrUnanswered
 }
 
 // life is the life of the executor.
-func (x *virtualTarget) life() gate.Life { return gate.Life{ID: x.Life, Born: x.Born} }
+func (x *virtualTarget) life() gate.Life {
+	e := x.newest()
+	return gate.Life{ID: e.Life, Born: e.Born}
+}
 
 // setStops sets what becomes of stops from now on.
 func (x *virtualTarget) setStops(f stopFault) {
@@ -218,32 +288,36 @@
 func told(clockMS int64) int64  { return clockMS * targetClock / 100 }
 func meant(clockMS int64) int64 { return clockMS * 100 / targetClock }
 
-// Clock returns the time that the executor's own clock shows.
-func (x *virtualTarget) Clock() int64 { return told(x.Executor.Clock()) }
-
 // Start implements gate.Executor.Start.
 func (x *virtualTarget) Start(ctx context.Context, life gate.Life, c gate.StartCall) (gate.Answer, error) {
+	if err := x.down(ctx); err != nil {
+		return gate.Answer{}, err
+	}
 	c.UntilMS = meant(c.UntilMS)
 	if late := x.startsLateNow(); late > 0 {
-		time.AfterFunc(late, func() { _, _ = x.Executor.Start(context.Background(), life, c) })
+		// The life of then carries it out.
+		time.AfterFunc(late, func() { _, _ = x.newest().Start(context.Background(), life, c) })
 		<-ctx.Done()
 		return gate.Answer{}, gate.ErrUnanswered
 	}
-	a, err := x.Executor.Start(ctx, life, c)
+	a, err := x.newest().Start(ctx, life, c)
 	a.ClockMS = told(a.ClockMS)
 	return a, err
 }
 
 // Stop implements gate.Executor.Stop.
 func (x *virtualTarget) Stop(ctx context.Context, life gate.Life, c gate.StopCall) (gate.Answer, error) {
+	if err := x.down(ctx); err != nil {
+		return gate.Answer{}, err
+	}
 	fault := x.stopsNow()
 	if !fault.on {
-		a, err := x.Executor.Stop(ctx, life, c)
+		a, err := x.newest().Stop(ctx, life, c)
 		a.ClockMS = told(a.ClockMS)
 		return a, err
 	}
 	if fault.after > 0 {
-		time.AfterFunc(fault.after, func() { _, _ = x.Executor.Stop(context.Background(), life, c) })
+		time.AfterFunc(fault.after, func() { _, _ = x.newest().Stop(context.Background(), life, c) })
 	}
 	<-ctx.Done()
 	return gate.Answer{}, gate.ErrUnanswered
@@ -251,8 +325,11 @@
 
 // Hold implements gate.Executor.Hold.
 func (x *virtualTarget) Hold(ctx context.Context, life gate.Life, c gate.HoldCall) (gate.Answer, gate.HoldAnswer, error) {
+	if err := x.down(ctx); err != nil {
+		return gate.Answer{}, gate.HoldAnswer{}, err
+	}
 	c.UntilMS = meant(c.UntilMS)
-	a, lists, err := x.Executor.Hold(ctx, life, c)
+	a, lists, err := x.newest().Hold(ctx, life, c)
 	a.ClockMS = told(a.ClockMS)
 	return a, lists, err
 }
@@ -270,6 +347,8 @@
 	mu      sync.Mutex
 	count   int
 	process *agentProcess
+	// described is what the store keeps of the executor; nil for what is true.
+	described *gate.Description
 }
 
 // agentProcess is one process of an agent.
@@ -299,7 +378,7 @@
 	p.ctx, p.kill = context.WithCancel(b.site.ctx)
 	o := Options{Node: b.name, Zone: b.domain(), MaxHold: virtualMaxHold}
 	g := gate.New(gateOptions(o, fmt.Sprintf("%s~%d", b.name, b.count)))
-	p.driver = gate.NewDriver(p.ctx, g, &agentCalls{box: b}, logr.Discard())
+	p.driver = gate.NewDriver(p.ctx, g, &agentCalls{box: b}, b.site.log.WithName(b.name))
 	p.driver.OnReport(p.wakeLinks)
 	b.process = p
 	if b.operator != nil {
@@ -310,11 +389,31 @@
 	if b.count > 1 {
 		go func() {
 			wait.For(p.ctx, recallLatency)
-			p.driver.Recall(gate.Description{Life: b.target.life(), Service: testService, Capacity: b.target.Capacity})
+			p.driver.Recall(b.known())
 		}()
 	}
 }
 
+// known is what the store keeps of the executor: its newest life, unless a test has set
+// what was written last.
+func (b *agentBox) known() gate.Description {
+	b.mu.Lock()
+	described := b.described
+	b.mu.Unlock()
+	if described != nil {
+		return *described
+	}
+	e := b.target.newest()
+	return gate.Description{Life: b.target.life(), Service: testService, Capacity: e.Capacity, Draining: e.Draining()}
+}
+
+// keepDescription has the store keep a description from now on; nil for what is true.
+func (b *agentBox) keepDescription(d *gate.Description) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.described = d
+}
+
 func (b *agentBox) running() *agentProcess {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -327,12 +426,22 @@
 // beat passes the executor's heartbeats on.
 func (b *agentBox) beat(p *agentProcess) {
 	wait.For(p.ctx, firstBeat)
-	for sequence := int64(1); b.awake.pass(p.ctx); sequence++ {
-		p.driver.Heartbeat(gate.Heartbeat{Life: b.target.life(), Service: testService, Capacity: b.target.Capacity, ClockMS: b.target.Clock(), Sequence: sequence})
+	for b.awake.pass(p.ctx) {
+		if beat, ok := b.target.newest().Beat(); ok {
+			p.driver.Heartbeat(heartbeatOf(beat))
+		}
 		wait.For(p.ctx, executorBeat)
 	}
 }
 
+// heartbeatOf is a stand-in's heartbeat as the gate takes it in.
+func heartbeatOf(b standin.Beat) gate.Heartbeat {
+	return gate.Heartbeat{
+		Life: gate.Life{ID: b.Life, Born: b.Born}, Service: testService, Capacity: b.Capacity,
+		Draining: b.Draining, ClockMS: told(b.ClockMS), Sequence: b.Sequence,
+	}
+}
+
 func (p *agentProcess) wakeLinks() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
