Soak: targets that start again under their id

Cause: the soak gave each life of a target a new id. Change: TestSoakRestarts: targets crash and start again, mostly under their id, in series and beside kills of agents and entries, drains, lost and late orders, and late words of former lives; it also checks that nothing starts at a target that leaves, beyond the bound. It stays in the list.

--- a/test/deployment_test.go
+++ b/test/deployment_test.go
@@ -198,7 +198,7 @@
 }
 
 // restartTarget crashes a machine's executor and starts it again under the same id after
-// a time.
+// a time. It sends its first heartbeat at once.
 func (d *deployment) restartTarget(m *machine, down time.Duration) {
 	old := m.port.Executor()
 	old.Crash()
@@ -210,7 +210,11 @@
 		return
 	}
 	m.past = append(m.past, old)
-	m.port.SetExecutor(old.Again())
+	next := old.Again()
+	m.port.SetExecutor(next)
+	if beat, ok := next.Beat(); ok {
+		go func() { _ = m.port.SendBeat(context.Background(), m.ip+":"+platformControlPort, beat) }()
+	}
 }
 
 // settings writes a machine's settings file and returns its path.
--- a/test/soak_long_test.go
+++ b/test/soak_long_test.go
@@ -59,6 +59,7 @@
 	longSeriesPart
 	longOrdersPart
 	evacuationsPart
+	restartsPart
 )
 
 // longMark begins the id of a job with long tasks; the milliseconds that each of its
--- a/test/soak_trace_test.go
+++ b/test/soak_trace_test.go
@@ -21,13 +21,13 @@
 	for _, line := range j.story {
 		r.t.Logf("caller of %s: %s", j.id, line)
 	}
-	m, e := r.lifeOf(first.Life)
+	m, e := r.lifeOf(first)
 	if e == nil {
 		return
 	}
-	at, _ := r.lifeOf(second.Life)
-	r.t.Log(r.line(first.Started, "first run %d at %s (%s), ends at %.3f", first.Name.Run, m.name, first.Life, first.Ended.Sub(r.began).Seconds()))
-	r.t.Log(r.line(second.Started, "second run %d at %s (%s), ends at %.3f", second.Name.Run, at.name, second.Life, second.Ended.Sub(r.began).Seconds()))
+	at, _ := r.lifeOf(second)
+	r.t.Log(r.line(first.Started, "first run %d at %s (%s, born %d), ends at %.3f", first.Name.Run, m.name, first.Life, first.Born, first.Ended.Sub(r.began).Seconds()))
+	r.t.Log(r.line(second.Started, "second run %d at %s (%s, born %d), ends at %.3f", second.Name.Run, at.name, second.Life, second.Born, second.Ended.Sub(r.began).Seconds()))
 	for _, o := range telling(e.Orders(), first, second) {
 		r.t.Log(r.line(o.At, "%s: %v", m.name, o))
 	}
@@ -77,11 +77,11 @@
 	return told
 }
 
-// lifeOf returns a life of an executor and its machine.
-func (r *soakRun) lifeOf(life string) (*machine, *standin.Executor) {
+// lifeOf returns the life of an executor that had a run, and its machine.
+func (r *soakRun) lifeOf(s standin.Span) (*machine, *standin.Executor) {
 	for _, m := range r.agents {
 		for _, e := range m.allLives() {
-			if e.Life == life {
+			if e.Life == s.Life && e.Born == s.Born {
 				return m, e
 			}
 		}
