Entries of other writers: each is read by itself

Cause: one row that could not be read hid its neighbours: in the store's pages and feeds (the call failed, again and again), and in a target's lists (each hold failed). A heartbeat with an unknown state counted as ready, one with a missing capacity as none; its clock could end leases; rows of daemons and lives were taken under any name. Change: rows, and rows of lists, are read one by one; what can't be read is counted (entries.unreadable), told in a line each 2 s and source, and left alone. A page tells the versions and names of such rows, so that a follower gets past them; a row that is there and can't be read is an error, not a row that is missing. A heartbeat without a service, state, capacity or sequence that makes sense changes nothing and is not acknowledged; nor does one of a service that is not the target's. Only the target's answers tell its clock.

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -120,11 +120,14 @@
 		log.Info("Callers come back sooner than all runs of a lost entry box are surely over.", "node", s.Node,
 			"retransmitMS", again.Milliseconds(), "overMS", node.LeastResubmit.Milliseconds())
 	}
+	metrics := observe.NewMetrics()
+	nodeLog := log.WithValues("node", s.Node)
+	unreadable := observe.NewUnreadable(nodeLog, metrics)
 	return node.Options{
-		Node: s.Node, Zone: s.Zone, Listen: s.InternalAddress(), Seeds: s.SeedAddresses(),
+		Node: s.Node, Zone: s.Zone, Service: s.Service, Listen: s.InternalAddress(), Seeds: s.SeedAddresses(),
 		Parts: parts, MaxHold: s.MaxHold(), KeepFinished: s.KeepFinished(), Resubmit: s.Resubmit(),
 		Evacuate: s.Evacuate(), ReadEvacuations: platform.ReadEvacuations,
-		Store: platform.NewStore(s), Metrics: observe.NewMetrics(), Log: log.WithValues("node", s.Node),
+		Store: platform.NewStore(s, unreadable), Metrics: metrics, Log: nodeLog, Unreadable: unreadable,
 	}
 }
 
@@ -163,12 +166,12 @@
 func runPlatformAgent(ctx context.Context, s *platform.Settings, o node.Options) error {
 	run, end := context.WithCancel(context.Background())
 	defer end()
-	a, err := node.NewAgent(run, o, platform.NewExecutor(s))
+	a, err := node.NewAgent(run, o, platform.NewExecutor(s, o.Unreadable))
 	if err != nil {
 		return err
 	}
 	o.Log.Info("Agent starts.", "zone", s.Zone, "service", s.Service)
-	control, err := serve(s.Listen.Control, platform.ControlHandler(a.Driver()))
+	control, err := serve(s.Listen.Control, platform.ControlHandler(a.Driver(), o.Unreadable))
 	if err != nil {
 		return err
 	}
--- a/gate/executor.go
+++ b/gate/executor.go
@@ -79,14 +79,19 @@
 type Running struct {
 	Name       job.RunName
 	Checkpoint string
-	// Percent is the progress.
+	// Percent is the progress, or PercentUnknown.
 	Percent int
 }
 
+// PercentUnknown says that the progress of a run is not known.
+const PercentUnknown = -1
+
 // Ended is a run that an executor lists as ended.
 type Ended struct {
 	// Number climbs from 1 in each life of the executor.
-	Number     int64
+	Number int64
+	// Name is empty if the run is not known: none of ours, or told in a form that can't be
+	// read.
 	Name       job.RunName
 	Kind       EndKind
 	Checkpoint string
@@ -96,6 +101,8 @@
 type HoldAnswer struct {
 	Running  []Running
 	Finished []Ended
+	// Partial: the target may run more than was listed in a form that can be read.
+	Partial bool
 }
 
 // Answer is what comes with each answer of an executor.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -25,6 +25,8 @@
 	Incarnation string
 	// Domain is the failure domain of the gate and its target.
 	Domain string
+	// Service is the one that the target belongs to by the settings; "" if they name none.
+	Service string
 	// MaxHold is the longest lease that the executor grants.
 	MaxHold time.Duration
 	// Contact is how long runs go on without word from their owner.
--- a/gate/life.go
+++ b/gate/life.go
@@ -93,6 +93,10 @@
 		g.passOverHeartbeat(now, b)
 		return Actions{}, false
 	case b.Life == g.life:
+		if g.otherService(b) {
+			g.passOverHeartbeat(now, b)
+			return Actions{}, false
+		}
 		if b.Sequence < g.sequence {
 			g.takeLateHeartbeat(now, b)
 			return Actions{}, true
@@ -105,11 +109,11 @@
 		crosses := b.Life.ID == g.callsID()
 		g.newLife(now, b.Life, crosses)
 		if crosses {
-			g.describe(now, b)
+			g.describe(b)
 			return g.callAfresh(now, b.ClockMS), true
 		}
 	}
-	g.describe(now, b)
+	g.describe(b)
 	return g.startFromQueue(now, Actions{HoldNow: g.fence == 0}), true
 }
 
@@ -125,17 +129,22 @@
 }
 
 // describe takes in a heartbeat of the life that is known.
-func (g *Gate) describe(now Time, b Heartbeat) {
+func (g *Gate) describe(b Heartbeat) {
 	g.known = true
 	g.sequence = b.Sequence
 	g.service = b.Service
 	g.capacity = b.Capacity
 	g.labels = b.Labels
 	g.draining = g.draining || b.Draining
-	g.takeClock(now, b.ClockMS)
 	g.tellAll()
 }
 
+// otherService says whether a heartbeat names another service than the one that the target
+// is known to belong to: a life does not change it.
+func (g *Gate) otherService(b Heartbeat) bool {
+	return g.known && g.service == g.options.Service && b.Service != g.service
+}
+
 // takeLateHeartbeat takes in a heartbeat that a newer one has overtaken. A target that
 // leaves does not change its mind; all else the newer one has told.
 func (g *Gate) takeLateHeartbeat(now Time, b Heartbeat) {
@@ -231,12 +240,12 @@
 }
 
 // takeClaim takes in the newest heartbeat of the life that is known now, if there is one.
-func (g *Gate) takeClaim(now Time) {
+func (g *Gate) takeClaim() {
 	for i := len(g.claims) - 1; i >= 0; i-- {
 		c := g.claims[i]
 		if c.Life == g.life || g.namedBy(c.Life) && g.life.Born != 0 {
 			g.life = c.Life
-			g.describe(now, c.Heartbeat)
+			g.describe(c.Heartbeat)
 			break
 		}
 	}
@@ -288,7 +297,7 @@
 	g.newLife(now, life, true)
 	g.resetClock(now, clockMS)
 	g.raiseFence()
-	g.takeClaim(now)
+	g.takeClaim()
 	g.confirmRecalled()
 	g.tellAll()
 }
@@ -427,5 +436,10 @@
 // listed, or the lease that an earlier process or an order to a former life gave is
 // surely over.
 func (g *Gate) knowsRuns(now Time) bool {
-	return g.surveyed || now-g.begun > g.options.MaxHold*103/100+lapseMargin
+	return g.surveyed || now-g.begun > g.longestLease()
+}
+
+// longestLease is by when a lease that was given before is over, on the slowest clock.
+func (g *Gate) longestLease() time.Duration {
+	return g.options.MaxHold*103/100 + lapseMargin
 }
--- a/gate/lists.go
+++ b/gate/lists.go
@@ -17,6 +17,11 @@
 		if e.Number <= g.seen || g.listed[e.Number] != nil {
 			continue
 		}
+		if e.Name == (job.RunName{}) {
+			// Nobody can answer for it; those after it must not wait.
+			g.listed[e.Number] = &run{phase: phaseEnded, number: e.Number, noted: true}
+			continue
+		}
 		r := g.runs[e.Name]
 		if r == nil {
 			r = g.strange(now, e.Name)
@@ -61,7 +66,7 @@
 		}
 	}
 	g.judgePace(now)
-	if len(lists.Finished) >= fullList {
+	if len(lists.Finished) >= fullList || lists.Partial {
 		return
 	}
 	for name, r := range g.runs {
@@ -93,10 +98,10 @@
 	g.removeIfNoted(r)
 }
 
-// loseFormer ends the runs of a former life once the newer one, which has listed nothing,
-// can have none of them any more.
+// loseFormer ends the runs of a former life once the newer one, which has listed none of
+// them, can have none any more.
 func (g *Gate) loseFormer(now Time) {
-	if g.surveyed || !g.knowsRuns(now) {
+	if now-g.begun <= g.longestLease() {
 		return
 	}
 	for _, r := range g.runs {
--- a/gate/progress.go
+++ b/gate/progress.go
@@ -49,6 +49,9 @@
 // judgeProgress takes in the progress that the executor's newest list gives for
 // a run. Times are the executor's: the list may have come late.
 func (g *Gate) judgeProgress(r *run, percent int) {
+	if percent == PercentUnknown {
+		return
+	}
 	now := time.Duration(g.listedMS) * time.Millisecond
 	p := &r.progress
 	if p.since == 0 {
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -500,3 +500,71 @@
 		}
 	}
 }
+
+// A heartbeat of the life that is known names a service that is not the target's: it is
+// another writer's. The ones before and after hold, whichever comes last.
+func TestHeartbeatOfOtherService(t *testing.T) {
+	b := newRestartBench(t)
+	b.gate.options.Service = "engine"
+	bad := b.heartbeatOf(firstLife, 1_000_000, true)
+	bad.Service = "somebody-elses"
+	bad.Capacity = job.Resources{CPU: 1}
+	if _, believed := b.gate.OnHeartbeat(b.now, bad); believed {
+		t.Error("believed")
+	}
+	if d, _ := b.gate.Description(); !b.open() || d.Service != "engine" || d.Capacity.CPU != 16000 {
+		t.Errorf("open %v, described as %+v", b.open(), d)
+	}
+	if !b.beat(true) || b.open() {
+		t.Error("the next good heartbeat is passed over")
+	}
+}
+
+// The clock that a heartbeat tells ends no lease: only the target's own answers do.
+func TestClockOfHeartbeatEndsNoLease(t *testing.T) {
+	b := newRestartBench(t)
+	name := testRun("aa", 0, 1)
+	b.startRun(name)
+	b.answer(working(name))
+	b.states()
+	bad := b.heartbeatOf(firstLife, 1_000_000, false)
+	bad.ClockMS = 1 << 50
+	b.gate.OnHeartbeat(b.now, bad)
+	b.now += 800 * time.Millisecond // Beyond the patience with holds.
+	b.gate.Tick(b.now)
+	if s, told := b.states()[name]; told {
+		t.Errorf("told %+v", s)
+	}
+}
+
+// A list of which not all can be read ends no run by what it leaves out; one that can does.
+func TestPartialListEndsNoRun(t *testing.T) {
+	b := newRestartBench(t)
+	name := testRun("aa", 0, 1)
+	b.startRun(name)
+	b.answer(working(name))
+	b.states()
+	b.answer(HoldAnswer{Partial: true})
+	if s, told := b.states()[name]; told {
+		t.Errorf("told %+v", s)
+	}
+	b.answer(HoldAnswer{})
+	if s := b.states()[name]; s.End != EndLost {
+		t.Errorf("told %+v, want the run lost", s)
+	}
+}
+
+// An end of a run that nobody knows holds up none of those after it.
+func TestEndOfUnknownRun(t *testing.T) {
+	b := newRestartBench(t)
+	name := testRun("aa", 0, 1)
+	b.startRun(name)
+	b.answer(HoldAnswer{Finished: []Ended{{Number: 6, Kind: EndLost}, {Number: 7, Name: name, Kind: EndDone}}})
+	if s := b.states()[name]; s.End != EndDone {
+		t.Errorf("told %+v, want the run done", s)
+	}
+	b.verdict(name, VerdictNote)
+	if h := b.answer(HoldAnswer{}); h.Call.Seen != 7 || b.gate.HasRuns(testOwner) {
+		t.Errorf("noted up to %d, run known %v", h.Call.Seen, b.gate.HasRuns(testOwner))
+	}
+}
--- a/job/job.go
+++ b/job/job.go
@@ -217,9 +217,35 @@
 	if err := r.Check(); err != nil {
 		return nil, eris.Wrap(ErrRecord, err.Error())
 	}
+	if err := r.checkEnds(); err != nil {
+		return nil, err
+	}
 	return r, nil
 }
 
+// mostGeneration bounds the owners that a job may have had: each has a range of run
+// numbers.
+const mostGeneration = 1 << 20
+
+// checkEnds checks what a record says of runs.
+func (r *Record) checkEnds() error {
+	if r.Generation < 0 || r.Generation > mostGeneration {
+		return eris.Wrapf(ErrRecord, "generation %d", r.Generation)
+	}
+	tasks := r.TaskCount()
+	for task, run := range r.Done {
+		if task < 0 || task >= tasks || run < 1 {
+			return eris.Wrapf(ErrRecord, "run %d of task %d of %d is done", run, task, tasks)
+		}
+	}
+	for task := range r.Failed {
+		if task < 0 || task >= tasks {
+			return eris.Wrapf(ErrRecord, "a run of task %d of %d has failed", task, tasks)
+		}
+	}
+	return nil
+}
+
 // HasEnds says whether the record has an end of a run.
 func (r *Record) HasEnds() bool {
 	return len(r.Done) > 0 || len(r.Failed) > 0
--- a/job/record_test.go
+++ b/job/record_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -26,3 +27,50 @@
 		t.Errorf("read as %s, want %s", got.Encode(), text)
 	}
 }
+
+// What is taken of a stored record says the same when it is written again, and speaks of
+// tasks that the job has.
+func FuzzRecord(f *testing.F) {
+	f.Add([]byte(`{"steps":[{"count":-1}],"done":{"99999999":0}}`))
+	r := Record{Submission: Submission{ID: "5c0e7a21d94b36f8", Queue: Queue{Name: "q", Service: "a", Attempts: 2, Stretch: 1.6}, Steps: []Step{{Count: 3}}}, Owner: "entry-1~a"}
+	r.SetDone(0, 1)
+	r.AddFailure(2, 1)
+	f.Add(r.Encode())
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := DecodeRecord(b)
+		if err != nil {
+			return
+		}
+		for task := range r.Done {
+			if task < 0 || task >= r.TaskCount() {
+				t.Errorf("task %d of %d is done", task, r.TaskCount())
+			}
+		}
+		back, err := DecodeRecord(r.Encode())
+		if err != nil || !reflect.DeepEqual(back.Done, r.Done) || back.TaskCount() != r.TaskCount() || back.Owner != r.Owner {
+			t.Errorf("%+v, read again %+v, %v", r, back, err)
+		}
+	})
+}
+
+// Ends of tasks that the job does not have are not believed.
+func TestRecordOfOtherTasks(t *testing.T) {
+	r := Record{Submission: Submission{ID: "5c0e7a21d94b36f8", Queue: Queue{Name: "q", Service: "a", Attempts: 2, Stretch: 1.6}, Steps: []Step{{Count: 3}}}, Owner: "entry-1~a"}
+	r.SetDone(2, 1)
+	if _, err := DecodeRecord(r.Encode()); err != nil {
+		t.Fatal(err)
+	}
+	for name, change := range map[string]func(r *Record){
+		"done":       func(r *Record) { r.SetDone(3, 1) },
+		"no run":     func(r *Record) { r.SetDone(1, 0) },
+		"failed":     func(r *Record) { r.AddFailure(-1, 1) },
+		"generation": func(r *Record) { r.Generation = -1 },
+	} {
+		bad := r
+		bad.Done = map[int]int{2: 1}
+		change(&bad)
+		if _, err := DecodeRecord(bad.Encode()); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
--- a/member/life.go
+++ b/member/life.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"rackspur/internal/wait"
 	"rackspur/rowstore"
 )
@@ -40,6 +42,18 @@
 	return b
 }
 
+// decodeLife reads the row of a life. Its name is the life's incarnation.
+func decodeLife(row rowstore.Row) (lifeRow, error) {
+	var l lifeRow
+	if err := json.Unmarshal(row.Value, &l); err != nil {
+		return lifeRow{}, eris.Wrap(ErrRow, err.Error())
+	}
+	if l.Node == "" || l.Incarnation != row.Name {
+		return lifeRow{}, eris.Wrapf(ErrRow, "life %.40q under another name", l.Incarnation)
+	}
+	return l, nil
+}
+
 // Life is the life of an owner in the store: a fence row in each part, which
 // every write of the life has as a condition, and a row with its lease.
 type Life struct {
--- a/member/life_test.go
+++ b/member/life_test.go
@@ -21,7 +21,7 @@
 }
 
 func watcher(s rowstore.Store, node, incarnation string) *Watcher {
-	return NewWatcher(s, testParts, Daemon{Node: node, Address: node + ":1", Incarnation: incarnation}, time.Now())
+	return NewWatcher(s, testParts, Daemon{Node: node, Address: node + ":1", Incarnation: incarnation}, time.Now(), nil)
 }
 
 // poll returns the lives that are over, with the seen ages set back.
--- a/member/lives.go
+++ b/member/lives.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-logr/logr"
 
+	"rackspur/observe"
 	"rackspur/rowstore"
 )
 
@@ -15,19 +16,26 @@
 
 // FollowLives calls found whenever a life stands in the store, until the context
 // ends. A life that stands there says that jobs are kept in this deployment.
-func FollowLives(ctx context.Context, s rowstore.Store, found func(), log logr.Logger) {
+func FollowLives(ctx context.Context, s rowstore.Store, found func(), unreadable *observe.Unreadable, log logr.Logger) {
+	take := func(row rowstore.Row) {
+		if _, err := decodeLife(row); err != nil {
+			unreadable.Note(tableLives, row.Name, err.Error())
+			return
+		}
+		found()
+	}
 	f := rowstore.Follower{
 		Store: s, Table: tableLives, Log: log, Wait: livesWait, Gather: followGather,
 		ReadAll: func(ctx context.Context) (uint64, error) {
 			rows, version, err := rowstore.ReadAll(ctx, s, rowstore.Query{Table: tableLives, Part: membersPart})
-			if len(rows) > 0 {
-				found()
+			for _, row := range rows {
+				take(row)
 			}
 			return version, err
 		},
 		Change: func(row rowstore.Row) {
 			if !row.Gone {
-				found()
+				take(row)
 			}
 		},
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -5,12 +5,14 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
 	"rackspur/internal/wait"
+	"rackspur/observe"
 	"rackspur/rowstore"
 )
 
@@ -93,17 +95,20 @@
 	return err
 }
 
-// ReadDaemons reads the rows of all daemons.
-func ReadDaemons(ctx context.Context, s rowstore.Store) ([]Daemon, uint64, error) {
+// ReadDaemons reads the rows of all daemons; those that can't be read are noted.
+func ReadDaemons(ctx context.Context, s rowstore.Store, unreadable *observe.Unreadable) ([]Daemon, uint64, error) {
 	rows, version, err := rowstore.ReadAll(ctx, s, rowstore.Query{Table: tableMembers, Part: membersPart})
 	if err != nil {
 		return nil, 0, err
 	}
 	var all []Daemon
 	for _, row := range rows {
-		if d, ok := decodeDaemon(row); ok {
-			all = append(all, d)
+		d, err := decodeDaemon(row)
+		if err != nil {
+			unreadable.Note(tableMembers, row.Name, err.Error())
+			continue
 		}
+		all = append(all, d)
 	}
 	return all, version, nil
 }
@@ -117,37 +122,62 @@
 	if err != nil {
 		return Daemon{}, err
 	}
-	d, known := decodeDaemon(row)
-	if !ok || !known {
+	if !ok {
 		return Daemon{}, ErrUnknown
 	}
+	d, err := decodeDaemon(row)
+	if err != nil {
+		return Daemon{}, eris.Wrap(ErrUnknown, err.Error())
+	}
 	return d, nil
 }
 
-func decodeDaemon(row rowstore.Row) (Daemon, bool) {
+// ErrRow says that a row of this package's tables can't be read.
+var ErrRow = eris.New("member: row")
+
+// decodeDaemon reads the row of a daemon.
+func decodeDaemon(row rowstore.Row) (Daemon, error) {
 	var d Daemon
-	if row.Gone || json.Unmarshal(row.Value, &d) != nil || d.Node == "" || d.Address == "" {
-		return Daemon{}, false
+	if err := json.Unmarshal(row.Value, &d); err != nil {
+		return Daemon{}, eris.Wrap(ErrRow, err.Error())
+	}
+	if d.Node == "" || d.Node != row.Name {
+		return Daemon{}, eris.Wrapf(ErrRow, "node %.40q under another name", d.Node)
+	}
+	if d.Role != RoleEntry && d.Role != RoleAgent {
+		return Daemon{}, eris.Wrapf(ErrRow, "role %.40q is not known", d.Role)
 	}
-	return d, true
+	if _, _, err := net.SplitHostPort(d.Address); err != nil {
+		return Daemon{}, eris.Wrapf(ErrRow, "address %.40q", d.Address)
+	}
+	if d.Incarnation == "" {
+		return Daemon{}, eris.Wrap(ErrRow, "no incarnation")
+	}
+	return d, nil
 }
 
 // Follow calls found with each daemon that stands in the store or comes later,
 // until the context ends.
-func Follow(ctx context.Context, s rowstore.Store, found func(Daemon), log logr.Logger) {
+func Follow(ctx context.Context, s rowstore.Store, found func(Daemon), unreadable *observe.Unreadable, log logr.Logger) {
 	f := rowstore.Follower{
 		Store: s, Table: tableMembers, Log: log, Wait: followWait, Gather: followGather,
 		ReadAll: func(ctx context.Context) (uint64, error) {
-			all, version, err := ReadDaemons(ctx, s)
+			all, version, err := ReadDaemons(ctx, s, unreadable)
 			for _, d := range all {
 				found(d)
 			}
 			return version, err
 		},
 		Change: func(row rowstore.Row) {
-			if d, ok := decodeDaemon(row); ok {
-				found(d)
+			if row.Gone {
+				return
+			}
+			d, err := decodeDaemon(row)
+			if err != nil {
+				unreadable.Note(tableMembers, row.Name, err.Error())
+				return
 			}
+			found(d)
 		},
 	}
 	f.Run(ctx)
--- a/member/watch.go
+++ b/member/watch.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"rackspur/internal/wait"
+	"rackspur/observe"
 	"rackspur/rowstore"
 )
 
@@ -24,13 +24,14 @@
 	self  Daemon
 	// started is when this process began: earlier lives of its machine were
 	// over by then.
-	started time.Time
-	seen    map[string]*seenLife
+	started    time.Time
+	seen       map[string]*seenLife
+	unreadable *observe.Unreadable
 }
 
-// NewWatcher returns a watcher for a daemon.
-func NewWatcher(s rowstore.Store, parts []string, self Daemon, started time.Time) *Watcher {
-	return &Watcher{store: s, parts: parts, self: self, started: started, seen: map[string]*seenLife{}}
+// NewWatcher returns a watcher for a daemon; unreadable is told of rows that can't be read.
+func NewWatcher(s rowstore.Store, parts []string, self Daemon, started time.Time, unreadable *observe.Unreadable) *Watcher {
+	return &Watcher{store: s, parts: parts, self: self, started: started, seen: map[string]*seenLife{}, unreadable: unreadable}
 }
 
 // Over is a life that is over.
@@ -56,8 +57,9 @@
 	now := time.Now()
 	present := map[string]*seenLife{}
 	for _, row := range rows {
-		var l lifeRow
-		if json.Unmarshal(row.Value, &l) != nil {
+		l, err := decodeLife(row)
+		if err != nil {
+			w.unreadable.Note(tableLives, row.Name, err.Error())
 			continue
 		}
 		s := w.seen[row.Name]
--- a/node/agent.go
+++ b/node/agent.go
@@ -59,12 +59,12 @@
 	defer server.Stop()
 	store := peer.NewRelayedStore(a.options.Store, a, a.options.Metrics, a.log)
 	go member.Register(ctx, store, a.daemon, a.log)
-	kept := &descriptions{store: store, node: a.options.Node, driver: a.driver, log: a.log}
+	kept := &descriptions{store: store, node: a.options.Node, driver: a.driver, unreadable: a.options.Unreadable, log: a.log}
 	go kept.run(ctx)
 	if a.options.ReadEvacuations != nil {
 		go newEvacuationWatch(a.options, store, a.driver).run(ctx)
 	}
-	seeker := &ownerSeeker{store: store, gate: a.driver, daemon: a.daemon, metrics: a.options.Metrics, log: a.log}
+	seeker := &ownerSeeker{store: store, gate: a.driver, daemon: a.daemon, metrics: a.options.Metrics, unreadable: a.options.Unreadable, log: a.log}
 	go seeker.run(ctx)
 	a.driver.Run(ctx)
 	return nil
--- a/node/contact.go
+++ b/node/contact.go
@@ -43,7 +43,7 @@
 
 // gateOptions returns the bounds of an agent's gate.
 func gateOptions(o Options, incarnation string) gate.Options {
-	return gate.Options{Node: o.Node, Incarnation: incarnation, Domain: o.Zone, MaxHold: o.MaxHold, Contact: contact, BestEffortContact: o.bestEffortContact()}
+	return gate.Options{Node: o.Node, Incarnation: incarnation, Domain: o.Zone, Service: o.Service, MaxHold: o.MaxHold, Contact: contact, BestEffortContact: o.bestEffortContact()}
 }
 
 // ownerOptions returns the bounds of the owner of a life.
--- a/node/entry.go
+++ b/node/entry.go
@@ -32,6 +32,8 @@
 type Options struct {
 	Node string
 	Zone string
+	// Service is the one that the agent's target belongs to; "" if it is not known.
+	Service string
 	// Listen is the address for other daemons.
 	Listen string
 	// Advertise is the address that other daemons are told; "" for the one that
@@ -55,6 +57,8 @@
 	Store           rowstore.Store
 	Metrics         *observe.Metrics
 	Log             logr.Logger
+	// Unreadable is told of entries of the store that can't be read; it may be nil.
+	Unreadable *observe.Unreadable
 	// Policy makes the decisions that operators have programmed; it may be nil.
 	Policy owner.Policy
 }
@@ -151,7 +155,7 @@
 	go func() { _ = server.Serve(e.listener) }()
 	defer server.Stop()
 	go e.follow(ctx, e.store, Operator{Routes: &e.routes, Evacuated: e.evacuated}, e.log)
-	go member.Follow(ctx, e.store, e.found, e.log)
+	go member.Follow(ctx, e.store, e.found, e.options.Unreadable, e.log)
 	for ctx.Err() == nil {
 		e.runTerm(ctx)
 	}
--- a/node/recall.go
+++ b/node/recall.go
@@ -9,6 +9,7 @@
 
 	"rackspur/gate"
 	"rackspur/internal/wait"
+	"rackspur/observe"
 	"rackspur/rowstore"
 )
 
@@ -31,7 +32,9 @@
 	store  rowstore.Store
 	node   string
 	driver *gate.Driver
-	log    logr.Logger
+	// unreadable is told of a description that can't be read.
+	unreadable *observe.Unreadable
+	log        logr.Logger
 }
 
 func (s *descriptions) key() rowstore.Key {
@@ -62,8 +65,12 @@
 		s.log.Info("Executor not recalled.", "error", err.Error())
 		return
 	}
+	if !ok {
+		return
+	}
 	var d gate.Description
-	if !ok || json.Unmarshal(row.Value, &d) != nil {
+	if err := json.Unmarshal(row.Value, &d); err != nil {
+		s.unreadable.Note(tableExecutors, row.Name, err.Error())
 		return
 	}
 	s.driver.Recall(d)
--- a/node/seek.go
+++ b/node/seek.go
@@ -44,7 +44,9 @@
 	gate    linkedGate
 	daemon  member.Daemon
 	metrics *observe.Metrics
-	log     logr.Logger
+	// unreadable is told of rows of daemons that can't be read; it may be nil.
+	unreadable *observe.Unreadable
+	log        logr.Logger
 }
 
 // run looks at the gate's links until the context ends.
@@ -70,7 +72,7 @@
 func (s *ownerSeeker) seek(ctx context.Context, linked []string) (invited int) {
 	readCtx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	daemons, _, err := member.ReadDaemons(readCtx, s.store)
+	daemons, _, err := member.ReadDaemons(readCtx, s.store, s.unreadable)
 	if err != nil {
 		s.log.Info("Entry boxes not read; the gate has few owners.", "owners", len(linked), "error", err.Error())
 		return 0
--- a/node/takeover.go
+++ b/node/takeover.go
@@ -83,7 +83,7 @@
 func (t *term) knowDaemons() bool {
 	for t.ctx.Err() == nil {
 		ctx, cancel := context.WithTimeout(t.ctx, readTimeout)
-		daemons, _, err := member.ReadDaemons(ctx, t.entry.store)
+		daemons, _, err := member.ReadDaemons(ctx, t.entry.store, t.entry.options.Unreadable)
 		cancel()
 		if err == nil {
 			for _, d := range daemons {
@@ -127,8 +127,11 @@
 		var found []owner.Adopted
 		for _, row := range rows {
 			r, err := job.DecodeRecord(row.Value)
+			if err == nil && string(r.ID) != row.Name {
+				err = job.ErrRecord
+			}
 			if err != nil {
-				t.log.Error(err, "Unreadable record left alone.", "job", row.Name)
+				t.entry.options.Unreadable.Note(owner.TableJobs, row.Name, err.Error())
 				continue
 			}
 			if r.Owner == incarnation {
--- a/node/term.go
+++ b/node/term.go
@@ -53,7 +53,7 @@
 		entry: e, daemon: daemon, log: e.log, taking: map[string]bool{},
 		lifeNeeded: make(chan struct{}, 1), begun: make(chan struct{}),
 		life:    member.NewLife(e.store, parts, daemon),
-		watcher: member.NewWatcher(e.store, parts, daemon, e.started),
+		watcher: member.NewWatcher(e.store, parts, daemon, e.started, e.options.Unreadable),
 	}
 	t.ctx, t.end = context.WithCancel(ctx)
 	t.owner = owner.New(e.ownerOptions(incarnation), t)
--- /dev/null
+++ b/observe/unreadable_test.go
@@ -0,0 +1,33 @@
+package observe
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+)
+
+// Each entry is counted; a source has a line each two seconds, with how many had none.
+func TestUnreadable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var lines []string
+		m := NewMetrics()
+		u := NewUnreadable(funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{}), m)
+		for range 5 {
+			u.Note("members", strings.Repeat("k", 10_000), "no address")
+		}
+		u.Note("heartbeat", "i-1", "state")
+		time.Sleep(unreadablePause)
+		u.Note("members", "k", "no address")
+		if got := m.Value(MetricUnreadable); got != 7 {
+			t.Errorf("counted %d, want 7", got)
+		}
+		if len(lines) != 3 || !strings.Contains(lines[2], `"untold"=4`) || len(lines[0]) > 400 {
+			t.Errorf("lines %q", lines)
+		}
+	})
+	var none *Unreadable
+	none.Note("members", "k", "nothing")
+}
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -146,10 +146,14 @@
 // first of many changes at once: the newest version tells how far it has come only if
 // there were none.
 func resumeFrom(p Page) uint64 {
-	if len(p.Rows) == 0 {
+	through := p.Through
+	if len(p.Rows) > 0 {
+		through = max(through, p.Rows[len(p.Rows)-1].Version)
+	}
+	if through == 0 {
 		return p.Version
 	}
-	return p.Rows[len(p.Rows)-1].Version
+	return through
 }
 
 // confirm notes an answer.
--- a/rowstore/rowstore.go
+++ b/rowstore/rowstore.go
@@ -92,6 +92,23 @@
 	Rows    []Row  `json:"rows,omitempty"`
 	More    bool   `json:"more,omitempty"`
 	Version uint64 `json:"version"`
+	// Unreadable is how many rows could not be read and are left out. Through is the highest
+	// version of all rows, those included, and Last the last name; they are empty if they
+	// are not told, or can't be read either.
+	Unreadable int    `json:"unreadable,omitempty"`
+	Through    uint64 `json:"through,omitempty"`
+	Last       string `json:"last,omitempty"`
+}
+
+// ErrUnreadable says that a row is there and can't be read.
+var ErrUnreadable = eris.New("rowstore: row can't be read")
+
+// lastName returns the name of the last row.
+func (p *Page) lastName() string {
+	if len(p.Rows) == 0 {
+		return p.Last
+	}
+	return max(p.Last, p.Rows[len(p.Rows)-1].Name)
 }
 
 // Store is a transactional store of rows.
@@ -109,6 +126,10 @@
 // ReadOne returns a row; ok says whether it exists.
 func ReadOne(ctx context.Context, s Store, k Key) (row Row, ok bool, err error) {
 	page, err := s.Read(ctx, Query{Table: k.Table, Part: k.Part, From: k.Name, Until: k.Name + "\x00", Limit: 1})
+	if err == nil && page.Unreadable > 0 {
+		// Not to be taken for a row that is not there.
+		err = ErrUnreadable
+	}
 	if err != nil || len(page.Rows) == 0 || page.Rows[0].Name != k.Name {
 		return Row{}, false, err
 	}
@@ -128,9 +149,13 @@
 			version = page.Version
 		}
 		rows = append(rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
+		if !page.More || len(page.Rows)+page.Unreadable == 0 {
 			return rows, version, nil
 		}
-		q.From = page.Rows[len(page.Rows)-1].Name + "\x00"
+		last := page.lastName()
+		if last == "" {
+			return nil, 0, ErrUnreadable
+		}
+		q.From = last + "\x00"
 	}
 }
