Tests: suspicion, late answers to stops and overtaken draining over a restart

Cause: three uses of the life that were put back to the id by hand turned no test red. Change: a test each. Measured: go test ./gate passes.

--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -568,3 +568,55 @@
 		t.Errorf("noted up to %d, run known %v", h.Call.Seen, b.gate.HasRuns(testOwner))
 	}
 }
+
+// What made the former life suspect says nothing of the newer one.
+func TestRestartEndsSuspicion(t *testing.T) {
+	b := newRestartBench(t)
+	for i, id := range []job.ID{"aa", "bb", "cc"} {
+		name := testRun(id, 0, 1)
+		b.startRun(name)
+		b.answer(HoldAnswer{Finished: []Ended{{Number: int64(6 + i), Name: name, Kind: EndFailed}}})
+	}
+	if !b.gate.health.suspect {
+		t.Fatal("not suspect after three failures")
+	}
+	b.restart(secondLife, behindClockAt)
+	b.answer(HoldAnswer{})
+	b.answer(HoldAnswer{})
+	b.beat(false)
+	b.startRun(testRun("dd", 0, 1))
+}
+
+// The former life's answer to a stop comes late: the run that the newer one has is not
+// stopped by it, and the newer clock stays what it is.
+func TestRestartThenLateAnswerToStop(t *testing.T) {
+	b := newRestartBench(t)
+	name := testRun("aa", 0, 1)
+	a := b.startRun(name)
+	stop := StopCall{Name: name, Fence: a.Starts[0].Fence}
+	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Sequence: 2, Stops: []job.RunName{name}})
+	b.restart(secondLife, behindClockAt)
+	b.answer(working(name))
+	b.answer(working(name))
+	clock := b.gate.executorClock(b.now)
+	b.gate.OnStop(b.now, a.Life, stop, Answer{ClockMS: aheadClockAt}, nil)
+	b.gate.OnStart(b.now, a.Life, a.Starts[0], Answer{ClockMS: aheadClockAt}, nil)
+	if r := b.gate.runs[name]; r == nil || r.stopConfirmed != 0 {
+		t.Errorf("run %+v, want one whose stop is not confirmed", r)
+	}
+	if got := b.gate.executorClock(b.now); got != clock {
+		t.Errorf("clock %d, want %d", got, clock)
+	}
+}
+
+// A target says that it leaves; a heartbeat that it sent after that arrives first. The one
+// that was overtaken is acknowledged, so it counts.
+func TestOvertakenDraining(t *testing.T) {
+	b := newRestartBench(t)
+	leaving := b.heartbeatOf(firstLife, b.sequence+1, true)
+	b.sequence++
+	b.beat(false)
+	if _, believed := b.gate.OnHeartbeat(b.now, leaving); !believed || b.open() {
+		t.Errorf("believed %v, open %v", believed, b.open())
+	}
+}
