--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -37,12 +37,12 @@
 	return b
 }
 
-func (b *bench) executorClock() int64 { return b.clock + b.now.Milliseconds() }
+func (b *bench) targetClock() int64 { return b.clock + b.now.Milliseconds() }
 
 func (b *bench) heartbeat(life Life, draining bool) {
 	b.gate.OnHeartbeat(b.now, Heartbeat{
 		Life: life, Service: "engine", Capacity: job.Resources{CPU: 16000, Memory: 32768},
-		Draining: draining, ClockMS: b.executorClock(), Sequence: b.now.Milliseconds(),
+		Draining: draining, ClockMS: b.targetClock(), Sequence: b.now.Milliseconds(),
 	})
 }
 
@@ -50,7 +50,7 @@
 func (b *bench) hold(lists HoldAnswer) (Hold, Actions) {
 	h := b.gate.NextHold(b.now, 0)
 	b.now += time.Millisecond
-	return h, b.gate.OnHold(b.now, h, Answer{ClockMS: b.executorClock(), Life: b.gate.life}, lists, nil)
+	return h, b.gate.OnHold(b.now, h, Answer{ClockMS: b.targetClock(), Life: b.gate.life}, lists, nil)
 }
 
 func testRun(id job.ID, index, run int) job.RunName {
@@ -80,7 +80,7 @@
 // started answers all starts well.
 func (b *bench) started(a Actions) {
 	for _, c := range a.Starts {
-		b.gate.OnStart(b.now, a.Life, c, Answer{ClockMS: b.executorClock()}, nil)
+		b.gate.OnStart(b.now, a.Life, c, Answer{ClockMS: b.targetClock()}, nil)
 	}
 }
 
@@ -206,7 +206,7 @@
 	if s := b.states()[name]; s.End != 0 {
 		t.Fatalf("state %+v before the stop was answered", s)
 	}
-	b.gate.OnStop(b.now, a.Life, a.Stops[0], Answer{ClockMS: b.executorClock()}, nil)
+	b.gate.OnStop(b.now, a.Life, a.Stops[0], Answer{ClockMS: b.targetClock()}, nil)
 	b.now += time.Millisecond
 	b.hold(HoldAnswer{})
 	if s := b.states()[name]; s.End != EndRejected {
@@ -238,7 +238,7 @@
 	name := testRun("aa", 0, 1)
 	b.started(b.order(true, name))
 	old := b.gate.NextHold(b.now, 0)
-	oldAnswer := Answer{ClockMS: b.executorClock(), Life: testLife}
+	oldAnswer := Answer{ClockMS: b.targetClock(), Life: testLife}
 	b.now += 5 * time.Millisecond
 	b.hold(HoldAnswer{Finished: []Ended{{Number: 1, Name: name, Kind: EndDone}}})
 	b.verdict(name, VerdictNote)
@@ -279,7 +279,7 @@
 	found, next := testRun("aa", 0, 1), testRun("bb", 0, 1)
 	a := b.order(true, next)
 	b.hold(HoldAnswer{Running: []Running{{Name: found}}})
-	a = b.gate.OnStart(b.now, a.Life, a.Starts[0], Answer{ClockMS: b.executorClock()}, ErrNoRoom)
+	a = b.gate.OnStart(b.now, a.Life, a.Starts[0], Answer{ClockMS: b.targetClock()}, ErrNoRoom)
 	if s := b.states()[next]; len(a.Starts) != 0 || s.End != 0 {
 		t.Fatalf("starts %v, state %+v; want it to wait", a.Starts, s)
 	}
--- a/gate/lease.go
+++ b/gate/lease.go
@@ -63,7 +63,7 @@
 // over at a time of the gate.
 func (g *Gate) leaseUntil(now, end Time) int64 {
 	left := float64(end-now) * (1 - clockSlack)
-	return g.executorClock(now) + time.Duration(left).Milliseconds()
+	return g.targetClock(now) + time.Duration(left).Milliseconds()
 }
 
 // extendLease returns the end of the lease to ask for with a hold, on the target's
@@ -71,7 +71,7 @@
 // asks for less can still extend the lease; it never shortens it.
 func (g *Gate) extendLease(now Time) int64 {
 	until := g.leaseUntil(now, g.leaseBound(now))
-	if until <= g.executorClock(now) {
+	if until <= g.targetClock(now) {
 		return 0
 	}
 	g.grantedMS = max(g.grantedMS, until)
@@ -87,7 +87,7 @@
 
 // leaseOver says whether the lease that was given is surely over.
 func (g *Gate) leaseOver(now Time) bool {
-	return g.executorClock(now) > g.grantedMS+lapseMargin.Milliseconds()
+	return g.targetClock(now) > g.grantedMS+lapseMargin.Milliseconds()
 }
 
 // leaseShort says whether so little lease may be given that nothing can be started.
@@ -97,5 +97,5 @@
 
 // leaseLeft returns how much of the newest lease is left, by the target's clock.
 func (g *Gate) leaseLeft(now Time) time.Duration {
-	return time.Duration(max(0, g.grantedMS-g.executorClock(now))) * time.Millisecond
+	return time.Duration(max(0, g.grantedMS-g.targetClock(now))) * time.Millisecond
 }
--- a/gate/lease_test.go
+++ b/gate/lease_test.go
@@ -60,7 +60,7 @@
 	b.hold(working(name))
 	b.now += 375 * time.Millisecond
 	h := b.gate.NextHold(b.now, 0)
-	left := time.Duration(h.Call.UntilMS-b.executorClock()) * time.Millisecond
+	left := time.Duration(h.Call.UntilMS-b.targetClock()) * time.Millisecond
 	if least := 800 * time.Millisecond; left < least {
 		t.Errorf("a lease of %v, want %v at least", left, least)
 	}
--- a/gate/leftover_test.go
+++ b/gate/leftover_test.go
@@ -42,7 +42,7 @@
 
 // leaseEnd returns until when an executor with the slowest clock holds a lease.
 func (b *bench) leaseEnd(untilMS int64) Time {
-	left := time.Duration(untilMS-b.executorClock()) * time.Millisecond
+	left := time.Duration(untilMS-b.targetClock()) * time.Millisecond
 	return b.now + time.Duration(float64(left)/(1-slowClock))
 }
 
@@ -285,7 +285,7 @@
 	for range 3 {
 		h = b.gate.NextHold(b.now, 0)
 		b.now += time.Millisecond
-		b.gate.OnHold(b.now, h, Answer{ClockMS: b.executorClock(), Life: testLife}, working(name), nil)
+		b.gate.OnHold(b.now, h, Answer{ClockMS: b.targetClock(), Life: testLife}, working(name), nil)
 	}
 	b.heartbeat(testLife, false)
 	if !b.open() {
--- a/gate/life_test.go
+++ b/gate/life_test.go
@@ -115,7 +115,7 @@
 func (b *bench) holdOf(life Life) {
 	h := b.gate.NextHold(b.now, 0)
 	b.now += time.Millisecond
-	answer := Answer{ClockMS: b.executorClock(), Life: life}
+	answer := Answer{ClockMS: b.targetClock(), Life: life}
 	if h.Life != (Life{}) && h.Life != life {
 		b.gate.OnHold(b.now, h, answer, HoldAnswer{}, ErrOtherLife)
 		return
--- a/gate/report.go
+++ b/gate/report.go
@@ -8,7 +8,7 @@
 
 // Report is what a gate says of its executor.
 type Report struct {
-	// Life is the id of the executor.
+	// Life is the id of the target.
 	Life     string
 	Service  string
 	Capacity job.Resources
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -85,7 +85,7 @@
 func (b *restartBench) heartbeatOf(life Life, sequence int64, draining bool) Heartbeat {
 	return Heartbeat{
 		Life: life, Service: "engine", Capacity: job.Resources{CPU: 16000, Memory: 32768},
-		Draining: draining, ClockMS: b.executorClock(), Sequence: sequence,
+		Draining: draining, ClockMS: b.targetClock(), Sequence: sequence,
 	}
 }
 
@@ -99,7 +99,7 @@
 
 // answered gives the life's answer to a hold.
 func (b *restartBench) answered(h Hold, lists HoldAnswer) {
-	b.gate.OnHold(b.now, h, Answer{ClockMS: b.executorClock(), Life: Life{Born: b.life.Born}}, lists, nil)
+	b.gate.OnHold(b.now, h, Answer{ClockMS: b.targetClock(), Life: Life{Born: b.life.Born}}, lists, nil)
 }
 
 // startRun starts a best-effort run at the life.
@@ -224,7 +224,7 @@
 		if calls > 5 {
 			t.Fatalf("token %d after %d calls, %d was seen", h.Call.Fence, calls, seen)
 		}
-		b.gate.OnHold(b.now, h, Answer{ClockMS: b.executorClock()}, HoldAnswer{}, ErrFenced)
+		b.gate.OnHold(b.now, h, Answer{ClockMS: b.targetClock()}, HoldAnswer{}, ErrFenced)
 	}
 }
 
@@ -242,7 +242,7 @@
 		name := testRun("bb", 0, 1)
 		b.startRun(name)
 		h := b.answer(working(name))
-		if left := h.Call.UntilMS - b.executorClock(); left <= 0 || left > 1000 {
+		if left := h.Call.UntilMS - b.targetClock(); left <= 0 || left > 1000 {
 			t.Errorf("leased for %d ms from now, want up to 1000", left)
 		}
 		if b.gate.leaseOver(b.now) {
@@ -379,7 +379,7 @@
 	h := b.gate.NextHold(b.now, 0)
 	b.now += time.Millisecond
 	lists := HoldAnswer{Finished: []Ended{{Number: 6, Name: name, Kind: EndDone}}}
-	b.gate.OnHold(b.now, h, Answer{ClockMS: b.executorClock()}, lists, nil)
+	b.gate.OnHold(b.now, h, Answer{ClockMS: b.targetClock()}, lists, nil)
 	if s, told := b.states()[name]; told || !b.open() || b.gate.life != firstLife {
 		t.Errorf("told %v %+v, open %v, life %v", told, s, b.open(), b.gate.life)
 	}
@@ -598,13 +598,13 @@
 	b.restart(secondLife, behindClockAt)
 	b.answer(working(name))
 	b.answer(working(name))
-	clock := b.gate.executorClock(b.now)
+	clock := b.gate.targetClock(b.now)
 	b.gate.OnStop(b.now, a.Life, stop, Answer{ClockMS: aheadClockAt}, nil)
 	b.gate.OnStart(b.now, a.Life, a.Starts[0], Answer{ClockMS: aheadClockAt}, nil)
 	if r := b.gate.runs[name]; r == nil || r.stopConfirmed != 0 {
 		t.Errorf("run %+v, want one whose stop is not confirmed", r)
 	}
-	if got := b.gate.executorClock(b.now); got != clock {
+	if got := b.gate.targetClock(b.now); got != clock {
 		t.Errorf("clock %d, want %d", got, clock)
 	}
 }
--- a/node/restart_test.go
+++ b/node/restart_test.go
@@ -78,9 +78,9 @@
 type restartPlay struct {
 	*virtualSite
 	random *rand.Rand
-	// answered is how many of the jobs handed in were answered.
-	answered, handedIn int
-	results            chan bool
+	// results has an entry for each job that was answered.
+	handedIn int
+	results  chan bool
 	// leaving is when the draining of a life was acknowledged.
 	leaving map[*standin.Executor]time.Time
 	// stale is when the newest process of an agent began with an old description.
