Gate: a heartbeat of another service is another writer's; the soak has other writers

Cause: by reading, with a test of the soak in mind: an agent that had just started took a heartbeat of any service as its target's first word, and a high sequence in it made the good ones after it late. Change: a heartbeat of another service than the settings' is never believed. TestSoakRestarts writes rows that can't be read into every table that is read, and sends such heartbeats, none of which may be acknowledged.

--- a/gate/heartbeat.go
+++ b/gate/heartbeat.go
@@ -8,14 +8,10 @@
 	switch {
 	case g.pastLives[b.Life]:
 		return Actions{}, false
-	case g.life.ambiguous(b.Life):
+	case g.life.ambiguous(b.Life), g.otherService(b):
 		g.passOverHeartbeat(now, b)
 		return Actions{}, false
 	case b.Life == g.life:
-		if g.otherService(b) {
-			g.passOverHeartbeat(now, b)
-			return Actions{}, false
-		}
 		if b.Sequence < g.sequence {
 			g.takeLateHeartbeat(now, b)
 			return Actions{}, true
@@ -59,9 +55,9 @@
 }
 
 // otherService says whether a heartbeat names another service than the one that the target
-// is known to belong to: a life does not change it.
+// belongs to by the settings: it is another writer's.
 func (g *Gate) otherService(b Heartbeat) bool {
-	return g.known && g.service == g.options.Service && b.Service != g.service
+	return g.options.Service != "" && b.Service != g.options.Service
 }
 
 // takeLateHeartbeat takes in a heartbeat that a newer one has overtaken. A target that
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -531,6 +531,11 @@
 	if !b.beat(true) || b.open() {
 		t.Error("the next good heartbeat is passed over")
 	}
+	// The first word that a new process of the gate hears.
+	b.gate = New(b.gate.options)
+	if _, believed := b.gate.OnHeartbeat(b.now, bad); believed {
+		t.Error("believed as the first word")
+	}
 }
 
 // The clock that a heartbeat tells ends no lease: only the target's own answers do.
--- a/test/soak_restart_test.go
+++ b/test/soak_restart_test.go
@@ -47,17 +47,22 @@
 			defer callers.Done()
 			r.longJobs(end, callers)
 		}()
-		r.faults.Add(1)
+		r.faults.Add(2)
 		go func() {
 			defer r.faults.Done()
 			r.restarts(end)
 		}()
+		go func() {
+			defer r.faults.Done()
+			r.others(end)
+		}()
 	},
 }
 
 // TestSoakRestarts is the soak whose targets crash and start again, mostly under the id that
 // they had, in series and beside kills of agents and entries, drains, orders that are
-// lost or late, and words of former lives that come late.
+// lost or late, and words of former lives that come late. Other writers leave entries and
+// send heartbeats that can't be read all the time.
 func TestSoakRestarts(t *testing.T) {
 	length := time.Duration(soakNumber(soakSecondsVariable, restartSeconds)) * time.Second
 	rounds := int(soakNumber(soakRoundsVariable, 1))
