Test: a hold that asks which life is there notes ends; failing

Cause: TestSoakRestarts, once: a kept task started again after an end that the target had been told to forget; traced in the run's log.

--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -196,6 +196,19 @@
 	}
 }
 
+// A target was back 2 ms after it had crashed, and no call had failed. It carried out a start
+// that was under way, at 02.974 s, and the run was done at 03.008 s. Its first heartbeat was
+// heard at 03.06 s, and the hold that followed noted ends up to the former life's number: the
+// newer one forgot that end, and the task began again at 03.080 s.
+func TestClaimNotesNoEnds(t *testing.T) {
+	b := newRestartBench(t)
+	b.restart(secondLife, behindClockAt)
+	b.beat(false)
+	if h := b.answer(HoldAnswer{}); h.Call.Seen != 0 {
+		t.Errorf("the hold that asks which life is there notes ends up to %d", h.Call.Seen)
+	}
+}
+
 // An older hold that fails says nothing of the target once a newer one was answered: ends
 // go on being noted without a pause.
 func TestOlderHoldThatFails(t *testing.T) {
