Gate: nothing is noted while it is in doubt which life is there

Cause: the hold that followed the first heartbeat of a newer life, or that was sent beside an overdue one, named the former life's noted ends; the newer life forgot its own by that.

--- a/gate/claim.go
+++ b/gate/claim.go
@@ -20,6 +20,8 @@
 	if g.fence != 0 {
 		g.raiseFence()
 	}
+	// The answer may be another life's, which would forget its own ends by what is noted.
+	g.Doubt(now)
 	return Actions{HoldAfresh: true}
 }
 
--- a/gate/driver.go
+++ b/gate/driver.go
@@ -162,6 +162,13 @@
 	return h
 }
 
+// doubt takes in that a hold is overdue; see Gate.Doubt.
+func (d *Driver) doubt() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.gate.Doubt(d.now())
+}
+
 // hold makes a hold and takes in its answer.
 func (d *Driver) hold(ctx context.Context, h Hold) error {
 	ans, lists, err := d.executor.Hold(ctx, h.Life, h.Call)
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -80,8 +80,10 @@
 	}
 	g.listedMS = a.ClockMS
 	g.held = now
-	g.confirmed = true
-	g.confirmedBy = max(g.confirmedBy, h.sent)
+	if h.sent >= g.confirmedBy {
+		g.confirmed = true
+		g.confirmedBy = h.sent
+	}
 	if h.peek {
 		if a.ClockMS == 0 {
 			return Actions{}
@@ -217,9 +219,15 @@
 	return len(g.listed) > 0
 }
 
-// Confirmed says whether no hold has failed since the newest one that brought lists of the
-// life that is known.
+// Confirmed says whether nothing puts in doubt that the life that is known is there.
 func (g *Gate) Confirmed() bool { return g.confirmed }
 
+// Doubt takes in that the target may have started again, as when a hold is overdue. Only a
+// hold that is sent from now on settles it.
+func (g *Gate) Doubt(now Time) {
+	g.confirmed = false
+	g.confirmedBy = max(g.confirmedBy, now)
+}
+
 // Lapsing says whether the lease is left to lapse.
 func (g *Gate) Lapsing() bool { return g.lapsing }
--- a/gate/holdloop.go
+++ b/gate/holdloop.go
@@ -94,6 +94,7 @@
 	c := l.newest()
 	c.due = time.Now().Add(l.driver.rto.timeout())
 	c.overdue = true
+	l.driver.doubt()
 	if len(l.underWay) == freshHold {
 		ctx = OnNewConnection(ctx)
 	}
--- a/gate/life.go
+++ b/gate/life.go
@@ -55,8 +55,9 @@
 	grantedMS int64
 	// listedMS is the target's clock of the newest lists that were taken in.
 	listedMS int64
-	// confirmed is set while no hold has failed that was sent after the newest one which
-	// brought lists of this life, at confirmedBy.
+	// confirmed is set while nothing puts in doubt that this life is there: no other has
+	// sent a heartbeat under its id, and no hold is overdue or has failed. confirmedBy is
+	// when the newest hold was sent that brought its lists, or when the doubt began.
 	confirmed   bool
 	confirmedBy Time
 	// surveyed is set once the target has listed what earlier processes of this gate,
--- a/test/soak_restart_test.go
+++ b/test/soak_restart_test.go
@@ -17,6 +17,9 @@
 	// life of its target, which nobody had called yet: the task's first run was done and
 	// noted. Until its first call a life can't tell such orders from others.
 	515707851790,
+	// Once: the hold that followed the first heartbeat of a newer life had it forget the end
+	// of a run, unheard, and the task began again.
+	932265993314,
 }
 
 // Times of a soak with targets that start again.
