A run that is lost during a take-over starts again

Cause: while a job is taken over, the owner gathers what gates tell of its runs. A gate's target started again meanwhile, and the gate found a run there, so that its next frame was an inventory: it holds no run that was lost, and the list of changes that told of the loss is left out of it. What an inventory leaves out was looked for among placed tasks only; the run told of before counted as at work once the take-over went on, at a gate that knew nothing of it. Change: an inventory replaces what its gate has told of jobs that are being taken over. It is complete for every run whose end still has to be judged. TestRunLostDuringTakeOverStartsAgain failed before (no start, one wanted).

--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -141,6 +141,16 @@
 	return true
 }
 
+// forgetFound drops what a gate has told of runs of jobs that are being taken over: its
+// inventory replaces that.
+func (o *Owner) forgetFound(v *gateView) {
+	for _, a := range o.adoptions {
+		for _, j := range a.jobs {
+			j.found = slices.DeleteFunc(j.found, func(f foundRun) bool { return f.gate == v.name })
+		}
+	}
+}
+
 // resume goes on with a job that was taken over: of each task the newest run
 // counts, all others are discarded.
 func (o *Owner) resume(now Time, j *liveJob) {
--- a/owner/adopt_test.go
+++ b/owner/adopt_test.go
@@ -193,3 +193,37 @@
 		}
 	}
 }
+
+// Symptom: a kept job stood at "running" for good, and nothing of it ran.
+//
+// Sequence: its owner is lost; a gate tells the next one of a run that is at work, and the
+// take-over waits for another gate. The first gate's target starts again, and the gate finds a
+// run there: the inventory that it then sends holds no run that was lost.
+//
+// Cause: what an inventory leaves out was looked for among placed tasks only, not among the runs
+// told of earlier in the take-over. The run counted as at work.
+func TestRunLostDuringTakeOverStartsAgain(t *testing.T) {
+	b := newBench(t)
+	b.owner.AddGate("gate-2", "zone-b")
+	link := b.adoptJob(keptRecord(1), []gate.RunState{{Name: runOf(0, 1), Running: true}})
+	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: 10, Report: testReport(), Inventory: true, Adopted: []string{deadLife}})
+	second := b.connect("gate-2")
+	b.owner.OnFrame("gate-2", second, gate.Frame{Clock: b.now, Report: testReport(), Inventory: true, Adopted: []string{deadLife}})
+	starts := len(b.flush("gate-1", link).Starts) + len(b.flush("gate-2", second).Starts)
+	if starts != 1 {
+		t.Errorf("%d starts of the lost run's task, want 1", starts)
+	}
+}
+
+// An inventory replaces what its gate alone has told: runs at other gates go on.
+func TestInventoryDuringTakeOverLeavesOtherGates(t *testing.T) {
+	b := newBench(t)
+	b.owner.AddGate("gate-2", "zone-b")
+	link := b.adoptJob(keptRecord(1), []gate.RunState{{Name: runOf(0, 1), Running: true}})
+	second := b.connect("gate-2")
+	b.owner.OnFrame("gate-2", second, gate.Frame{Clock: b.now, Report: testReport(), Inventory: true, Adopted: []string{deadLife}})
+	starts := len(b.flush("gate-1", link).Starts) + len(b.flush("gate-2", second).Starts)
+	if starts != 0 {
+		t.Errorf("%d starts beside the run that goes on, want none", starts)
+	}
+}
--- a/owner/view.go
+++ b/owner/view.go
@@ -198,6 +198,9 @@
 	for _, life := range f.Adopted {
 		v.adopted[life] = true
 	}
+	if f.Inventory {
+		o.forgetFound(v)
+	}
 	for _, s := range f.States {
 		o.onState(now, v, s)
 	}
