A take-over waits for runs that were handed over, however long the store takes

Cause: a take-over asks the gates for the lost owner's runs before it reads the jobs. A gate hands its runs over at once and keeps them going for the new owner. Change: that time counts from the newest word of a gate that has handed runs over; of all others from the loss, as before. TestSlowTakeOverWaitsForRunsHandedOver failed before (a start beside the run).

--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -127,20 +127,34 @@
 }
 
 func (o *Owner) allTold(now Time, a *adoption) bool {
-	if now-a.from > o.overAfter() {
-		return true
-	}
 	for name := range a.asked {
-		v := o.gates[name]
-		for _, life := range a.lives {
-			if v != nil && !v.adopted[life] {
-				return false
-			}
+		if v := o.gates[name]; v != nil && !v.hasTold(a) && now-o.lastProof(v, a) <= o.overAfter() {
+			return false
+		}
+	}
+	return true
+}
+
+// hasTold says whether a gate has told of its runs of all lives of an adoption.
+func (v *gateView) hasTold(a *adoption) bool {
+	for _, life := range a.lives {
+		if !v.adopted[life] {
+			return false
 		}
 	}
 	return true
 }
 
+// lastProof returns the time from which the runs of an adoption's lives at a gate count as
+// over after overAfter: when the lives were lost, or when the gate was last heard of if it has
+// handed runs of theirs to this owner. Those go on for as long as owner and gate are in touch.
+func (o *Owner) lastProof(v *gateView, a *adoption) Time {
+	if v.handedOver {
+		return max(a.from, v.heard)
+	}
+	return a.from
+}
+
 // forgetFound drops what a gate has told of runs of jobs that are being taken over: its
 // inventory replaces that.
 func (o *Owner) forgetFound(v *gateView) {
--- a/owner/adopt_test.go
+++ b/owner/adopt_test.go
@@ -227,3 +227,37 @@
 		t.Errorf("%d starts beside the run that goes on, want none", starts)
 	}
 }
+
+// Symptom: two runs of a kept task at one time, by reading.
+//
+// Sequence: a gate has handed a lost owner's runs to the one that takes over and keeps them
+// going for it; the store is slow, and the jobs are read after the time by which runs of a
+// lost owner are over.
+//
+// Cause: that time counts from the owner's loss, but runs that were handed over outlive it.
+func TestSlowTakeOverWaitsForRunsHandedOver(t *testing.T) {
+	b := newBench(t)
+	link, second := b.connect("gate-1"), b.connect("gate-2")
+	b.owner.StartAdoption([]string{deadLife})
+	from := b.now
+	handedOver := gate.Frame{Clock: b.now, Received: 10, Report: testReport(), Inventory: true, Adopted: []string{deadLife}, States: []gate.RunState{{Name: runOf(0, 1), Running: true}}}
+	b.owner.OnFrame("gate-1", link, handedOver)
+	b.owner.OnFrame("gate-2", second, gate.Frame{Clock: b.now, Received: 10, Report: testReport(), Inventory: true, Adopted: []string{deadLife}})
+	b.now += b.owner.overAfter() + time.Second
+	for name, l := range map[string]uint64{"gate-1": link, "gate-2": second} {
+		b.owner.OnFrame(name, l, gate.Frame{Clock: b.now, Received: 10, Report: testReport()})
+	}
+	record := keptRecord(1)
+	record.Owner, record.Generation = "entry~1", 1
+	b.owner.Adopt([]string{deadLife}, from, []Adopted{{Record: record, Version: 7}})
+	if n := len(b.flush("gate-1", link).Starts) + len(b.flush("gate-2", second).Starts); n != 0 {
+		t.Fatalf("%d starts beside the run that was handed over, want none", n)
+	}
+	// Once that gate is silent for as long, its runs are over as well.
+	b.now += b.owner.overAfter() + time.Millisecond
+	b.owner.OnFrame("gate-2", second, gate.Frame{Clock: b.now, Received: 11, Report: testReport(), Inventory: true, Adopted: []string{deadLife}})
+	b.owner.Tick()
+	if n := len(b.flush("gate-2", second).Starts); n != 1 {
+		t.Errorf("%d starts once the gate's runs are over, want 1", n)
+	}
+}
--- a/owner/view.go
+++ b/owner/view.go
@@ -23,7 +23,10 @@
 	// presumed is set once the gate's runs were held to be over.
 	presumed bool
 	report   gate.Report
-	adopted  map[string]bool
+	// adopted are the lives of which the gate has told its runs since it was last asked;
+	// handedOver is set once it has handed runs of any life to this owner.
+	adopted    map[string]bool
+	handedOver bool
 
 	// busy says that runs are at the gate, or may be.
 	busy bool
@@ -197,6 +200,7 @@
 	}
 	for _, life := range f.Adopted {
 		v.adopted[life] = true
+		v.handedOver = true
 	}
 	if f.Inventory {
 		o.forgetFound(v)
