Holds that nobody waits for count at the executor until they return

Callers saw: nothing directly. An executor that answers half of its calls, or a quarter, had four or five holds of its gate at once, each a connection and work of its own while it was in trouble (TestOverdueHoldIsBrokenOff: "20 holds, 4 at once"). Cause: the bound counted the holds that are waited for. One that was given up keeps 30 ms for a late answer, and goes on at the executor for a moment after it was ended; neither counted. Kicks that came in a pause were besides taken for its end, so that a call that had to go over a new connection went over an old one. Change: late holds stay in a list until they return, and give way once there are two beside one under way; the next is then sent when the ended one has returned. A hold that is answered in the moment in which it is overdue counts as answered. Pauses are times of the loop rather than waits in it. Unchanged: mostHolds, the time for a late answer, when a hold is overdue.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -103,8 +103,7 @@
 // Run holds the executor until the context ends.
 func (d *Driver) Run(ctx context.Context) {
 	go d.tick(ctx)
-	l := &holdLoop{driver: d, answers: make(chan *holdCall)}
-	l.run(ctx)
+	newHoldLoop(d).run(ctx)
 }
 
 // nextHold returns the hold to make now; only the first of several waits long.
@@ -141,28 +140,17 @@
 	return err
 }
 
-// pause waits until the next hold is of use.
-func (d *Driver) pause(ctx context.Context, err error) {
-	var wait time.Duration
-	d.do(func(_ Time, g *Gate) Actions {
-		switch {
-		case err != nil, g.Lapsing(), !g.Confirmed():
-			wait = failurePause
-		case g.Unnoted():
-			wait = unnotedPause
-		}
-		return Actions{}
-	})
-	if wait == 0 {
-		return
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-d.kick:
-	case <-t.C:
-	case <-ctx.Done():
+// holdPause returns how long the next hold is of no use, after one that has ended.
+func (d *Driver) holdPause(err error) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case err != nil, d.gate.Lapsing(), !d.gate.Confirmed():
+		return failurePause
+	case d.gate.Unnoted():
+		return unnotedPause
 	}
+	return 0
 }
 
 func (d *Driver) tick(ctx context.Context) {
--- a/gate/holdloop.go
+++ b/gate/holdloop.go
@@ -45,17 +45,29 @@
 // waited for: another is sent beside it, so that ends are seen also while some
 // calls get no answer.
 type holdLoop struct {
-	driver   *Driver
-	answers  chan *holdCall
-	underWay []*holdCall
+	driver *Driver
+	// returned has each hold once its call has ended.
+	returned chan *holdCall
+	// underWay are the holds that are waited for, oldest first; late are those that are
+	// not any more, but are still at the executor.
+	underWay, late []*holdCall
+	// resume is when the next hold is due while none is under way.
+	resume time.Time
+	// blocked: a hold is due, and waits for late ones to return.
+	blocked bool
+	// fresh: the next hold is made over a new connection.
+	fresh bool
+}
+
+func newHoldLoop(d *Driver) *holdLoop {
+	return &holdLoop{driver: d, returned: make(chan *holdCall), resume: time.Now()}
 }
 
 func (l *holdLoop) run(ctx context.Context) {
-	l.send(ctx)
 	for ctx.Err() == nil {
-		timer := time.NewTimer(time.Until(l.newest().due))
+		timer := time.NewTimer(l.untilDue())
 		select {
-		case c := <-l.answers:
+		case c := <-l.returned:
 			l.finished(ctx, c)
 		case <-l.driver.kick:
 			l.kicked(ctx)
@@ -67,13 +79,27 @@
 	}
 }
 
+// untilDue returns the time until the next hold is to be sent.
+func (l *holdLoop) untilDue() time.Duration {
+	switch {
+	case len(l.underWay) > 0:
+		return time.Until(l.newest().due)
+	case l.blocked:
+		// A call that was ended returns at once, or by its time-out.
+		return holdTimeout
+	}
+	return time.Until(l.resume)
+}
+
+func (l *holdLoop) newest() *holdCall { return l.underWay[len(l.underWay)-1] }
+
 // kicked makes a hold at once. With a target that has started again, all holds under way
 // may hang: that left the newer life unheard for up to 250 ms, in which it carried out what
 // was meant for the former one.
 func (l *holdLoop) kicked(ctx context.Context) {
 	if l.driver.afresh.Swap(false) {
 		l.breakOffAll()
-		ctx = OnNewConnection(ctx)
+		l.fresh = true
 	}
 	l.send(ctx)
 }
@@ -81,32 +107,47 @@
 // breakOffAll gives up all holds under way.
 func (l *holdLoop) breakOffAll() {
 	for _, c := range l.underWay {
-		c.brokenOff.Store(true)
+		l.giveUp(c)
 		c.cancel()
 	}
 	l.underWay = nil
+	l.resume = time.Now()
 }
 
-func (l *holdLoop) newest() *holdCall { return l.underWay[len(l.underWay)-1] }
+// giveUp waits for a hold no more.
+func (l *holdLoop) giveUp(c *holdCall) {
+	c.brokenOff.Store(true)
+	l.late = append(l.late, c)
+}
 
-// passedDue sends another hold beside the newest one, which should have been
-// answered by now.
+// passedDue sends the next hold. If one is under way, it should have been answered by now,
+// unless its answer has come in the same moment.
 func (l *holdLoop) passedDue(ctx context.Context) {
-	c := l.newest()
-	c.due = time.Now().Add(l.driver.rto.timeout())
-	c.overdue = true
-	l.driver.doubt()
-	if len(l.underWay) == freshHold {
-		ctx = OnNewConnection(ctx)
+	select {
+	case c := <-l.returned:
+		l.finished(ctx, c)
+		return
+	default:
+	}
+	if len(l.underWay) > 0 {
+		c := l.newest()
+		c.due = time.Now().Add(l.driver.rto.timeout())
+		c.overdue = true
+		l.driver.doubt()
+		l.fresh = l.fresh || len(l.underWay) == freshHold
 	}
 	l.send(ctx)
 }
 
-// send makes a hold unless too many are under way; only the first waits long.
+// send makes a hold unless too many are at the executor; only the first waits long.
 func (l *holdLoop) send(ctx context.Context) {
-	if len(l.underWay) >= mostHolds {
+	if l.blocked = !l.hasRoom(); l.blocked {
 		return
 	}
+	if l.fresh {
+		ctx = OnNewConnection(ctx)
+		l.fresh = false
+	}
 	c := &holdCall{hold: l.driver.nextHold(len(l.underWay) == 0), sent: time.Now()}
 	c.due = c.sent.Add(c.wait() + l.driver.rto.timeout())
 	callCtx, cancel := context.WithTimeout(ctx, c.wait()+holdTimeout)
@@ -116,27 +157,49 @@
 		defer cancel()
 		c.err = l.driver.hold(callCtx, c.hold, c.brokenOff.Load)
 		select {
-		case l.answers <- c:
+		case l.returned <- c:
 		case <-ctx.Done():
 		}
 	}()
 }
 
-// finished takes in the end of a hold and makes the next if no other is under way.
+// hasRoom says whether another hold may go to the executor. Late ones give way once there
+// are two beside one under way: an ended call goes on there for a moment, so the next is sent
+// only once it has returned. Counting only the holds that are waited for, half of the calls
+// hanging brought four to the executor at once.
+func (l *holdLoop) hasRoom() bool {
+	if len(l.late) == 0 || len(l.underWay)+len(l.late) < mostHolds-1 {
+		return len(l.underWay) < mostHolds
+	}
+	for _, c := range l.late {
+		c.cancel()
+	}
+	return false
+}
+
+// finished takes in the end of a hold and settles when the next is made, if no other is under
+// way.
 func (l *holdLoop) finished(ctx context.Context, c *holdCall) {
 	if c.brokenOff.Load() {
+		l.late = without(l.late, c)
+		if l.blocked {
+			l.send(ctx)
+		}
 		return
 	}
-	l.underWay = slices.DeleteFunc(l.underWay, func(other *holdCall) bool { return other == c })
+	l.underWay = without(l.underWay, c)
 	if answered(c.err) {
 		l.learn(c)
 		l.breakOffOlder(c)
 	}
-	if len(l.underWay) > 0 {
-		return
+	if len(l.underWay) == 0 {
+		l.resume = time.Now().Add(l.driver.holdPause(c.err))
 	}
-	l.driver.pause(ctx, c.err)
-	l.send(ctx)
+}
+
+// without returns the holds but for one.
+func without(holds []*holdCall, c *holdCall) []*holdCall {
+	return slices.DeleteFunc(holds, func(other *holdCall) bool { return other == c })
 }
 
 // learn takes in how long the executor took to answer beyond the wait. An answer
@@ -159,7 +222,7 @@
 		if !other.overdue || other.sent.After(c.sent) {
 			return false
 		}
-		other.brokenOff.Store(true)
+		l.giveUp(other)
 		time.AfterFunc(lateAnswer, other.cancel)
 		return true
 	})
