A target that has started again is called at once while starts may come late

Cause: a start that got no answer may be carried out seconds later. No field of a call tells two lives of an id apart, and the lease in a start means nothing on the newer one's clock; only a higher token that it has seen turns the start away. The gate paused for 60 ms after a call that failed, waited up to 150 ms in a hold, and bore the higher token with its second call only. Change: for 15 s after a start got no answer, and while one waits for its answer, holds wait 20 ms at most, the next follows a failed one after 5 ms, holds beside the first are ended after 60 ms, and once a connection is refused or breaks the next call bears a token above those of all starts.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -91,7 +91,12 @@
 	if err != nil {
 		d.log.Info("Start not done.", "job", c.Name.Job, "step", c.Name.Step, "index", c.Name.Index, "run", c.Name.Run, "tries", call.tries, "error", err.Error())
 	}
-	d.do(func(now Time, g *Gate) Actions { return g.OnStart(now, life, c, ans, err) })
+	d.do(func(now Time, g *Gate) Actions {
+		if call.mayComeLate() {
+			g.noteLateOrder(now)
+		}
+		return g.OnStart(now, life, c, ans, err)
+	})
 }
 
 func (d *Driver) stop(life Life, c StopCall) {
@@ -136,16 +141,38 @@
 		// The connection was given up, not refused.
 		err = ErrUnanswered
 	}
-	d.do(func(now Time, g *Gate) Actions { return g.OnHold(now, h, ans, lists, err) })
+	lost := !answered(err) && ctx.Err() == nil
+	d.do(func(now Time, g *Gate) Actions {
+		if lost {
+			g.OnConnectionLost(now)
+		}
+		return g.OnHold(now, h, ans, lists, err)
+	})
 	return err
 }
 
+// holdTimeout returns the time given to a hold beyond its wait; beside says that others are
+// under way.
+func (d *Driver) holdTimeout(beside bool) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if beside && d.gate.expectsLateOrders(d.now()) {
+		return lateOrderTimeout
+	}
+	return holdTimeout
+}
+
 // holdPause returns how long the next hold is of no use, after one that has ended.
 func (d *Driver) holdPause(err error) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	switch {
-	case err != nil, d.gate.Lapsing(), !d.gate.Confirmed():
+	case d.gate.Lapsing():
+		return failurePause
+	case err != nil, !d.gate.Confirmed():
+		if d.gate.expectsLateOrders(d.now()) {
+			return lateOrderPause
+		}
 		return failurePause
 	case d.gate.Unnoted():
 		return unnotedPause
--- a/gate/fence.go
+++ b/gate/fence.go
@@ -15,6 +15,7 @@
 func (g *Gate) raiseFence() {
 	g.topFence = max(g.topFence+1, uint64(max(0, g.options.Unix())))
 	g.fence = g.topFence
+	g.ordered = false
 }
 
 // fenced takes in that the target has seen a token above the one of a call.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -137,7 +137,11 @@
 	// added to it when the target has seen a higher one.
 	topFence  uint64
 	fenceStep uint64
-	pastLives map[Life]bool
+	// ordered: a start bore the token that is in use.
+	ordered bool
+	// lateOrdersUntil is until when starts that got no answer may be carried out.
+	lateOrdersUntil Time
+	pastLives       map[Life]bool
 	// claims are the newest heartbeats of lives that are not the one that is known.
 	claims []claim
 	// recalled is what an earlier process knew of the executor, taken what was last passed on
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -24,6 +24,9 @@
 	if g.watching() {
 		wait = min(wait, watchWait)
 	}
+	if g.expectsLateOrders(now) {
+		wait = min(wait, lateOrderWait)
+	}
 	wait = min(wait, g.options.Lease/holdsPerLease)
 	h.Call = HoldCall{Fence: g.fence, WaitMS: int(wait.Milliseconds())}
 	if g.confirmed {
--- a/gate/holdloop.go
+++ b/gate/holdloop.go
@@ -150,7 +150,7 @@
 	}
 	c := &holdCall{hold: l.driver.nextHold(len(l.underWay) == 0), sent: time.Now()}
 	c.due = c.sent.Add(c.wait() + l.driver.rto.timeout())
-	callCtx, cancel := context.WithTimeout(ctx, c.wait()+holdTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, c.wait()+l.driver.holdTimeout(len(l.underWay) > 0))
 	c.cancel = cancel
 	l.underWay = append(l.underWay, c)
 	go func() {
--- /dev/null
+++ b/gate/lateorder_test.go
@@ -0,0 +1,71 @@
+package gate
+
+import (
+	"testing"
+	"time"
+)
+
+// The call that follows a broken connection may be the first to a newer life: it bears a token
+// above those of starts that may be carried out late. With one above only after its answer, the
+// newer life was open to them for a second call.
+func TestFirstCallAfterCrashFencesLateStarts(t *testing.T) {
+	b := newRestartBench(t)
+	start := b.startRun(testRun("aa", 0, 1)).Starts[0]
+	b.gate.noteLateOrder(b.now)
+	lost := b.gate.NextHold(b.now, 0)
+	b.gate.OnConnectionLost(b.now)
+	b.gate.OnHold(b.now, lost, Answer{}, HoldAnswer{}, ErrUnanswered)
+	first := b.gate.NextHold(b.now, 0)
+	if first.Call.Fence <= start.Fence {
+		t.Errorf("token %d after the connection was lost, want one above %d", first.Call.Fence, start.Fence)
+	}
+	// Further failures need no higher one: no start has borne this one.
+	b.gate.OnConnectionLost(b.now)
+	if again := b.gate.NextHold(b.now, 0); again.Call.Fence != first.Call.Fence {
+		t.Errorf("token %d after another failure, want %d still", again.Call.Fence, first.Call.Fence)
+	}
+}
+
+// Without starts that may be carried out late, a connection that breaks changes no token: starts
+// on their way to a target that goes on would be turned away.
+func TestBrokenConnectionAloneKeepsToken(t *testing.T) {
+	b := newRestartBench(t)
+	b.startRun(testRun("aa", 0, 1))
+	before := b.gate.NextHold(b.now, 0)
+	b.gate.OnConnectionLost(b.now)
+	if after := b.gate.NextHold(b.now, 0); after.Call.Fence != before.Call.Fence {
+		t.Errorf("token %d after a broken connection, want %d still", after.Call.Fence, before.Call.Fence)
+	}
+}
+
+// Holds wait less while starts may be carried out late, and for no longer than that.
+func TestHoldsWhileStartsMayComeLate(t *testing.T) {
+	b := newRestartBench(t)
+	usual := b.gate.NextHold(b.now, holdWait).Call.WaitMS
+	b.gate.noteLateOrder(b.now)
+	if ms := b.gate.NextHold(b.now, holdWait).Call.WaitMS; ms > int(lateOrderWait.Milliseconds()) {
+		t.Errorf("holds wait %d ms, want %v at most", ms, lateOrderWait)
+	}
+	b.now += lateOrderSpan + time.Millisecond
+	if ms := b.gate.NextHold(b.now, holdWait).Call.WaitMS; ms != usual {
+		t.Errorf("holds wait %d ms afterwards, want %d", ms, usual)
+	}
+}
+
+// An order knows whether one of its tries may still be carried out.
+func TestOrderThatMayComeLate(t *testing.T) {
+	tests := []struct {
+		name string
+		call retriedCall
+		want bool
+	}{
+		{name: "answered", call: retriedCall{tries: 1}},
+		{name: "a try is open", call: retriedCall{tries: 2, open: 1}, want: true},
+		{name: "a try was broken off", call: retriedCall{tries: 2, lost: 1}, want: true},
+	}
+	for _, test := range tests {
+		if got := test.call.mayComeLate(); got != test.want {
+			t.Errorf("%s: %v, want %v", test.name, got, test.want)
+		}
+	}
+}
--- a/gate/retry.go
+++ b/gate/retry.go
@@ -35,8 +35,9 @@
 	began   time.Time
 	answers chan try
 	tries   int
-	// open is how many tries have neither an answer nor an error.
-	open int
+	// open is how many tries have neither an answer nor an error, lost how many ended
+	// without an answer.
+	open, lost int
 }
 
 // try is what became of one try of an order.
@@ -92,6 +93,9 @@
 	}()
 }
 
+// mayComeLate says whether a try that was sent got no answer: it may be carried out later.
+func (c *retriedCall) mayComeLate() bool { return c.open+c.lost > 0 }
+
 // answered says whether an executor has answered a call.
 func answered(err error) bool {
 	return !errors.Is(err, ErrUnanswered) && !errors.Is(err, ErrUnreached)
@@ -105,6 +109,9 @@
 		select {
 		case t := <-c.answers:
 			c.open--
+			if errors.Is(t.err, ErrUnanswered) {
+				c.lost++
+			}
 			if answered(t.err) || c.tries == 1 && errors.Is(t.err, ErrUnreached) {
 				return false, c.decided(t)
 			}
--- a/gate/start.go
+++ b/gate/start.go
@@ -82,6 +82,7 @@
 	g.grantedMS = max(g.grantedMS, r.untilMS)
 	g.used = g.used.Plus(r.need)
 	g.health.started(now)
+	g.ordered = true
 	return StartCall{Name: r.RunName, Spec: r.spec, Need: r.need, Checkpoint: r.checkpoint, UntilMS: r.untilMS, Fence: g.fence}
 }
 
--- a/node/virtualtarget_test.go
+++ b/node/virtualtarget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -30,6 +31,14 @@
 	// startsLate is how much later starts are carried out, which are not answered then; 0
 	// for none.
 	startsLate time.Duration
+	// tries are the runs whose first try was kept; nil keeps none.
+	tries map[job.RunName]lateStart
+}
+
+// lateStart is a start that was neither carried out nor answered.
+type lateStart struct {
+	life gate.Life
+	call gate.StartCall
 }
 
 func newVirtualTarget(name string, maxHold time.Duration) *virtualTarget {
@@ -124,6 +133,34 @@
 	x.startsLate = late
 }
 
+// keepFirstTries keeps the first try of each start from now on, unanswered.
+func (x *virtualTarget) keepFirstTries() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.tries = map[job.RunName]lateStart{}
+}
+
+// keepTry says whether a start is kept.
+func (x *virtualTarget) keepTry(life gate.Life, c gate.StartCall) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.tries == nil {
+		return false
+	}
+	if _, again := x.tries[c.Name]; again {
+		return false
+	}
+	x.tries[c.Name] = lateStart{life: life, call: c}
+	return true
+}
+
+// keptTries returns the starts that were kept.
+func (x *virtualTarget) keptTries() []lateStart {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return slices.Collect(maps.Values(x.tries))
+}
+
 // told is a time of the executor as its own clock shows it, meant the reverse.
 func told(clockMS int64) int64  { return clockMS * targetClock / 100 }
 func meant(clockMS int64) int64 { return clockMS * 100 / targetClock }
@@ -134,6 +171,10 @@
 		return gate.Answer{}, err
 	}
 	c.UntilMS = meant(c.UntilMS)
+	if x.keepTry(life, c) {
+		<-ctx.Done()
+		return gate.Answer{}, gate.ErrUnanswered
+	}
 	if late := x.startsLateNow(); late > 0 {
 		// The life of then carries it out.
 		time.AfterFunc(late, func() { _, _ = x.newest().Start(context.Background(), life, c) })
