A target that stays away is looked for less often

Cause: looks each 5 ms while starts may come late cost a connection each; a target that is gone for good would have had 3,000 in 15 s. Change: the pause after a failed hold is a tenth of the time since the target last answered, between 5 and 60 ms; holds beside another are given a quarter of it, between 60 and 250 ms.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -151,15 +151,11 @@
 	return err
 }
 
-// holdTimeout returns the time given to a hold beyond its wait; beside says that others are
-// under way.
+// holdTimeout returns the time given to a hold beyond its wait; see Gate.holdTimeout.
 func (d *Driver) holdTimeout(beside bool) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if beside && d.gate.expectsLateOrders(d.now()) {
-		return lateOrderTimeout
-	}
-	return holdTimeout
+	return d.gate.holdTimeout(d.now(), beside)
 }
 
 // holdPause returns how long the next hold is of no use, after one that has ended.
@@ -170,10 +166,7 @@
 	case d.gate.Lapsing():
 		return failurePause
 	case err != nil, !d.gate.Confirmed():
-		if d.gate.expectsLateOrders(d.now()) {
-			return lateOrderPause
-		}
-		return failurePause
+		return d.gate.pauseAfterFailure(d.now())
 	case d.gate.Unnoted():
 		return unnotedPause
 	}
--- a/gate/lateorder.go
+++ b/gate/lateorder.go
@@ -11,14 +11,20 @@
 const (
 	// lateOrderSpan is how long after it was given up a start may be carried out at the latest.
 	lateOrderSpan = 15 * time.Second
-	// lateOrderWait is how long a hold may wait for an end meanwhile, and lateOrderPause the
-	// time between a hold that has failed and the next. With the usual pause of 60 ms a
-	// newer life carried out 61 of 62 late starts that came 10 ms after its beginning.
-	lateOrderWait  = 20 * time.Millisecond
-	lateOrderPause = 5 * time.Millisecond
-	// lateOrderTimeout is the time given meanwhile to a hold beside another, beyond its wait:
-	// it makes room for the next, which may be the first to reach a newer life.
-	lateOrderTimeout = 60 * time.Millisecond
+	// lateOrderWait is how long a hold may wait for an end meanwhile.
+	lateOrderWait = 20 * time.Millisecond
+	// leastLateOrderPause is the least time between a hold that has failed and the next. With
+	// the usual pause of 60 ms a newer life carried out 61 of 62 late starts that came 10 ms
+	// after its beginning.
+	leastLateOrderPause = 5 * time.Millisecond
+	// leastLateOrderTimeout is the least time given to a hold beside another, beyond its
+	// wait: it makes room for the next, which may be the first to reach a newer life.
+	leastLateOrderTimeout = 60 * time.Millisecond
+	// Both grow with the time since the target last answered, by these parts of it, up to what
+	// is usual: each look costs a connection, and targets that are gone for good stay
+	// away.
+	silencePerPause   = 10
+	silencePerTimeout = 4
 )
 
 // noteLateOrder takes in that a start got no answer to one of its tries.
@@ -40,6 +46,23 @@
 	return false
 }
 
+// pauseAfterFailure returns the time between a hold that has failed and the next.
+func (g *Gate) pauseAfterFailure(now Time) time.Duration {
+	if !g.expectsLateOrders(now) {
+		return failurePause
+	}
+	return min(max((now-g.heard)/silencePerPause, leastLateOrderPause), failurePause)
+}
+
+// holdTimeout returns the time given to a hold beyond its wait; beside says that others are
+// under way.
+func (g *Gate) holdTimeout(now Time, beside bool) time.Duration {
+	if !beside || !g.expectsLateOrders(now) {
+		return holdTimeout
+	}
+	return min(max((now-g.heard)/silencePerTimeout, leastLateOrderTimeout), holdTimeout)
+}
+
 // OnConnectionLost takes in that a connection to the target was refused or has broken: it may
 // have crashed, so that the next call may be the first to a newer life.
 func (g *Gate) OnConnectionLost(now Time) {
