Ends are noted only just after the target has answered

Cause: while a hold waits at a target that has crashed, for up to 150 ms, no call has failed yet. A hold sent beside it named the newest noted end of the former life; the newer life, which had carried out a late start meanwhile, forgot as many ends of its own, unheard. Which hold it was the trace could not tell; it does now. Change: a hold notes ends only within 20 ms of the newest answer. Else another follows its answer at once. TestHoldBesideWaitingOneNotesNothing failed before ("notes ends up to 6 of a life that last answered 80 ms ago").

--- a/gate/hold.go
+++ b/gate/hold.go
@@ -29,9 +29,7 @@
 	}
 	wait = min(wait, g.options.Lease/holdsPerLease)
 	h.Call = HoldCall{Fence: g.fence, WaitMS: int(wait.Milliseconds())}
-	if g.confirmed {
-		// After a call that failed the target may have started again: a newer life would
-		// forget as many of its own ends, unheard.
+	if g.mayNote(now) {
 		h.Call.Seen = g.seen
 	}
 	if g.lapsing {
@@ -45,6 +43,23 @@
 	return h
 }
 
+// noteWithin is how long after the target's newest answer ends may be noted. While a hold waits
+// for up to 150 ms, the target may start again and a run may end there: a hold beside that one
+// had the newer life forget an end, unheard, and the task began again.
+const noteWithin = 20 * time.Millisecond
+
+// mayNote says whether the life that is known is surely there. A newer one would take the number
+// of the newest noted end for its own, and forget as many ends, unheard: after a call that failed
+// the target may have started again.
+func (g *Gate) mayNote(now Time) bool {
+	return g.confirmed && now-g.held <= noteWithin
+}
+
+// notesToTell says whether ends may be noted that no hold has told the target.
+func (g *Gate) notesToTell() bool {
+	return g.confirmed && g.seen > g.told
+}
+
 // holdsPerLease is how many holds are waited for in the time of a lease at least: where the
 // platform allows leases of 0.2 s, those of a hold that waits 0.15 s lapse while the next is
 // on its way.
@@ -104,13 +119,14 @@
 	if h.Call.Fence != g.fence {
 		return Actions{}
 	}
+	g.told = max(g.told, h.Call.Seen)
 	g.takeFinished(now, lists.Finished)
 	g.takeRunning(now, h, lists)
 	g.takeSurvey(a)
 	g.finishLapse(a)
 	g.advanceSeen()
 	g.stopOverdue(now)
-	return g.startFromQueue(now, g.stopWhatMust(now, Actions{}))
+	return g.startFromQueue(now, g.stopWhatMust(now, Actions{HoldNow: g.notesToTell()}))
 }
 
 // takeSurvey takes in that the target has listed what earlier processes, or orders to a
--- a/gate/life.go
+++ b/gate/life.go
@@ -66,8 +66,10 @@
 	// fullUntil is until when the target is taken to have no room.
 	fullUntil Time
 
-	// seen is the number of the newest end that may be noted; listed are the ends after it.
+	// seen is the number of the newest end that may be noted, told the newest that the target
+	// was told of; listed are the ends after seen.
 	seen   int64
+	told   int64
 	listed map[int64]*run
 	// lapsing is set while the lease is left to lapse.
 	lapsing bool
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -651,3 +651,50 @@
 		t.Errorf("believed %v, open %v", believed, b.open())
 	}
 }
+
+// Symptom: a kept task began again after a newer life had run it to its end, which was done and
+// noted there, unheard.
+//
+// Sequence: a hold waits at the former life as that crashes. The newer one carries out a late
+// start, whose run ends. An owner's word that an earlier end is durable brings a hold beside the
+// one that waits.
+//
+// Cause: that hold named the former life's noted ends, since no call had failed yet.
+func TestHoldBesideWaitingOneNotesNothing(t *testing.T) {
+	b := newRestartBench(t)
+	name := testRun("aa", 0, 1)
+	b.startRun(name)
+	b.answer(HoldAnswer{Finished: []Ended{{Number: 6, Name: name, Kind: EndDone}}})
+	b.gate.NextHold(b.now, holdWait)
+	b.restart(secondLife, behindClockAt)
+	b.now += 80 * time.Millisecond
+	b.verdict(name, VerdictNote)
+	beside := b.gate.NextHold(b.now, 0)
+	if beside.Call.Seen != 0 {
+		t.Errorf("notes ends up to %d of a life that last answered 80 ms ago, want none", beside.Call.Seen)
+	}
+}
+
+// An end that could not be noted with the hold beside a waiting one is noted as soon as that is
+// answered.
+func TestEndIsNotedOnceTheLifeHasAnswered(t *testing.T) {
+	b := newRestartBench(t)
+	name := testRun("aa", 0, 1)
+	b.startRun(name)
+	b.answer(HoldAnswer{Finished: []Ended{{Number: 6, Name: name, Kind: EndDone}}})
+	b.now += 80 * time.Millisecond
+	b.verdict(name, VerdictNote)
+	beside := b.gate.NextHold(b.now, 0)
+	b.now += time.Millisecond
+	a := b.gate.OnHold(b.now, beside, Answer{ClockMS: b.targetClock(), Life: Life{Born: b.life.Born}}, HoldAnswer{}, nil)
+	if !a.HoldNow {
+		t.Fatal("no hold follows that notes the end")
+	}
+	next := b.answer(HoldAnswer{})
+	if next.Call.Seen != 6 {
+		t.Errorf("notes ends up to %d, want 6", next.Call.Seen)
+	}
+	if h := b.gate.NextHold(b.now, 0); b.gate.notesToTell() {
+		t.Errorf("asks for another hold after %d was noted", h.Call.Seen)
+	}
+}
--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -224,7 +224,7 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.advance(now)
-	defer func() { e.record(now, OrderStart, c.Name, c.UntilMS, err) }()
+	defer func() { e.record(now, Order{Kind: OrderStart, Name: c.Name, Err: err}, c.UntilMS) }()
 	a = gate.Answer{ClockMS: e.clock(now), Life: gate.Life{ID: e.Life}}
 	if err := e.check(life.ID, c.Fence); err != nil {
 		return a, err
@@ -260,7 +260,7 @@
 	defer e.mu.Unlock()
 	now := time.Now()
 	e.advance(now)
-	defer func() { e.record(now, OrderStop, c.Name, 0, err) }()
+	defer func() { e.record(now, Order{Kind: OrderStop, Name: c.Name, Err: err}, 0) }()
 	a = gate.Answer{ClockMS: e.clock(now), Life: gate.Life{ID: e.Life}}
 	if err := e.check(life.ID, c.Fence); err != nil {
 		return a, err
@@ -284,7 +284,7 @@
 		e.extend(now, c.UntilMS)
 		e.forget(c.Seen)
 	}
-	e.record(now, OrderHold, job.RunName{}, c.UntilMS, err)
+	e.record(now, Order{Kind: OrderHold, Seen: c.Seen, Err: err}, c.UntilMS)
 	a := gate.Answer{ClockMS: e.clock(now), Life: gate.Life{ID: e.Life}}
 	e.mu.Unlock()
 	if err != nil {
--- a/internal/standin/orderlog.go
+++ b/internal/standin/orderlog.go
@@ -24,6 +24,8 @@
 	Kind string
 	// Name is the run of a start or a stop.
 	Name job.RunName
+	// Seen is the number of the newest noted end that a hold names.
+	Seen int64
 	// Until is the lease that the call asked for; zero if it asked for none.
 	Until time.Time
 	// Lease is when the executor's lease was over, after the call.
@@ -37,6 +39,9 @@
 	if !o.Until.IsZero() {
 		text += fmt.Sprintf(", asked for %+d ms", o.Until.Sub(o.At).Milliseconds())
 	}
+	if o.Seen != 0 {
+		text += fmt.Sprintf(", notes ends up to %d", o.Seen)
+	}
 	if o.Err != nil {
 		text += ": " + o.Err.Error()
 	}
@@ -50,9 +55,10 @@
 	return append([]Order(nil), e.orders...)
 }
 
-// record keeps an order; the lock is held.
-func (e *Executor) record(now time.Time, kind string, name job.RunName, untilMS int64, err error) {
-	o := Order{At: now, Kind: kind, Name: name, Lease: e.leaseEnd(), Err: err}
+// record keeps an order that was carried out now; the lock is held.
+func (e *Executor) record(now time.Time, o Order, untilMS int64) {
+	o.At = now
+	o.Lease = e.leaseEnd()
 	if untilMS != 0 {
 		o.Until = e.at(untilMS)
 	}
--- a/test/soak_trace_test.go
+++ b/test/soak_trace_test.go
@@ -32,6 +32,9 @@
 	for _, o := range telling(e.Orders(), first, second) {
 		r.t.Log(r.line(o.At, "%s: %v", m.name, o))
 	}
+	if o, ok := notingHold(e.Orders(), first); ok {
+		r.t.Log(r.line(o.At, "%s, notes the first run's end %d: %v", m.name, first.Number, o))
+	}
 	if later != e {
 		for _, o := range firstOrders(later.Orders(), second) {
 			r.t.Log(r.line(o.At, "%s, second run's: %v", at.name, o))
@@ -40,6 +43,16 @@
 	r.traceTurnedAway(first.Name.TaskName)
 }
 
+// notingHold returns the hold that had an executor note the end of a run.
+func notingHold(orders []standin.Order, s standin.Span) (o standin.Order, ok bool) {
+	for _, o := range orders {
+		if o.Kind == standin.OrderHold && o.Err == nil && s.Number > 0 && o.Seen >= s.Number && o.At.After(s.Ended) {
+			return o, true
+		}
+	}
+	return standin.Order{}, false
+}
+
 // traceTurnedAway logs how often executors have turned starts of a task away, and why.
 func (r *soakRun) traceTurnedAway(task job.TaskName) {
 	for _, m := range r.agents {
