A task that a full gate has given back waits before it goes there again

Callers saw: nothing directly; entry boxes spent messages on orders that came back at once, and run numbers of waiting tasks reached 1471. Cause: tasks of the first priority also go to gates whose queue is full, which give back what comes last. The task went there again with the next frame, though nothing had moved on. Change: a task that was given back goes to no full gate for 4 ms, doubling to 64 ms. Where there is room it goes at once. TestTaskGivenBackByFullGateWaits failed before. The soak's last line tells the highest number of a run now.

--- a/owner/drop_test.go
+++ b/owner/drop_test.go
@@ -192,3 +192,40 @@
 		t.Error("waits after the last answer")
 	}
 }
+
+// Symptom: the run numbers of waiting tasks of the first priority reached 1471 in a few seconds,
+// each an order that a gate gave back.
+//
+// Cause: a task that a full gate has given back went there again with the next frame, a few
+// milliseconds later, though nothing had moved on in that queue.
+func TestTaskGivenBackByFullGateWaits(t *testing.T) {
+	b := newBench(t)
+	link := b.connect("gate-1")
+	r := testReport()
+	r.Free = job.Resources{}
+	r.Queued = job.Resources{CPU: r.Capacity.CPU * gate.QueueShare / 1000}
+	s := testSubmission("00000000000000aa", 1)
+	b.owner.RunBestEffort(s, time.Minute, func(BestEffortResult) {})
+	orders, last, pause := 0, Time(0), Time(0)
+	for from := b.now; b.now < from+400*time.Millisecond; b.now += 3 * time.Millisecond {
+		f := gate.Frame{Clock: b.now, Received: 1000, Report: r}
+		for _, order := range b.flush("gate-1", link).Starts {
+			if b.now-last < pause {
+				t.Fatalf("sent again %v after it was given back for time %d, want %v at least", b.now-last, orders, pause)
+			}
+			orders++
+			pause = min(max(2*pause, leastFullPause), mostFullPause)
+			last = b.now
+			f.States = append(f.States, gate.RunState{Name: order.Name, End: gate.EndRejected, Reason: gate.ReasonFull})
+		}
+		b.owner.OnFrame("gate-1", link, f)
+	}
+	if orders < 2 {
+		t.Errorf("%d orders, want the task tried again", orders)
+	}
+	// Where there is room it goes at once.
+	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: 1000, Report: testReport()})
+	if n := len(b.flush("gate-1", link).Starts); n != 1 {
+		t.Errorf("%d starts once the gate has room, want 1", n)
+	}
+}
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"time"
+
 	"rackspur/gate"
 	"rackspur/job"
 )
@@ -191,7 +193,7 @@
 	switch s.End {
 	case gate.EndRejected:
 		o.stats.Rejected++
-		t.avoidRejected(v, s)
+		t.avoidRejected(now, v, s)
 		o.takeBack(t)
 	case gate.EndLost:
 		o.stats.Lost++
@@ -225,13 +227,26 @@
 	t.avoid[name] = true
 }
 
-// avoidRejected keeps a task from a gate whose executor turned it away.
-func (t *task) avoidRejected(v *gateView, s gate.RunState) {
-	if s.Reason == reasonTooLarge {
+// avoidRejected keeps a task from a gate whose executor turned it away, or from full queues
+// after one has given it back.
+func (t *task) avoidRejected(now Time, v *gateView, s gate.RunState) {
+	switch s.Reason {
+	case reasonTooLarge:
 		t.avoidGate(v.name)
+	case gate.ReasonFull:
+		t.fullPause = min(max(2*t.fullPause, leastFullPause), mostFullPause)
+		t.fullUntil = now + t.fullPause
 	}
 }
 
+// leastFullPause and mostFullPause bound how long a task that a full gate has given back goes to
+// no full gate; it doubles each time. Sent there again with each frame, a waiting task had 1471
+// runs, all given back.
+const (
+	leastFullPause = 4 * time.Millisecond
+	mostFullPause  = 64 * time.Millisecond
+)
+
 // reasonTooLarge is a gate's reason for a run that its executor can never hold.
 const reasonTooLarge = "too large"
 
--- a/owner/live.go
+++ b/owner/live.go
@@ -37,6 +37,10 @@
 	checkpoint string
 	// avoid are the gates on which a run has failed or stood still.
 	avoid map[string]bool
+	// fullUntil is until when the task goes to no gate whose queue is full, fullPause the time
+	// that it waits for that after the next one has given it back.
+	fullUntil Time
+	fullPause time.Duration
 	// moves counts how often the task was taken off an executor.
 	moves int
 	// position in the queue of waiting tasks, -1 if it is not in it.
--- a/owner/place.go
+++ b/owner/place.go
@@ -67,7 +67,7 @@
 	var best *gateView
 	bestScore := 0.0
 	for _, v := range usable {
-		score, ok := o.score(v, t, median)
+		score, ok := o.score(now, v, t, median)
 		if ok && (best == nil || score > bestScore) {
 			best = v
 			bestScore = score
@@ -80,7 +80,7 @@
 }
 
 // score rates a gate for a task; higher is better.
-func (o *Owner) score(v *gateView, t *task, median float64) (float64, bool) {
+func (o *Owner) score(now Time, v *gateView, t *task, median float64) (float64, bool) {
 	capacity := v.report.Capacity
 	if t.avoid[v.name] || v.report.Service != t.job.record.Queue.Service || capacity.CPU == 0 || !capacity.Fits(t.step.Need) {
 		return 0, false
@@ -92,7 +92,7 @@
 		return 0, false
 	}
 	free := v.free()
-	room := free.Plus(job.Resources{CPU: capacity.CPU * queueShare(t) / 1000, Memory: capacity.Memory, GPU: capacity.GPU})
+	room := free.Plus(job.Resources{CPU: capacity.CPU * queueShare(now, t) / 1000, Memory: capacity.Memory, GPU: capacity.GPU})
 	if !room.Fits(t.step.Need) {
 		return 0, false
 	}
@@ -109,8 +109,8 @@
 // queueShare is how much of a gate's room may wait there, in thousandths, for a
 // task to be sent to it. Tasks of the first priority go also to gates whose queue
 // is full: these give back what comes after them.
-func queueShare(t *task) int {
-	if t.job.record.Queue.Priority == 0 {
+func queueShare(now Time, t *task) int {
+	if t.job.record.Queue.Priority == 0 && now >= t.fullUntil {
 		return 2 * gate.QueueShare
 	}
 	return gate.QueueShare
--- a/owner/policy.go
+++ b/owner/policy.go
@@ -40,7 +40,7 @@
 	var gates []*gateView
 	var views []dispatch.TargetView
 	for _, v := range usable {
-		if _, ok := o.score(v, t, median); !ok {
+		if _, ok := o.score(now, v, t, median); !ok {
 			continue
 		}
 		view := targetView(v, t.step.Need)
--- a/test/soak_check_test.go
+++ b/test/soak_check_test.go
@@ -123,7 +123,7 @@
 		}
 		byJob[id][task] = spans
 	}
-	accepted, refused, runs, resent, long := 0, 0, 0, 0, 0
+	accepted, refused, runs, resent, long, highest := 0, 0, 0, 0, 0, 0
 	var longest time.Duration
 	for _, j := range r.jobs {
 		if j.accepted {
@@ -138,6 +138,7 @@
 		}
 		for task, spans := range byJob[j.id] {
 			runs += len(spans)
+			highest = max(highest, highestRun(spans))
 			if j.long {
 				long += len(spans)
 			}
@@ -145,13 +146,22 @@
 		}
 		r.checkJob(j, byJob[j.id])
 	}
-	r.t.Logf("%d jobs, %d accepted, %d refused, %d handed in again, %d runs, %d of them long, %d notes of faults, longest call %v",
-		len(r.jobs), accepted, refused, resent, runs, long, len(r.log), longest)
+	r.t.Logf("%d jobs, %d accepted, %d refused, %d handed in again, %d runs, %d of them long, highest number of a run %d, %d notes of faults, longest call %v",
+		len(r.jobs), accepted, refused, resent, runs, long, highest, len(r.log), longest)
 	if accepted == 0 {
 		r.t.Error("no job was accepted")
 	}
 }
 
+// highestRun returns the highest number of a run among those of one owner of its job.
+func highestRun(spans []standin.Span) int {
+	highest, each := 0, job.FirstRun(1)-job.FirstRun(0)
+	for _, s := range spans {
+		highest = max(highest, (s.Name.Run-job.FirstRun(0))%each+job.FirstRun(0))
+	}
+	return highest
+}
+
 // checkTask checks the runs of one task.
 func (r *soakRun) checkTask(j *soakJob, task job.TaskName, spans []standin.Span) {
 	for i, s := range spans {
