--- a/gate/holdloop.go
+++ b/gate/holdloop.go
@@ -141,7 +141,7 @@
 
 // send makes a hold unless too many are at the executor; only the first waits long.
 func (l *holdLoop) send(ctx context.Context) {
-	if l.blocked = !l.hasRoom(); l.blocked {
+	if l.blocked = !l.makeRoom(); l.blocked {
 		return
 	}
 	if l.fresh {
@@ -163,11 +163,11 @@
 	}()
 }
 
-// hasRoom says whether another hold may go to the executor. Late ones give way once there
-// are two beside one under way: an ended call goes on there for a moment, so the next is sent
-// only once it has returned. Counting only the holds that are waited for, half of the calls
-// hanging brought four to the executor at once.
-func (l *holdLoop) hasRoom() bool {
+// makeRoom says whether another hold may go to the executor. If late ones take its place, it ends
+// them: an ended call goes on there for a moment, so the next is sent only once it has returned.
+// Counting only the holds that are waited for, half of the calls hanging brought four to the
+// executor at once.
+func (l *holdLoop) makeRoom() bool {
 	if len(l.late) == 0 || len(l.underWay)+len(l.late) < mostHolds-1 {
 		return len(l.underWay) < mostHolds
 	}
