A lease that a newer life got by its former's clock counts as long as it may hold

Cause: a hold bears the end of the lease on the target's clock. One that is meant for the former life and reaches the newer one under the same id, whose clock is behind, gives it a lease that is longer by the difference, up to the platform's longest. The gate counted the newer life's lease as over by what it had asked of that life itself, 1 s. When it had heard nothing of the target for 2 s, the runs counted as over, and one was started elsewhere. Evidence: the trace (hold at 6.024 "lease +4491 ms, asked for +4491 ms"; at 8.698 "lease +2096 ms" is left; the gate's lines "executor silent", leaseLeftMS 0, at 8.675; the second run at 9.261). Change: after a restart under the same id the lease may reach to the end of the longest one asked of the former life, on the newer clock, cut down to the platform's longest. The gate's judgement that runs are over, and that ends which must not count can be noted, goes by that. Where the platform allows 1 s nothing changes. TestLeaseByFormerClock fails without it. Left: an owner that loses the gate as well counts its runs as over by our own longest lease.

--- a/gate/clock.go
+++ b/gate/clock.go
@@ -25,4 +25,5 @@
 	g.clockMS = clockMS
 	g.clockAt = now
 	g.grantedMS = clockMS + g.options.Lease.Milliseconds()
+	g.leasedMS = min(g.formerMS, clockMS+g.options.LongestLease.Milliseconds())
 }
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -29,6 +29,8 @@
 	Service string
 	// Lease is the longest lease that is asked for; the executor grants it.
 	Lease time.Duration
+	// LongestLease is the longest one that the executor grants; 0 stands for Lease.
+	LongestLease time.Duration
 	// Contact is how long runs go on without word from their owner.
 	Contact time.Duration
 	// BestEffortContact is the same for runs of jobs that are not kept.
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -214,7 +214,7 @@
 // finishLapse ends a lapse once the executor's lease is surely over: ends that
 // must not count can be noted now.
 func (g *Gate) finishLapse(a Answer) {
-	if !g.lapsing || a.ClockMS <= g.grantedMS {
+	if !g.lapsing || a.ClockMS <= g.leaseEndMS() {
 		return
 	}
 	g.lapsing = false
--- a/gate/lease.go
+++ b/gate/lease.go
@@ -85,9 +85,14 @@
 	return ok && g.grantedMS <= g.leaseUntil(now, by)
 }
 
+// leaseEndMS returns the end of the longest lease that the target may have, on its clock. A newer
+// life whose clock was behind had one of 4.5 s by a hold that was meant for the former one: its
+// runs counted as over 2 s too early.
+func (g *Gate) leaseEndMS() int64 { return max(g.grantedMS, g.leasedMS) }
+
 // leaseOver says whether the lease that was given is surely over.
 func (g *Gate) leaseOver(now Time) bool {
-	return g.targetClock(now) > g.grantedMS+lapseMargin.Milliseconds()
+	return g.targetClock(now) > g.leaseEndMS()+lapseMargin.Milliseconds()
 }
 
 // leaseShort says whether so little lease may be given that nothing can be started.
@@ -97,5 +102,5 @@
 
 // leaseLeft returns how much of the newest lease is left, by the target's clock.
 func (g *Gate) leaseLeft(now Time) time.Duration {
-	return time.Duration(max(0, g.grantedMS-g.targetClock(now))) * time.Millisecond
+	return time.Duration(max(0, g.leaseEndMS()-g.targetClock(now))) * time.Millisecond
 }
--- a/gate/life.go
+++ b/gate/life.go
@@ -53,6 +53,10 @@
 	// grantedMS is the longest lease asked for, on the target's clock: it may have been
 	// given.
 	grantedMS int64
+	// formerMS is the longest lease asked for of the life before, on its clock, if calls to
+	// that bear the same id: carried out here they were taken for times on this clock.
+	// leasedMS is what they may have given at most, on this clock.
+	formerMS, leasedMS int64
 	// listedMS is the target's clock of the newest lists that were taken in.
 	listedMS int64
 	// confirmed is set while nothing puts in doubt that this life is there: no other has
@@ -189,9 +193,11 @@
 			g.lose(now, r, EndLost, reasonLifeOver)
 		}
 	}
+	former := max(g.grantedMS, g.formerMS)
 	g.lifeState = newLifeState(life, now)
 	if crosses {
 		g.formerID = id
+		g.formerMS = former
 	}
 	g.rejectQueue("target restarted")
 }
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -698,3 +698,52 @@
 		t.Errorf("asks for another hold after %d was noted", h.Call.Seen)
 	}
 }
+
+// Symptom: two runs of a task at one time for 0.4 s, where the platform allows leases of 15 s.
+//
+// Sequence: a hold that is meant for the former life reaches the newer one, whose clock is behind:
+// it gets a lease of seconds. The target is then not heard of for longer than the gate leases.
+//
+// Cause: the lease counted as over by what the gate had asked of the newer life. The runs counted
+// as over with it and were started elsewhere.
+func TestLeaseByFormerClock(t *testing.T) {
+	const longest = 15 * time.Second
+	tests := []struct {
+		name    string
+		longest time.Duration
+		clockAt int64
+		// over is when the runs count as over after the target's last word at the latest.
+		over time.Duration
+	}{
+		{name: "clock behind, long leases", longest: longest, clockAt: behindClockAt, over: longest},
+		{name: "clock behind, leases as long as ours", longest: time.Second, clockAt: behindClockAt, over: time.Second},
+		{name: "clock ahead", longest: longest, clockAt: aheadClockAt, over: time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newRestartBench(t)
+			b.gate.options.LongestLease = test.longest
+			b.gate.NextHold(b.now, holdWait)
+			b.restart(secondLife, test.clockAt)
+			b.beat(false)
+			b.answer(HoldAnswer{})
+			b.answer(HoldAnswer{})
+			name := testRun("aa", 0, 1)
+			b.startRun(name)
+			b.answer(working(name))
+			last := b.now
+			lost := func(after time.Duration) bool {
+				b.now = last + after
+				b.gate.Tick(b.now)
+				r := b.gate.runs[name]
+				return r == nil || r.phase == phaseEnded
+			}
+			if lost(test.over) {
+				t.Errorf("the run counts as over %v after the target's last word; its lease may hold", test.over)
+			}
+			if !lost(test.over*110/100 + lapseMargin + 100*time.Millisecond) {
+				t.Error("the run never counts as over")
+			}
+		})
+	}
+}
--- a/node/contact.go
+++ b/node/contact.go
@@ -62,7 +62,7 @@
 
 // gateOptions returns the bounds of an agent's gate.
 func gateOptions(o Options, incarnation string) gate.Options {
-	return gate.Options{Node: o.Node, Incarnation: incarnation, Domain: o.Zone, Service: o.Service, Lease: o.lease(), Contact: contact, BestEffortContact: o.bestEffortContact()}
+	return gate.Options{Node: o.Node, Incarnation: incarnation, Domain: o.Zone, Service: o.Service, Lease: o.lease(), LongestLease: o.MaxHold, Contact: contact, BestEffortContact: o.bestEffortContact()}
 }
 
 // ownerOptions returns the bounds of the owner of a life.
