--- a/gate/holdload_test.go
+++ b/gate/holdload_test.go
@@ -147,6 +147,11 @@
 			d.poke()
 		}
 	}
+	cancel()
+	wait.For(context.Background(), time.Second)
+	synctest.Wait()
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	if x.mostOpen > most {
 		t.Errorf("calls end %v after they are broken off: %d holds, %d at once, want %d at most", ending, x.holds, x.mostOpen, most)
 	}
@@ -154,7 +159,4 @@
 		t.Errorf("calls end %v after they are broken off: %v without an answer, want %v at most", ending, x.longestGap, heardWithin)
 	}
 	t.Logf("ending %v: %d holds, %d at once, %d broken off, longest gap %v", ending, x.holds, x.mostOpen, x.ended, x.longestGap)
-	cancel()
-	wait.For(context.Background(), time.Second)
-	synctest.Wait()
 }
