A hold that is due is sent without a timer

Cause: the loop of holds made a timer for each pause, also of no length. Its select found the timer past; in a bubble of testing/synctest that runs the timer on the spot, which crashes the race detector of go 1.26.8 (no thread slot). Change: what is due is done at once. No decision changes.

--- a/gate/holdloop.go
+++ b/gate/holdloop.go
@@ -65,7 +65,13 @@
 
 func (l *holdLoop) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		timer := time.NewTimer(l.untilDue())
+		due := l.untilDue()
+		if due <= 0 {
+			// In virtual time a select on a timer that is past crashes the race detector.
+			l.passedDue(ctx)
+			continue
+		}
+		timer := time.NewTimer(due)
 		select {
 		case c := <-l.returned:
 			l.finished(ctx, c)
