--- a/gate/gate.go
+++ b/gate/gate.go
@@ -29,7 +29,7 @@
 	Service string
 	// Lease is the longest lease that is asked for; the executor grants it.
 	Lease time.Duration
-	// LongestLease is the longest one that the executor grants; 0 stands for Lease.
+	// LongestLease is the longest one that the target grants; 0 stands for Lease.
 	LongestLease time.Duration
 	// Contact is how long runs go on without word from their owner.
 	Contact time.Duration
--- a/gate/holdloop.go
+++ b/gate/holdloop.go
@@ -49,7 +49,7 @@
 	// returned has each hold once its call has ended.
 	returned chan *holdCall
 	// underWay are the holds that are waited for, oldest first; late are those that are
-	// not any more, but are still at the executor.
+	// not any more, but are still at the target.
 	underWay, late []*holdCall
 	// resume is when the next hold is due while none is under way.
 	resume time.Time
@@ -145,7 +145,7 @@
 	l.send(ctx)
 }
 
-// send makes a hold unless too many are at the executor; only the first waits long.
+// send makes a hold unless too many are at the target; only the first waits long.
 func (l *holdLoop) send(ctx context.Context) {
 	if l.blocked = !l.makeRoom(); l.blocked {
 		return
@@ -169,10 +169,10 @@
 	}()
 }
 
-// makeRoom says whether another hold may go to the executor. If late ones take its place, it ends
+// makeRoom says whether another hold may go to the target. If late ones take its place, it ends
 // them: an ended call goes on there for a moment, so the next is sent only once it has returned.
 // Counting only the holds that are waited for, half of the calls hanging brought four to the
-// executor at once.
+// target at once.
 func (l *holdLoop) makeRoom() bool {
 	if len(l.late) == 0 || len(l.underWay)+len(l.late) < mostHolds-1 {
 		return len(l.underWay) < mostHolds
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -227,7 +227,7 @@
 	t.avoid[name] = true
 }
 
-// avoidRejected keeps a task from a gate whose executor turned it away, or from full queues
+// avoidRejected keeps a task from a gate whose target turned it away, or from full queues
 // after one has given it back.
 func (t *task) avoidRejected(now Time, v *gateView, s gate.RunState) {
 	switch s.Reason {
--- a/test/soak_trace_test.go
+++ b/test/soak_trace_test.go
@@ -43,7 +43,7 @@
 	r.traceTurnedAway(first.Name.TaskName)
 }
 
-// notingHold returns the hold that had an executor note the end of a run.
+// notingHold returns the hold that had a target note the end of a run.
 func notingHold(orders []standin.Order, s standin.Span) (o standin.Order, ok bool) {
 	for _, o := range orders {
 		if o.Kind == standin.OrderHold && o.Err == nil && s.Number > 0 && o.Seen >= s.Number && o.At.After(s.Ended) {
