Stand-in: a target's connections and delayed calls end with its process

A restarted target went on serving the connections of its former incarnation, and carried out calls that the former one had received and left unanswered. Neither is so on the platform: a newer incarnation "holds and knows nothing of before", and a connection ends with the process that accepted it.

This is no fix of a known failure.

--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -189,7 +189,7 @@
 func (e *Executor) finish(now time.Time, r *executorRun, kind gate.EndKind) {
 	delete(e.running, r.name)
 	e.highestRun[r.name.TaskName] = max(e.highestRun[r.name.TaskName], r.name.Run)
-	number := e.acked + int64(len(e.ends)) + 1
+	number := e.newestEnd() + 1
 	e.ends = append(e.ends, gate.Ended{Number: number, Name: r.name, Kind: kind})
 	e.journal[r.journalIndex].End = kind
 	e.journal[r.journalIndex].Ended = now
@@ -278,12 +278,13 @@
 	e.mu.Lock()
 	now := time.Now()
 	e.advance(now)
+	issued := e.newestEnd()
 	err := e.checkCall(life.ID, c.Fence)
 	if err == nil {
 		e.extendLease(now, c.UntilMS)
 		e.acknowledge(c.Seen)
 	}
-	e.record(now, Order{Kind: OrderHold, Seen: c.Seen, Err: err}, c.UntilMS)
+	e.record(now, Order{Kind: OrderHold, Seen: c.Seen, Issued: issued, Err: err}, c.UntilMS)
 	a := gate.Answer{ClockMS: e.clock(now), Incarnation: gate.Incarnation{ID: e.Life}}
 	e.mu.Unlock()
 	if err != nil {
@@ -298,6 +299,9 @@
 	return gate.Answer{ClockMS: e.clock(time.Now()), Incarnation: gate.Incarnation{ID: e.Life, Born: e.Born}}, e.lists(), nil
 }
 
+// newestEnd returns the number of the newest end; 0 if there is none.
+func (e *Executor) newestEnd() int64 { return e.acked + int64(len(e.ends)) }
+
 // acknowledge drops the ends with numbers up to upTo.
 func (e *Executor) acknowledge(upTo int64) {
 	for len(e.ends) > 0 && e.ends[0].Number <= upTo {
--- a/internal/standin/executorwire.go
+++ b/internal/standin/executorwire.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -26,10 +27,15 @@
 // users' platform and sends its heartbeats.
 type ExecutorPort struct {
 	// Need is what each run uses: start calls do not carry it.
-	Need       job.Resources
-	Service    string
-	current    atomic.Pointer[Executor]
-	loseOrders atomic.Pointer[CallFaults]
+	Need    job.Resources
+	Service string
+	// KeepConnections makes connections and delayed calls outlive the incarnation that
+	// accepted them: the next one serves them.
+	KeepConnections bool
+
+	current     atomic.Pointer[Executor]
+	loseOrders  atomic.Pointer[CallFaults]
+	connections connections
 }
 
 // CallFault is the fault that is applied to a call; the zero value is none.
@@ -60,8 +66,45 @@
 	return CallFault{}
 }
 
-// SetExecutor replaces the current incarnation.
-func (p *ExecutorPort) SetExecutor(e *Executor) { p.current.Store(e) }
+// SetExecutor replaces the current incarnation, whose connections end.
+func (p *ExecutorPort) SetExecutor(e *Executor) {
+	p.current.Store(e)
+	p.closeConnections()
+}
+
+// Crash crashes the current incarnation: its runs and its connections end.
+func (p *ExecutorPort) Crash() {
+	p.Executor().Crash()
+	p.closeConnections()
+}
+
+func (p *ExecutorPort) closeConnections() {
+	if !p.KeepConnections {
+		p.connections.closeAll()
+	}
+}
+
+// Server returns a server of Handler whose connections end with their incarnation.
+func (p *ExecutorPort) Server() *http.Server {
+	return &http.Server{
+		Handler: p.Handler(), ReadHeaderTimeout: time.Second, ConnState: p.connections.track,
+		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+			return context.WithValue(ctx, acceptedByKey{}, p.Executor())
+		},
+	}
+}
+
+// acceptedByKey is the context key of the incarnation that accepted a request's connection.
+type acceptedByKey struct{}
+
+// receiver returns the incarnation that receives a request, or nil if it has ended.
+func (p *ExecutorPort) receiver(ctx context.Context) *Executor {
+	e := p.Executor()
+	if accepted, ok := ctx.Value(acceptedByKey{}).(*Executor); ok && accepted != e && !p.KeepConnections {
+		return nil
+	}
+	return e
+}
 
 // Executor returns the current incarnation.
 func (p *ExecutorPort) Executor() *Executor { return p.current.Load() }
@@ -124,13 +167,15 @@
 			name.TaskName = task
 		}
 		life := gate.Incarnation{ID: req.Header.Get(headerTargetInstance)}
+		e := p.receiver(req.Context())
+		if e == nil {
+			abortConnection()
+		}
 		if loss := p.loss(kind); loss.Unanswered {
-			// A late call is executed by the incarnation that is current at that time.
-			runAfter(loss.Late, func() { _, _, _ = do(context.Background(), p.Executor(), life, o, name) })
+			runAfter(loss.Late, func() { p.carryOutLate(e, func(e *Executor) { _, _, _ = do(context.Background(), e, life, o, name) }) })
 			<-req.Context().Done()
 			abortConnection()
 		}
-		e := p.Executor()
 		a, lists, err := do(req.Context(), e, life, o, name)
 		if errors.Is(err, gate.ErrUnanswered) {
 			abortConnection()
@@ -147,6 +192,15 @@
 	}
 }
 
+// carryOutLate carries out a delayed call that an incarnation has received. A call that the
+// incarnation holds ends with it, unless KeepConnections is set.
+func (p *ExecutorPort) carryOutLate(received *Executor, do func(*Executor)) {
+	if p.KeepConnections {
+		received = p.Executor()
+	}
+	do(received)
+}
+
 // runAfter calls do after a delay; 0 means never.
 func runAfter(after time.Duration, do func()) {
 	if after > 0 {
--- a/internal/standin/orderlog.go
+++ b/internal/standin/orderlog.go
@@ -26,6 +26,8 @@
 	Name job.RunName
 	// Seen is the number up to which a hold acknowledges ends.
 	Seen int64
+	// Issued is the number of the newest end before a hold.
+	Issued int64
 	// Until is the end of the lease that the call asked for; zero if it asked for none.
 	Until time.Time
 	// Lease is the end of the executor's lease after the call.
@@ -40,7 +42,7 @@
 		text += fmt.Sprintf(", asked for %+d ms", o.Until.Sub(o.At).Milliseconds())
 	}
 	if o.Seen != 0 {
-		text += fmt.Sprintf(", acknowledges ends up to %d", o.Seen)
+		text += fmt.Sprintf(", acknowledges ends up to %d of %d", o.Seen, o.Issued)
 	}
 	if o.Err != nil {
 		text += ": " + o.Err.Error()
--- a/test/deployment_test.go
+++ b/test/deployment_test.go
@@ -144,12 +144,16 @@
 }
 
 func serveOn(t testing.TB, address string, h http.Handler) string {
+	t.Helper()
+	return serve(t, address, &http.Server{Handler: h, ReadHeaderTimeout: time.Second})
+}
+
+func serve(t testing.TB, address string, srv *http.Server) string {
 	t.Helper()
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	go func() { _ = srv.Serve(l) }()
 	t.Cleanup(func() { srv.Close() })
 	return l.Addr().String()
@@ -169,9 +173,9 @@
 
 func (d *deployment) startAgent(i int) *box {
 	m := &box{ip: boxIP(1, i), domain: d.domainOf(i), work: platformWork}
-	m.port = &standin.ExecutorPort{Need: job.Resources{CPU: 1600, Memory: 64}, Service: platformService}
+	m.port = &standin.ExecutorPort{Need: job.Resources{CPU: 1600, Memory: 64}, Service: platformService, KeepConnections: os.Getenv(keepConnectionsVariable) != ""}
 	d.newLife(m)
-	app := serveOn(d.t, "127.0.0.1:0", m.port.Handler())
+	app := serve(d.t, "127.0.0.1:0", m.port.Server())
 	m.storeProxy = newProxy(d.t, m.ip+":"+platformStoreProxy, d.storeURL)
 	m.targetProxy = newProxy(d.t, m.ip+":"+platformTargetProxy, app)
 	m.inbound = newProxy(d.t, m.ip+":"+platformProxyPort, fmt.Sprintf("%s:%d", m.ip, platformInternalPort))
@@ -189,7 +193,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if old := m.port.Executor(); old != nil {
-		old.Crash()
+		m.port.Crash()
 		m.former = append(m.former, old)
 	}
 	d.lives++
@@ -205,7 +209,7 @@
 // The new life sends its first heartbeat at once.
 func (d *deployment) restartTarget(m *box, down time.Duration) {
 	old := m.port.Executor()
-	old.Crash()
+	m.port.Crash()
 	pause(down)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -18,6 +18,8 @@
 	soakSeedsVariable   = "RACKSPUR_SOAK_SEEDS"
 	soakSecondsVariable = "RACKSPUR_SOAK_SECONDS"
 	soakRoundsVariable  = "RACKSPUR_SOAK_ROUNDS"
+	// keepConnectionsVariable, if not empty, sets standin.ExecutorPort.KeepConnections.
+	keepConnectionsVariable = "RACKSPUR_SOAK_KEEP_CONNECTIONS"
 )
 
 // soakSeeds are the seeds of TestSoak: one without a known failure, and each that has
