Calls to a target don't reach its next incarnation

Cause: calls name the target's id, which a restarted target keeps. A hold that acknowledged the former incarnation's ends was answered by the newer one, which dropped as many of its own. The window of 20 ms since the target's newest answer is measured when that is handled, and the call is written later: under load both are late.

The soak fails for any acknowledgement that was meant for a former incarnation.

--- a/test/soak_check_test.go
+++ b/test/soak_check_test.go
@@ -151,6 +151,21 @@
 	if accepted == 0 {
 		r.t.Error("no job was accepted")
 	}
+	r.checkAcknowledgements()
+}
+
+// checkAcknowledgements checks that no life of a target was sent an acknowledgement of ends
+// that it had not listed. It would drop its own ends unheard, and their tasks would run again.
+func (r *soakRun) checkAcknowledgements() {
+	for _, m := range r.agents {
+		for _, e := range m.allLives() {
+			for _, o := range e.Orders() {
+				if o.Kind == standin.OrderHold && o.Err == nil && o.Seen > o.Issued {
+					r.t.Error(r.line(o.At, "%s (%s, born %d): %v, meant for a former life", m.name, e.Life, e.Born, o))
+				}
+			}
+		}
+	}
 }
 
 // highestRun returns the highest run number, counted from the first run of each owner.
