The soak checks that no lease follows a former life's clock

A hold or a start that crosses a restart of the target is read on the newer life's clock and extends its lease beyond what the gate knows, so that owners which lose the gate too count its runs as over too early (two runs of a task at one time, docs/incidents/lease-by-former-clock.md).

checkOrders fails for each call that asks for a lease longer than any that is meant for the life which carries it out.

--- a/test/soak_check_test.go
+++ b/test/soak_check_test.go
@@ -151,16 +151,21 @@
 	if accepted == 0 {
 		r.t.Error("no job was accepted")
 	}
-	r.checkAcknowledgements()
+	r.checkOrders()
 }
 
-// checkAcknowledgements checks that no life of a target was sent an acknowledgement of ends
-// that it had not listed. It would drop its own ends unheard, and their tasks would run again.
-func (r *soakRun) checkAcknowledgements() {
+// longestLease is the longest lease that a call may ask for: a second of the target's clock,
+// which may be slow, and the error of the gate's estimate of that clock.
+const longestLease = 1050 * time.Millisecond
+
+// checkOrders checks that no life of a target has carried out a call that was meant for a
+// former one. Such a call may acknowledge ends that the life has not listed, which it would
+// drop unheard, or extend its lease by the former life's clock, beyond what the gate knows.
+func (r *soakRun) checkOrders() {
 	for _, m := range r.agents {
 		for _, e := range m.allLives() {
 			for _, o := range e.Orders() {
-				if o.Kind == standin.OrderHold && o.Err == nil && o.Seen > o.Issued {
+				if o.Err == nil && (o.Seen > o.Issued && o.Kind == standin.OrderHold || o.Until.Sub(o.At) > longestLease) {
 					r.t.Error(r.line(o.At, "%s (%s, born %d): %v, meant for a former life", m.name, e.Life, e.Born, o))
 				}
 			}
