A target whose agent was frozen gets work again

Cause: the gate measured runs until their end was heard. Ends that were heard late, after a freeze or over a silent connection, seemed to be of runs that took 26 times their estimate; owners avoid such a target while others have room, so that no new run corrects the figure for 10 s.

Fix: runs are measured on the target's clock, by the lists that name their ends; if those come long after the lists before, the time is unknown and counts for nothing.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -84,6 +84,8 @@
 	phase   phase
 	arrived Time
 	started Time
+	// startedMS is the target's clock, as estimated, when the run was started.
+	startedMS int64
 	// unknownSince is when the gate stopped waiting for the answer to the start.
 	unknownSince Time
 	// runningSince is when the gate learned that the run is running.
@@ -109,6 +111,7 @@
 
 	end    EndKind
 	number int64
+	// ran is how long the run took; 0 if that is unknown.
 	ran    time.Duration
 	reason string
 	// acknowledged: the owner has accepted the end, or no owner has to. discarded: the end must
--- a/gate/health.go
+++ b/gate/health.go
@@ -63,9 +63,9 @@
 	}
 }
 
-// updateSlowness records the ratio of a run's time to its estimate.
+// updateSlowness records the ratio of a run's time to its estimate, if both are known.
 func (h *health) updateSlowness(now Time, r *run) {
-	if r.estimate <= 0 {
+	if r.estimate <= 0 || r.ran <= 0 {
 		return
 	}
 	ratio := float64(r.ran) / float64(r.estimate)
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -101,6 +101,7 @@
 		g.skipLists(now, a)
 		return Actions{}
 	}
+	g.listGapMS = a.ClockMS - g.listedMS
 	g.listedMS = a.ClockMS
 	g.lastHoldAnswer = now
 	if h.sent >= g.confirmedBy {
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -57,8 +57,9 @@
 	// is read on this clock. inheritedMS is the latest end of a lease that may have been
 	// granted that way.
 	formerGrantedMS, inheritedMS int64
-	// listedMS is the target's clock reading of the newest processed lists.
-	listedMS int64
+	// listedMS is the target's clock reading of the newest processed lists, listGapMS the time
+	// on that clock since the lists before.
+	listedMS, listGapMS int64
 	// confirmed is set while nothing suggests a restart: no other incarnation has sent a
 	// heartbeat under the id, and no hold is overdue or has failed. confirmedBy is when the
 	// newest hold that delivered lists was sent, or when a restart was first suspected.
--- a/gate/lists.go
+++ b/gate/lists.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"time"
+
 	"rackspur/job"
 )
 
@@ -39,8 +41,22 @@
 		r.checkpoint = e.Checkpoint
 		r.number = e.Number
 		g.listed[e.Number] = r
-		g.finish(now, r, e.Kind, now-r.started)
+		g.finish(now, r, e.Kind, g.runTime(r))
+	}
+}
+
+// maxListGap is the longest time between two lists for which a listed end counts as just
+// reported: a hold waits for an end, and an overdue one is followed by another.
+const maxListGap = holdWait + 2*maxRTO
+
+// runTime returns how long a run that is listed as ended has taken, or 0 if that is unknown
+// because its end was heard late. It uses the target's clock: this process may have been
+// suspended while the answer waited.
+func (g *Gate) runTime(r *run) time.Duration {
+	if g.listGapMS > maxListGap.Milliseconds() || r.ofFormerIncarnation {
+		return 0
 	}
+	return time.Duration(max(0, g.listedMS-r.startedMS)) * time.Millisecond
 }
 
 // processRunning handles the runs that the target lists as running, and those missing from the
@@ -58,7 +74,10 @@
 			r.checkpoint = x.Checkpoint
 		}
 		g.updateProgress(r, x.Percent)
-		r.ofFormerIncarnation = false
+		if r.ofFormerIncarnation {
+			r.ofFormerIncarnation = false
+			r.startedMS = g.listedMS
+		}
 		if r.phase == phaseUnknown && !r.mustStop {
 			g.setRunning(now, r)
 			g.sendState(r)
--- a/gate/report.go
+++ b/gate/report.go
@@ -32,7 +32,8 @@
 	// End is set if the run has ended.
 	End        EndKind
 	Checkpoint string
-	Ran        time.Duration
+	// Ran is how long the run took; 0 if that is unknown.
+	Ran time.Duration
 	// Reason is why a run was rejected, or ReasonBehind.
 	Reason string
 }
--- a/gate/start.go
+++ b/gate/start.go
@@ -77,6 +77,7 @@
 func (g *Gate) start(now Time, r *run) StartCall {
 	r.phase = phaseStarting
 	r.started = now
+	r.startedMS = g.targetClock(now)
 	r.progress = progress{}
 	r.untilMS = g.leaseUntil(now, min(now+startLease, g.leaseBound(now)))
 	g.grantedMS = max(g.grantedMS, r.untilMS)
