Waiting jobs of a released life count until they are taken over

What callers saw, or could see: too few jobs reported as pending, between the release of an entry box's life (SIGTERM) and the moment at which its successor has read its jobs.

Cause, found by reading: the row that tells of the release was written without the count of waiting jobs, which other entry boxes add up.

The test failed before in both cases with a release.

--- a/member/life.go
+++ b/member/life.go
@@ -66,6 +66,8 @@
 	count   uint64
 	version uint64
 	fences  []rowstore.Condition
+	// pending is the newest published number of waiting jobs by queue.
+	pending map[string]int
 }
 
 // NewLife returns a life that is not in the store yet.
@@ -139,12 +141,13 @@
 // the time at which the new lease starts, or ErrFenced once the life has ended.
 func (l *Life) Renew(ctx context.Context, pending map[string]int) (time.Time, error) {
 	l.count++
+	l.pending = pending
 	row := lifeRow{Box: l.box, Count: l.count, Pending: pending}
 	return l.updateRow(ctx, row)
 }
 
 // Release ends the life: no write of it takes effect any more, and others take over its jobs
-// at once.
+// at once. Its waiting jobs count until they have been taken over.
 func (l *Life) Release(ctx context.Context) error {
 	for i, part := range l.parts {
 		if err := l.deleteFence(ctx, part, l.fences[i+1]); err != nil {
@@ -152,7 +155,7 @@
 		}
 	}
 	l.count++
-	_, err := l.updateRow(ctx, lifeRow{Box: l.box, Count: l.count, Released: true})
+	_, err := l.updateRow(ctx, lifeRow{Box: l.box, Count: l.count, Pending: l.pending, Released: true})
 	return err
 }
 
--- a/member/life_test.go
+++ b/member/life_test.go
@@ -113,3 +113,53 @@
 		t.Errorf("over %+v, want the released life and the former one of the same box", over)
 	}
 }
+
+// Waiting jobs of a life that has ended count until they have been taken over. Otherwise too
+// few are reported as pending while its successor reads them.
+func TestWaitingJobsOfEndedLifeCount(t *testing.T) {
+	const queue, waiting = "checks", 3
+	tests := []struct {
+		name string
+		end  func(l *Life, w *Watcher) error
+	}{
+		{"released", func(l *Life, _ *Watcher) error { return l.Release(context.Background()) }},
+		{"fenced", func(_ *Life, w *Watcher) error {
+			return w.Fence(context.Background(), poll(t, w, Lease+2*expiryMargin)[0])
+		}},
+		{"released and fenced", func(l *Life, w *Watcher) error {
+			if err := l.Release(context.Background()); err != nil {
+				return err
+			}
+			return w.Fence(context.Background(), poll(t, w, 0)[0])
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			s := rowstore.NewMemory()
+			l := beginLife(t, s, "a", "a~1")
+			if _, err := l.Renew(context.Background(), map[string]int{queue: waiting}); err != nil {
+				t.Fatal(err)
+			}
+			w := newTestWatcher(s, "b", "b~1")
+			if err := test.end(l, w); err != nil {
+				t.Fatal(err)
+			}
+			counted := func() int {
+				counts, err := ReadPending(context.Background(), s, len(testParts), "b~1", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				return counts[queue]
+			}
+			if n := counted(); n != waiting {
+				t.Errorf("%d jobs are counted before they are taken over, want %d", n, waiting)
+			}
+			if err := w.Forget(context.Background(), "a~1"); err != nil {
+				t.Fatal(err)
+			}
+			if n := counted(); n != 0 {
+				t.Errorf("%d jobs are counted after they were taken over, want none", n)
+			}
+		})
+	}
+}
