--- a/cli/platform.go
+++ b/cli/platform.go
@@ -14,6 +14,7 @@
 
 	"rackspur/node"
 	"rackspur/observe"
+	"rackspur/owner"
 	"rackspur/platform"
 	"rackspur/policy"
 	"rackspur/settings"
@@ -62,6 +63,10 @@
 	commonSettings
 	advertise string
 	policies  string
+
+	placement, loadView, shares string
+	maxRetryAfter               time.Duration
+	leaving                     string
 }
 
 func (f *platformFlags) define(set *settings.Set) {
@@ -69,9 +74,46 @@
 	f.commonSettings.define(set)
 }
 
-// definePolicies defines the flag that only the entry role has.
-func (f *platformFlags) definePolicies(set *settings.Set) {
+// Values of the settings that select how decisions are made under load.
+const (
+	placementRoom  = "room"
+	placementSpeed = "speed"
+	loadViewOwn    = "own"
+	loadViewShared = "shared"
+	sharesNone     = "none"
+	sharesFair     = "fair"
+	leavingFinish  = "finish"
+	leavingMove    = "move"
+)
+
+// Bounds of --retry-after-max.
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
+// defineEntry defines the flags that only the entry role has.
+func (f *platformFlags) defineEntry(set *settings.Set) {
 	set.String(&f.policies, "policies", "", "file with the policies that decide, read anew at SIGHUP (default: what is built in)")
+	set.Choice(&f.placement, "placement", placementRoom, "what places tasks: the free room of targets, or when the task is expected to end there", placementRoom, placementSpeed)
+	set.Choice(&f.loadView, "load-view", loadViewOwn, "whose waiting work counts when jobs are admitted: that of this box, or of all entry boxes", loadViewOwn, loadViewShared)
+	set.Choice(&f.shares, "shares", sharesNone, "whether queues and wide jobs keep a fair share of the room when it is short", sharesNone, sharesFair)
+	set.Duration(&f.maxRetryAfter, "retry-after-max", minRetryAfter, "longest time after which refused callers are told to return", minRetryAfter, maxRetryAfter)
+}
+
+// defineAgent defines the flags that only the agent role has.
+func (f *platformFlags) defineAgent(set *settings.Set) {
+	set.Choice(&f.leaving, "leaving", leavingFinish, "what happens to runs that can't end before their target leaves: they go on, or move to another target", leavingFinish, leavingMove)
+}
+
+// decisions returns the options that the flags select.
+func (f *platformFlags) decisions() owner.Decisions {
+	return owner.Decisions{
+		PlaceBySpeed:  f.placement == placementSpeed,
+		SharedLoad:    f.loadView == loadViewShared,
+		FairShares:    f.shares == sharesFair,
+		MaxRetryAfter: f.maxRetryAfter,
+	}
 }
 
 func newPlatformRole(name, short string, run platformRole) *cobra.Command {
@@ -79,7 +121,9 @@
 	cmd := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs}
 	set := settings.NewSet(cmd.Flags())
 	if name == roleEntry {
-		f.definePolicies(set)
+		f.defineEntry(set)
+	} else {
+		f.defineAgent(set)
 	}
 	f.define(set)
 	cmd.RunE = checked(set, func(cmd *cobra.Command, _ []string) error {
@@ -90,6 +134,8 @@
 			}
 			o := platformOptions(s, f.logger(observe.NewBoundedWriter(os.Stdout)))
 			o.Advertise = f.advertise
+			o.Decisions = f.decisions()
+			o.MoveLeaving = f.leaving == leavingMove
 			stop := platform.ReloadOnHangup(s, o.Log)
 			defer stop()
 			engine, stopPolicies, err := loadPolicies(f.policies, o.Metrics, o.Log)
--- a/cli/settings.go
+++ b/cli/settings.go
@@ -19,8 +19,8 @@
 }{
 	{"entry", func(s *settings.Set) { new(entry.Settings).Define(s); new(commonSettings).define(s) }},
 	{"agent", func(s *settings.Set) { new(agent.Settings).Define(s); new(commonSettings).define(s) }},
-	{"platform entry", func(s *settings.Set) { new(platformFlags).definePolicies(s); new(platformFlags).define(s) }},
-	{"platform agent", func(s *settings.Set) { new(platformFlags).define(s) }},
+	{"platform entry", func(s *settings.Set) { new(platformFlags).defineEntry(s); new(platformFlags).define(s) }},
+	{"platform agent", func(s *settings.Set) { new(platformFlags).defineAgent(s); new(platformFlags).define(s) }},
 }
 
 func newSettings() *cobra.Command {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -37,6 +37,9 @@
 	ContactTimeout time.Duration
 	// BestEffortContactTimeout is the same for runs of best-effort jobs.
 	BestEffortContactTimeout time.Duration
+	// MoveLeaving reports runs that can't end before a draining target ends, so that their owners
+	// move them.
+	MoveLeaving bool
 	// Unix returns the wall-clock time in Unix milliseconds, from which fencing tokens are
 	// derived. The default is the clock of the box.
 	Unix func() int64
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -54,11 +54,14 @@
 	DurableEcho Time
 	// Evacuations is what the owner knows of evacuations, with AsOf on the gate's clock.
 	Evacuations evacuation.News
-	Sequence    uint64
-	Starts      []Order
-	Stops       []job.RunName
-	Verdicts    []Verdict
-	Adopt       []string
+	// Waiting is the owner's waiting work for each gate that it is linked to, in
+	// core-milliseconds, by how soon it must start.
+	Waiting  []int
+	Sequence uint64
+	Starts   []Order
+	Stops    []job.RunName
+	Verdicts []Verdict
+	Adopt    []string
 }
 
 // Connect registers a new link of an owner. It returns false if a newer link is known, if the
--- a/gate/report.go
+++ b/gate/report.go
@@ -18,8 +18,17 @@
 	Open     bool
 	// Evacuated says that the gate is closed because its failure domain is evacuated.
 	Evacuated bool
-	Slowness  float64
-	Suspect   bool
+	// Slowness is the smoothed ratio of run time to estimate, MedianSlowness the median of the
+	// newest ratios; 0 if unknown.
+	Slowness, MedianSlowness float64
+	Suspect                  bool
+	// OthersWaiting is the sum of OwnerFrame.Waiting of the gate's other owners.
+	OthersWaiting []int
+	// Leaving is the least time until the process of a draining target ends; 0 if it is unknown
+	// or the target is not draining.
+	Leaving time.Duration
+	// Cold is how long the target still runs slowly after its start.
+	Cold time.Duration
 }
 
 // RunState is the state of a run as reported to its owner.
--- a/gate/target.go
+++ b/gate/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/rotisserie/eris"
 
@@ -148,4 +149,7 @@
 	Draining    bool
 	ClockMS     int64
 	Sequence    int64
+	// Remaining is the least time until the process of a draining target ends, Cold how long the
+	// target still runs slowly after its start; 0 if unknown.
+	Remaining, Cold time.Duration
 }
--- a/node/contact.go
+++ b/node/contact.go
@@ -58,7 +58,7 @@
 
 // gateOptions returns the options of an agent's gate.
 func gateOptions(o Options, incarnation string) gate.Options {
-	return gate.Options{Node: o.Node, Incarnation: incarnation, Domain: o.Domain, Service: o.Service, Lease: o.lease(), LongestLease: o.MaxLease, ContactTimeout: contactTimeout, BestEffortContactTimeout: o.bestEffortContactTimeout()}
+	return gate.Options{Node: o.Node, Incarnation: incarnation, Domain: o.Domain, Service: o.Service, Lease: o.lease(), LongestLease: o.MaxLease, ContactTimeout: contactTimeout, BestEffortContactTimeout: o.bestEffortContactTimeout(), MoveLeaving: o.MoveLeaving}
 }
 
 // ownerOptions returns the options of the owner of an incarnation.
@@ -66,7 +66,7 @@
 	o := &e.options
 	return owner.Options{
 		Incarnation: incarnation, Parts: o.Parts, ContactTimeout: contactTimeout, BestEffortContactTimeout: o.bestEffortContactTimeout(), Lease: o.lease(),
-		KeepFinished: o.KeepFinished, Log: e.log, Policy: o.Policy,
+		KeepFinished: o.KeepFinished, Log: e.log, Policy: o.Policy, Decisions: o.Decisions,
 		Now:       func() time.Duration { return time.Since(e.started) },
 		WallClock: time.Now,
 		OnJobEnd:  func(took time.Duration) { o.Metrics.Time(metricJobTime, took.Microseconds()) },
--- a/node/entry.go
+++ b/node/entry.go
@@ -63,6 +63,11 @@
 	Unreadable *observe.UnreadableLog
 	// Policy makes the decisions that operators have programmed; nil for the built-in ones.
 	Policy owner.Policy
+	// Decisions selects how an entry box decides under load.
+	Decisions owner.Decisions
+	// MoveLeaving makes an agent report runs that can't end before their target leaves, so that
+	// they are moved.
+	MoveLeaving bool
 }
 
 // listening sets the addresses from the listener.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -59,7 +59,8 @@
 	Log          logr.Logger
 	// Policy makes the decisions that operators can program; nil selects the built-in
 	// ones.
-	Policy Policy
+	Policy    Policy
+	Decisions Decisions
 	// OnJobEnd is called with the time from each job's arrival to its end; may be nil.
 	OnJobEnd func(took time.Duration)
 	// Now returns the time on the owner's monotonic clock.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"math"
 	"time"
 
 	"rackspur/evacuation"
@@ -37,7 +38,7 @@
 }
 
 func toOwnerFrame(f gate.OwnerFrame) *peerpb.OwnerFrame {
-	out := &peerpb.OwnerFrame{Echo: uint64(f.Echo.Microseconds()), KeptEcho: uint64(f.DurableEcho.Microseconds()), Sequence: f.Sequence, Adopt: f.Adopt, Evacuations: toEvacuations(f.Evacuations)}
+	out := &peerpb.OwnerFrame{Echo: uint64(f.Echo.Microseconds()), KeptEcho: uint64(f.DurableEcho.Microseconds()), Sequence: f.Sequence, Adopt: f.Adopt, Evacuations: toEvacuations(f.Evacuations), Waiting: toUint32s(f.Waiting)}
 	for _, s := range f.Starts {
 		out.Starts = append(out.Starts, &peerpb.StartOrder{
 			Name: toRunName(s.Name), Spec: s.Spec, Need: toResources(s.Need),
@@ -54,7 +55,7 @@
 }
 
 func fromOwnerFrame(f *peerpb.OwnerFrame) gate.OwnerFrame {
-	out := gate.OwnerFrame{Echo: time.Duration(f.GetEcho()) * time.Microsecond, DurableEcho: time.Duration(f.GetKeptEcho()) * time.Microsecond, Sequence: f.GetSequence(), Adopt: f.GetAdopt(), Evacuations: fromEvacuations(f.GetEvacuations())}
+	out := gate.OwnerFrame{Echo: time.Duration(f.GetEcho()) * time.Microsecond, DurableEcho: time.Duration(f.GetKeptEcho()) * time.Microsecond, Sequence: f.GetSequence(), Adopt: f.GetAdopt(), Evacuations: fromEvacuations(f.GetEvacuations()), Waiting: fromUint32s(f.GetWaiting())}
 	for _, s := range f.GetStarts() {
 		out.Starts = append(out.Starts, gate.Order{
 			Name: fromRunName(s.GetName()), Spec: s.GetSpec(), Need: fromResources(s.GetNeed()),
@@ -70,6 +71,23 @@
 	return out
 }
 
+// toUint32s converts amounts of work; values out of range become the nearest in range.
+func toUint32s(all []int) []uint32 {
+	var out []uint32
+	for _, n := range all {
+		out = append(out, uint32(min(max(0, n), math.MaxUint32)))
+	}
+	return out
+}
+
+func fromUint32s(all []uint32) []int {
+	var out []int
+	for _, n := range all {
+		out = append(out, int(n))
+	}
+	return out
+}
+
 // endOffset is the difference between the wire value and the EndKind of the same end.
 const endOffset = int(peerpb.RunState_DONE) - int(gate.EndDone)
 
@@ -80,6 +98,8 @@
 			Executor: f.Report.TargetID, Service: f.Report.Service, Capacity: toResources(f.Report.Capacity),
 			Free: toResources(f.Report.Free), Queued: toResources(f.Report.Queued), Labels: f.Report.Labels,
 			Open: f.Report.Open, Slowness: uint32(f.Report.Slowness * thousand), Suspect: f.Report.Suspect, Evacuated: f.Report.Evacuated,
+			MedianSlowness: uint32(f.Report.MedianSlowness * thousand), OthersWaiting: toUint32s(f.Report.OthersWaiting),
+			LeavingMs: uint32(f.Report.Leaving.Milliseconds()), ColdMs: uint32(f.Report.Cold.Milliseconds()),
 		},
 	}
 	for _, s := range f.States {
@@ -112,6 +132,8 @@
 			TargetID: r.GetExecutor(), Service: r.GetService(), Capacity: fromResources(r.GetCapacity()),
 			Free: fromResources(r.GetFree()), Queued: fromResources(r.GetQueued()), Labels: r.GetLabels(),
 			Open: r.GetOpen(), Slowness: float64(r.GetSlowness()) / thousand, Suspect: r.GetSuspect(), Evacuated: r.GetEvacuated(),
+			MedianSlowness: float64(r.GetMedianSlowness()) / thousand, OthersWaiting: fromUint32s(r.GetOthersWaiting()),
+			Leaving: time.Duration(r.GetLeavingMs()) * time.Millisecond, Cold: time.Duration(r.GetColdMs()) * time.Millisecond,
 		},
 	}
 	for _, s := range f.GetStates() {
