Move runs that can't end before their target leaves

Cause: while a target drains, its long runs go on until its process ends and die with it. Their tasks start elsewhere only once the lease is over. The owner stops it once for each task if another gate can hold the task. Reports carry the time until the target's end and its cold time. Metrics gate.runs_leaving and tasks.moved_leaving, event "Target is leaving.". Off by default.

--- a/gate/candidate.go
+++ b/gate/candidate.go
@@ -4,6 +4,8 @@
 type candidate struct {
 	Heartbeat
 	arrived Time
+	// lifetime is what the incarnation's heartbeats have announced so far.
+	lifetime lifetime
 }
 
 // maxCandidates bounds the candidates that wait for the target's next answer. More than two at
@@ -28,12 +30,16 @@
 
 // storeCandidate keeps the newest heartbeat of each unknown incarnation.
 func (g *Gate) storeCandidate(now Time, b Heartbeat) {
+	var announced lifetime
+	announced.update(now, b)
 	for i, c := range g.candidates {
 		if c.Incarnation != b.Incarnation {
 			continue
 		}
+		announced.merge(c.lifetime)
 		if b.Sequence < c.Sequence {
 			g.candidates[i].Draining = c.Draining || b.Draining
+			g.candidates[i].lifetime = announced
 			return
 		}
 		b.Draining = c.Draining || b.Draining
@@ -43,7 +49,7 @@
 	if len(g.candidates) == maxCandidates {
 		g.candidates = g.candidates[1:]
 	}
-	g.candidates = append(g.candidates, candidate{Heartbeat: b, arrived: now})
+	g.candidates = append(g.candidates, candidate{Heartbeat: b, arrived: now, lifetime: announced})
 }
 
 // candidateDraining reports whether a candidate with the current id says that the target
@@ -75,7 +81,8 @@
 		c := g.candidates[i]
 		if c.Incarnation == g.current || g.identifies(c.Incarnation) && g.current.Born != 0 {
 			g.current = c.Incarnation
-			g.applyHeartbeat(c.Heartbeat)
+			g.lifetime.merge(c.lifetime)
+			g.applyHeartbeat(c.arrived, c.Heartbeat)
 			break
 		}
 	}
@@ -89,7 +96,10 @@
 	g.candidates = nil
 	for i := len(candidates) - 1; i >= 0; i-- {
 		if c := candidates[i]; !g.endedIncarnations[c.Incarnation] && (id == "" || id == c.Incarnation.ID) {
-			a, _ := g.OnHeartbeat(now, c.Heartbeat)
+			a, trusted := g.OnHeartbeat(now, c.Heartbeat)
+			if trusted && g.current == c.Incarnation {
+				g.lifetime.merge(c.lifetime)
+			}
 			return a
 		}
 	}
--- a/gate/contact.go
+++ b/gate/contact.go
@@ -38,6 +38,7 @@
 
 // Tick handles everything that depends on elapsed time.
 func (g *Gate) Tick(now Time) Actions {
+	g.checkCold(now)
 	g.endFormerRuns(now)
 	g.endRunsAfterLease(now)
 	g.stopOverdue(now)
--- a/gate/event.go
+++ b/gate/event.go
@@ -31,6 +31,8 @@
 	EventHeartbeatSkipped
 	// EventRestart: the target has restarted under its id. It refers to no run.
 	EventRestart
+	// EventLeaving: the target has announced when its process ends. It refers to no run.
+	EventLeaving
 )
 
 // Event is an action or observation of a gate that is worth logging. Events are rare: a run
@@ -50,10 +52,14 @@
 	Cause string
 	// Skipped describes a skipped message.
 	Skipped SkippedMessage
-	// Incarnation is the target's new incarnation, Former the previous one, and ActiveRuns the
-	// number of runs that were active at the restart.
+	// Incarnation is the target's incarnation, Former the one before a restart, and ActiveRuns the
+	// number of runs that were active then.
 	Incarnation, Former Incarnation
 	ActiveRuns          int
+	// TimeLeft is the least time until the target's process ends, Moves whether runs that can't
+	// end before are reported to their owners.
+	TimeLeft time.Duration
+	Moves    bool
 }
 
 // SkippedMessage describes a message of the target that was skipped.
@@ -73,6 +79,7 @@
 	HeartbeatsSkipped int64
 	RunsLost          int64
 	Restarts          int64
+	RunsLeaving       int64
 }
 
 // Counts returns the counters.
@@ -128,13 +135,27 @@
 	if len(g.events) >= maxEvents {
 		return
 	}
-	e := Event{Kind: EventRestart, Incarnation: incarnation, Former: g.current}
+	g.events = append(g.events, Event{Kind: EventRestart, Incarnation: incarnation, Former: g.current, ActiveRuns: g.activeRuns()})
+}
+
+// activeRuns returns the number of active runs.
+func (g *Gate) activeRuns() int {
+	n := 0
 	for _, r := range g.runs {
 		if r.active() {
-			e.ActiveRuns++
+			n++
 		}
 	}
-	g.events = append(g.events, e)
+	return n
+}
+
+// recordLeaving records the event that the target has announced its end.
+func (g *Gate) recordLeaving(now Time) {
+	if len(g.events) >= maxEvents {
+		return
+	}
+	left := g.lifetime.leaves.left(now, g.knownClock(now))
+	g.events = append(g.events, Event{Kind: EventLeaving, Incarnation: g.current, ActiveRuns: g.activeRuns(), TimeLeft: left, Moves: g.options.MoveLeaving})
 }
 
 // recordLost counts a run given up as over and records an event.
--- a/gate/eventlog.go
+++ b/gate/eventlog.go
@@ -15,6 +15,7 @@
 	EventListsSkipped:     "Skipped outdated lists of the target.",
 	EventHeartbeatSkipped: "Skipped a heartbeat.",
 	EventRestart:          "Target has restarted.",
+	EventLeaving:          "Target is leaving.",
 }
 
 // logEvents writes a log line for each event.
@@ -35,6 +36,8 @@
 		d.log.Info(message, "sequence", e.Skipped.Got, "newest", e.Skipped.Newest, "draining", e.Skipped.Draining, "times", e.Skipped.Times)
 	case EventRestart:
 		d.log.Info(message, "id", e.Incarnation.ID, "born", e.Incarnation.Born, "formerBorn", e.Former.Born, "atWork", e.ActiveRuns)
+	case EventLeaving:
+		d.log.Info(message, "id", e.Incarnation.ID, "born", e.Incarnation.Born, "timeLeftMS", e.TimeLeft.Milliseconds(), "atWork", e.ActiveRuns, "moves", e.Moves)
 	case EventLost:
 		d.log.Info(message, "job", e.Run.Job, "step", e.Run.Step, "index", e.Run.Index, "run", e.Run.Run, "owner", e.Owner,
 			"cause", e.Cause, "leaseLeftMS", e.LeaseLeft.Milliseconds())
--- a/gate/heartbeat.go
+++ b/gate/heartbeat.go
@@ -24,11 +24,11 @@
 		sameID := b.Incarnation.ID == g.callID()
 		g.replaceIncarnation(now, b.Incarnation, sameID)
 		if sameID {
-			g.applyHeartbeat(b)
+			g.applyHeartbeat(now, b)
 			return g.fenceFormerIncarnation(now, b.ClockMS), true
 		}
 	}
-	g.applyHeartbeat(b)
+	g.applyHeartbeat(now, b)
 	return g.startFromQueue(now, Actions{HoldNow: g.fence == 0}), true
 }
 
@@ -44,13 +44,14 @@
 }
 
 // applyHeartbeat applies a heartbeat of the current incarnation.
-func (g *Gate) applyHeartbeat(b Heartbeat) {
+func (g *Gate) applyHeartbeat(arrived Time, b Heartbeat) {
 	g.known = true
 	g.sequence = b.Sequence
 	g.service = b.Service
 	g.capacity = b.Capacity
 	g.labels = b.Labels
 	g.draining = g.draining || b.Draining
+	g.updateLifetime(arrived, b)
 	g.reportChanged()
 }
 
@@ -60,10 +61,11 @@
 	return g.options.Service != "" && b.Service != g.options.Service
 }
 
-// applyLateHeartbeat handles a heartbeat that arrived after a newer one. Only draining counts,
-// since it is never taken back.
+// applyLateHeartbeat handles a heartbeat that arrived after a newer one. Only draining and the
+// announced times count, since they are never taken back.
 func (g *Gate) applyLateHeartbeat(now Time, b Heartbeat) {
 	g.skipHeartbeat(now, b)
+	g.updateLifetime(now, b)
 	if b.Draining && !g.draining {
 		g.draining = true
 		g.reportChanged()
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -120,6 +120,7 @@
 		return Actions{}
 	}
 	g.seenSent = max(g.seenSent, h.Call.Seen)
+	g.checkCold(now)
 	g.processFinished(now, lists.Finished)
 	g.processRunning(now, h, lists)
 	g.markRunsListed(a)
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -79,6 +79,8 @@
 	// lapsing is set while the gate lets the lease expire.
 	lapsing bool
 	health  health
+	// lifetime is what the incarnation has announced of its end and of its cold time.
+	lifetime lifetime
 }
 
 func newIncarnationState(incarnation Incarnation, now Time) incarnationState {
@@ -169,6 +171,7 @@
 	g.recalled = Description{}
 	g.known = false
 	g.draining = false
+	g.lifetime = lifetime{}
 	g.sequence = 0
 	g.rejectQueue("target not known")
 	g.reportChanged()
--- a/gate/lists.go
+++ b/gate/lists.go
@@ -70,6 +70,7 @@
 			r = g.addFoundRun(now, x.Name)
 			g.setRunning(now, r)
 		}
+		g.noteListed(r, x)
 		if x.Checkpoint != "" {
 			r.checkpoint = x.Checkpoint
 		}
@@ -84,6 +85,7 @@
 		}
 	}
 	g.detectSlowTarget(now)
+	g.detectLeaving(now)
 	if len(lists.Finished) >= maxListedEnds || lists.Partial {
 		return
 	}
--- a/gate/progress.go
+++ b/gate/progress.go
@@ -41,6 +41,7 @@
 	behind   bool
 	// reported is set once the owner was told that the run should move to another target.
 	reported bool
+	listing  listing
 }
 
 // updateProgress records the progress of a run from the target's newest list. It uses the
@@ -119,8 +120,9 @@
 
 // watching reports whether there are runs whose progress is measured.
 func (g *Gate) watching() bool {
+	leaving := g.watchesLeaving()
 	for _, r := range g.runs {
-		if r.phase == phaseRunning && r.estimate > 0 {
+		if r.phase == phaseRunning && (r.estimate > 0 || leaving) {
 			return true
 		}
 	}
--- a/gate/report.go
+++ b/gate/report.go
@@ -43,7 +43,7 @@
 	Checkpoint string
 	// Ran is how long the run took; 0 if that is unknown.
 	Ran time.Duration
-	// Reason is why a run was rejected, or ReasonBehind.
+	// Reason is why a run was rejected, or ReasonBehind or ReasonLeaving.
 	Reason string
 }
 
@@ -207,13 +207,17 @@
 	return Report{
 		TargetID: g.current.ID, Service: g.service, Capacity: g.capacity, Free: g.capacity.Minus(g.used),
 		Queued: g.queued(), Labels: g.labels, Open: g.Open(now), Evacuated: g.evacuated(), Slowness: g.health.slownessAt(now),
-		Suspect: g.health.suspect && !g.health.mayStart(now),
+		Suspect: g.health.suspect && !g.health.mayStart(now), Leaving: g.reportedLeaving(now), Cold: g.coldLeft(now),
 	}
 }
 
 func (r *run) state() RunState {
 	reason := r.reason
-	if r.phase == phaseRunning && r.progress.reported {
+	switch {
+	case r.phase != phaseRunning:
+	case r.progress.listing.reported:
+		reason = ReasonLeaving
+	case r.progress.reported:
 		reason = ReasonBehind
 	}
 	return RunState{
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -736,3 +736,68 @@
 		})
 	}
 }
+
+// A target that leaves comes back under its id. Nothing that the previous incarnation has announced
+// counts for the new one, whose runs would be moved at once.
+func TestRestartForgetsLeaving(t *testing.T) {
+	clocksOfRestart(t, func(t *testing.T, clockAt int64) {
+		b := newRestartBench(t)
+		b.gate.options.MoveLeaving = true
+		former, next := testRun("aa", 0, 1), testRun("bb", 0, 1)
+		b.startRun(former)
+		announcement := b.heartbeatOf(firstIncarnation, b.sequence+1, true)
+		announcement.Remaining, announcement.Cold = 300*time.Millisecond, 5*time.Second
+		b.sequence++
+		b.gate.OnHeartbeat(b.now, announcement)
+		if r := b.gate.report(b.now); r.Leaving == 0 || r.Cold == 0 {
+			t.Fatalf("report %+v, want the times announced", r)
+		}
+		b.restart(secondIncarnation, clockAt)
+		b.answer(HoldAnswer{})
+		if r := b.gate.report(b.now); r.Leaving != 0 || r.Cold != 0 {
+			t.Errorf("leaving in %v, cold for %v after a restart", r.Leaving, r.Cold)
+		}
+		b.answer(HoldAnswer{})
+		b.sendHeartbeat(false)
+		// A delayed heartbeat of the previous incarnation changes nothing.
+		b.gate.OnHeartbeat(b.now, announcement)
+		b.startRun(next)
+		b.states()
+		for range 8 {
+			b.now += 49 * time.Millisecond
+			b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now})
+			b.answer(runningLists(next))
+		}
+		if s, told := b.states()[next]; told || b.gate.Counts().RunsLeaving != 0 {
+			t.Errorf("reported %+v, %d runs leave", s, b.gate.Counts().RunsLeaving)
+		}
+		if r := b.gate.report(b.now); r.Leaving != 0 || r.Cold != 0 || !r.Open {
+			t.Errorf("report %+v", r)
+		}
+	})
+}
+
+// The new incarnation announces its end before it has answered a call. All that its heartbeats told
+// counts once it answers, also what an overtaken one told, counted from their arrival.
+func TestRestartIntoLeaving(t *testing.T) {
+	clocksOfRestart(t, func(t *testing.T, clockAt int64) {
+		for _, withClock := range []bool{true, false} {
+			b := newRestartBench(t)
+			b.gate.options.MoveLeaving = true
+			b.restart(secondIncarnation, clockAt)
+			newer, overtaken := b.heartbeatOf(secondIncarnation, 2, true), b.heartbeatOf(secondIncarnation, 1, true)
+			newer.Remaining, overtaken.Remaining = 3*time.Second, time.Second
+			if !withClock {
+				newer.ClockMS, overtaken.ClockMS = 0, 0
+			}
+			ends := b.now + time.Second
+			b.gate.OnHeartbeat(b.now, newer)
+			b.gate.OnHeartbeat(b.now, overtaken)
+			b.now += 100 * time.Millisecond
+			b.answer(HoldAnswer{})
+			if left, ok := b.gate.timeLeft(b.now); !ok || left > ends-b.now || left < ends-b.now-10*time.Millisecond {
+				t.Errorf("time left %v (%v), want %v (clock in heartbeats %v)", left, ok, ends-b.now, withClock)
+			}
+		}
+	})
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -37,6 +37,7 @@
 	register("tasks.presumed_over", func(s owner.Stats) int64 { return s.PresumedOver })
 	register("tasks.discarded", func(s owner.Stats) int64 { return s.Discarded })
 	register("tasks.moved", func(s owner.Stats) int64 { return s.Moved })
+	register("tasks.moved_leaving", func(s owner.Stats) int64 { return s.MovedLeaving })
 	register("tasks.stalled", func(s owner.Stats) int64 { return s.Stalled })
 	e.options.Metrics.Gauge("config.version", func() int64 {
 		if t := e.routes.Current(); t != nil {
@@ -71,6 +72,7 @@
 	register("gate.heartbeats_passed_over", func(c gate.Counts) int64 { return c.HeartbeatsSkipped })
 	register("gate.target_restarts", func(c gate.Counts) int64 { return c.Restarts })
 	register("gate.runs_lost", func(c gate.Counts) int64 { return c.RunsLost })
+	register("gate.runs_leaving", func(c gate.Counts) int64 { return c.RunsLeaving })
 	a.options.Metrics.Gauge("gate.evacuated", func() int64 {
 		if _, evacuated, _ := a.driver.EvacuationsAge(); evacuated {
 			return 1
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -140,8 +140,11 @@
 	if t.job.final != "" {
 		v.stop(s.Name)
 	}
-	if s.Reason == gate.ReasonBehind {
+	switch s.Reason {
+	case gate.ReasonBehind:
 		o.moveRun(v, t, s.Name)
+	case gate.ReasonLeaving:
+		o.moveLeavingRun(now, v, t, s.Name)
 	}
 }
 
--- /dev/null
+++ b/owner/leavingload_test.go
@@ -0,0 +1,222 @@
+package owner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/job"
+)
+
+// Times of the simulated fleet.
+const (
+	fleetStep = 5 * time.Millisecond
+	// fleetStop is how long a simulated target takes to carry out a stop.
+	fleetStop = 50 * time.Millisecond
+	fleetHold = 50 * time.Millisecond
+)
+
+// fleet is an owner with real gates beside simulated targets.
+type fleet struct {
+	*harness
+	sites []*site
+	// takes returns how long a run takes.
+	takes func(name job.RunName) time.Duration
+}
+
+// site is a gate and its target.
+type site struct {
+	name string
+	gate *gate.Gate
+	link uint64
+	// deadAt is when the target's process ends; 0 for never. hold is when the next hold is sent.
+	deadAt, hold Time
+	runs         map[job.RunName]*siteRun
+	finished     []gate.Ended
+	ends         int64
+}
+
+// siteRun is a run on a target; it ends by itself at ends, or at stopAt if it is stopped.
+type siteRun struct {
+	began, ends, stopAt Time
+}
+
+func newFleet(t *testing.T, gates int, move bool, takes func(job.RunName) time.Duration) *fleet {
+	f := &fleet{harness: newHarness(t), takes: takes}
+	for i := range gates {
+		s := &site{name: fmt.Sprintf("gate-%d", i), runs: map[job.RunName]*siteRun{}}
+		s.gate = gate.New(gate.Options{
+			Node: s.name, Lease: time.Second, ContactTimeout: durableContact, BestEffortContactTimeout: bestEffortContact, MoveLeaving: move,
+		})
+		s.gate.OnHeartbeat(f.now, f.heartbeat(s, 1))
+		f.sites = append(f.sites, s)
+		f.list(s)
+		f.list(s)
+		f.link++
+		s.link = f.link
+		if !s.gate.Connect(f.now, "entry~1", s.link, nil) {
+			t.Fatal("link not accepted")
+		}
+		f.owner.AddGate(s.name, "zone-a")
+		f.owner.LinkUp(s.name, s.link, nil)
+	}
+	f.proceed(100 * time.Millisecond)
+	return f
+}
+
+func (f *fleet) heartbeat(s *site, sequence int64) gate.Heartbeat {
+	return gate.Heartbeat{
+		Incarnation: gate.Incarnation{ID: s.name + "-i"}, Service: testService, Capacity: job.Resources{CPU: 16000, Memory: 32768},
+		ClockMS: f.now.Milliseconds(), Sequence: sequence,
+	}
+}
+
+// leave makes a target announce that its process ends.
+func (f *fleet) leave(s *site, notice time.Duration) {
+	h := f.heartbeat(s, 2)
+	h.Draining, h.Remaining = true, notice
+	s.deadAt = f.now + notice
+	s.gate.OnHeartbeat(f.now, h)
+}
+
+// list sends a hold to a target and delivers its answer.
+func (f *fleet) list(s *site) {
+	h := s.gate.NextHold(f.now, 0)
+	if s.deadAt != 0 && f.now >= s.deadAt {
+		f.carryOut(s, s.gate.OnHold(f.now, h, gate.Answer{}, gate.HoldAnswer{}, gate.ErrUnreachable))
+		return
+	}
+	var lists gate.HoldAnswer
+	for name, r := range s.runs {
+		kind := gate.EndKind(0)
+		switch {
+		case f.now >= r.ends:
+			kind = gate.EndDone
+		case r.stopAt != 0 && f.now >= r.stopAt:
+			kind = gate.EndStopped
+		}
+		if kind != 0 {
+			s.ends++
+			s.finished = append(s.finished, gate.Ended{Number: s.ends, Name: name, Kind: kind})
+			delete(s.runs, name)
+			continue
+		}
+		lists.Running = append(lists.Running, gate.Running{Name: name, Percent: int(100 * (f.now - r.began) / (r.ends - r.began))})
+	}
+	for len(s.finished) > 0 && s.finished[0].Number <= h.Call.Seen {
+		s.finished = s.finished[1:]
+	}
+	lists.Finished = s.finished
+	answer := gate.Answer{ClockMS: f.now.Milliseconds(), Incarnation: gate.Incarnation{ID: s.name + "-i"}}
+	f.carryOut(s, s.gate.OnHold(f.now, h, answer, lists, nil))
+}
+
+// carryOut carries out a gate's calls.
+func (f *fleet) carryOut(s *site, a gate.Actions) {
+	dead := s.deadAt != 0 && f.now >= s.deadAt
+	answer := gate.Answer{ClockMS: f.now.Milliseconds()}
+	for _, c := range a.Starts {
+		if dead {
+			f.t.Fatalf("a start at %s after its target's end", s.name)
+		}
+		s.runs[c.Name] = &siteRun{began: f.now, ends: f.now + f.takes(c.Name)}
+		f.carryOut(s, s.gate.OnStart(f.now, a.Incarnation, c, answer, nil))
+	}
+	for _, c := range a.Stops {
+		if r := s.runs[c.Name]; r != nil && !dead && r.stopAt == 0 {
+			r.stopAt = f.now + fleetStop
+			s.gate.OnStop(f.now, a.Incarnation, c, answer, nil)
+		}
+	}
+}
+
+// proceed lets time pass.
+func (f *fleet) proceed(most time.Duration) {
+	for until := f.now + most; f.now < until; {
+		f.now += fleetStep
+		for _, s := range f.sites {
+			if f.now >= s.hold {
+				s.hold = f.now + fleetHold
+				f.list(s)
+			}
+			f.carryOut(s, s.gate.Tick(f.now))
+			if frame, ok := s.gate.Flush(f.now, "entry~1", s.link); ok {
+				f.owner.OnFrame(s.name, s.link, frame)
+			}
+			a, _ := s.gate.OnFrame(f.now, "entry~1", s.link, f.flush(s.name, s.link))
+			f.carryOut(s, a)
+		}
+		f.owner.Tick()
+	}
+}
+
+// A seventh of the targets leaves with 2 s notice while long tasks run, some of which take seven
+// times as long. Those on the leaving target must go on elsewhere before its end; with the setting
+// off they only do once the lease of the lost target is over. Runs that end in time are not moved.
+func TestTargetLeavesUnderLongTasks(t *testing.T) {
+	const notice = 2 * time.Second
+	const tasks = 56
+	long := func(name job.RunName) bool { return name.Index%7 == 0 }
+	// play returns how long after the target's end the job has ended.
+	play := func(move bool) time.Duration {
+		var ended Time
+		f := newFleet(t, 7, move, func(name job.RunName) time.Duration {
+			if long(name) {
+				return 6300 * time.Millisecond
+			}
+			return 900 * time.Millisecond
+		})
+		s := testSubmission(leavingJob, tasks)
+		s.Steps[0].EstimateMS = 900
+		s.Queue.Stretch = 20
+		f.owner.RunBestEffort(s, time.Minute, func(BestEffortResult) { ended = f.now })
+		f.proceed(200 * time.Millisecond)
+		// Placement is random; the target with the most long runs leaves.
+		var leaves *site
+		running := 0
+		for _, s := range f.sites {
+			n := 0
+			for name := range s.runs {
+				if long(name) {
+					n++
+				}
+			}
+			if n > running {
+				leaves, running = s, n
+			}
+		}
+		f.leave(leaves, notice)
+		f.proceed(notice)
+		dead, late := f.now, 0
+		for _, task := range f.owner.jobs[leavingJob].tasks {
+			if task.hasOpenRun() && task.gate == leaves.name {
+				late++
+			}
+		}
+		if move && late != 0 {
+			t.Errorf("%d tasks were on the target at its end", late)
+		}
+		if !move && late != running {
+			t.Errorf("%d tasks were on the target at its end, want %d", late, running)
+		}
+		f.proceed(15 * time.Second)
+		if ended == 0 {
+			t.Fatal("the job has not ended")
+		}
+		t.Logf("move %v: %d long runs on the leaving target, %d there at its end, job ended %v after its end",
+			move, running, late, ended-dead)
+		stats := f.owner.Stats()
+		moved, lost := int64(running), int64(0)
+		if !move {
+			moved, lost = lost, moved
+		}
+		if stats.MovedLeaving != moved || stats.Lost != lost || stats.Moved != 0 {
+			t.Errorf("%d tasks moved, %d lost, %d behind, want %d, %d and 0 (move %v)", stats.MovedLeaving, stats.Lost, stats.Moved, moved, lost, move)
+		}
+		return ended - dead
+	}
+	if on, off := play(true), play(false); on >= off-notice/2 {
+		t.Errorf("the job ended %v after the target's end, %v with the setting off", on, off)
+	}
+}
--- a/owner/live.go
+++ b/owner/live.go
@@ -43,6 +43,8 @@
 	fullPause time.Duration
 	// moves counts how often the task was moved to another gate.
 	moves int
+	// leavingRun is the run that was stopped because its target leaves; 0 for none.
+	leavingRun int
 	// position is the index in the queue of waiting tasks, -1 if the task is not in it.
 	position int
 	order    uint64
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -138,6 +138,7 @@
 	Accepted, Refused, Completed, Failed, Cancelled                  int64
 	Placed, Rejected, EndedFailed, Lost, Adopted                     int64
 	Late, VeryLate, Dropped, PresumedOver, Discarded, Stalled, Moved int64
+	MovedLeaving                                                     int64
 }
 
 // New returns an owner without jobs.
