--- a/gate/leaving_test.go
+++ b/gate/leaving_test.go
@@ -183,30 +183,27 @@
 		// later returns the heartbeat that arrives late, given the first one.
 		later func(b *leavingBench, first Heartbeat) Heartbeat
 	}{
-		{"newer, sent with the first and held back", func(b *leavingBench, h Heartbeat) Heartbeat {
+		{"newer, sent with the first and held back", func(_ *leavingBench, h Heartbeat) Heartbeat {
 			h.Sequence++
 			return h
 		}},
-		{"newer without a clock", func(b *leavingBench, h Heartbeat) Heartbeat {
+		{"newer without a clock", func(_ *leavingBench, h Heartbeat) Heartbeat {
 			h.Sequence++
 			h.ClockMS = 0
 			return h
 		}},
-		{"newer with a clock far ahead", func(b *leavingBench, h Heartbeat) Heartbeat {
+		{"newer with a clock far ahead", func(_ *leavingBench, h Heartbeat) Heartbeat {
 			h.Sequence++
 			h.ClockMS = 1<<63 - 1
 			return h
 		}},
-		{"newer and tells more", func(b *leavingBench, h Heartbeat) Heartbeat {
-			h = b.announcement(time.Hour)
-			return h
-		}},
-		{"newer and tells nothing", func(b *leavingBench, h Heartbeat) Heartbeat { return b.announcement(0) }},
-		{"of an earlier sequence, held back", func(b *leavingBench, h Heartbeat) Heartbeat {
+		{"newer and tells more", func(b *leavingBench, _ Heartbeat) Heartbeat { return b.announcement(time.Hour) }},
+		{"newer and tells nothing", func(b *leavingBench, _ Heartbeat) Heartbeat { return b.announcement(0) }},
+		{"of an earlier sequence, held back", func(_ *leavingBench, h Heartbeat) Heartbeat {
 			h.Sequence--
 			return h
 		}},
-		{"of an earlier sequence without a clock", func(b *leavingBench, h Heartbeat) Heartbeat {
+		{"of an earlier sequence without a clock", func(_ *leavingBench, h Heartbeat) Heartbeat {
 			h.Sequence--
 			h.ClockMS = 0
 			return h
@@ -263,6 +260,12 @@
 	if r := b.gate.report(b.now); r.Leaving > 600*time.Millisecond || r.Leaving < 570*time.Millisecond {
 		t.Errorf("leaving in %v, want 600 ms", r.Leaving)
 	}
+	later := b.announcement(800 * time.Millisecond)
+	later.Sequence++
+	b.gate.OnHeartbeat(b.now, later)
+	if r := b.gate.report(b.now); r.Leaving > 600*time.Millisecond {
+		t.Errorf("leaving in %v after a heartbeat that tells more than is left", r.Leaving)
+	}
 	b.proceed(700 * time.Millisecond)
 	if r := b.gate.report(b.now); r.Leaving != time.Millisecond {
 		t.Errorf("leaving in %v after the time, want that it is known and over", r.Leaving)
@@ -333,13 +336,59 @@
 	if r := b.gate.report(b.now); r.Open || r.Leaving != 0 || len(b.reported) != 0 {
 		t.Fatalf("report %+v, reported runs %v before a heartbeat", r, b.reported)
 	}
+	if h := b.gate.NextHold(b.now, holdWait); h.Call.WaitMS != int(holdWait.Milliseconds()) {
+		t.Errorf("a hold waits %d ms before the target tells its end", h.Call.WaitMS)
+	}
 	b.announce(1200 * time.Millisecond)
+	// The estimates of found runs are not known, so only their leaving has them listed more often.
+	if h := b.gate.NextHold(b.now, holdWait); h.Call.WaitMS > int(leaving.ListInterval.Milliseconds()) {
+		t.Errorf("a hold waits %d ms beside a target that leaves", h.Call.WaitMS)
+	}
 	b.proceed(1200 * time.Millisecond)
 	if at, ok := b.reported[tooLong]; !ok || at > 600*time.Millisecond || len(b.reported) != 1 {
 		t.Errorf("reported %v, want only the run that can't end, once a tenth of it was observed", b.reported)
 	}
 }
 
+// A delayed heartbeat of an older incarnation, with which the gate's process began, tells nothing
+// of the target's current one.
+func TestTimeLeftOfOtherIncarnation(t *testing.T) {
+	b := &leavingBench{bench: restarted(t, Description{})}
+	delayed := b.announcement(time.Second)
+	delayed.Incarnation, delayed.Cold = olderIncarnation, time.Second
+	b.gate.OnHeartbeat(b.now, delayed)
+	for range 4 {
+		b.holdOf(testIncarnation)
+	}
+	b.heartbeat(testIncarnation, false)
+	b.holdOf(testIncarnation)
+	if r := b.gate.report(b.now); b.gate.current != testIncarnation || !r.Open || r.Leaving != 0 || r.Cold != 0 {
+		t.Errorf("incarnation %v, report %+v", b.gate.current, r)
+	}
+	b.heartbeat(testIncarnation, true)
+	if r := b.gate.report(b.now); r.Leaving != 0 {
+		t.Errorf("leaving in %v by a heartbeat of an older incarnation", r.Leaving)
+	}
+}
+
+// A target that takes a new id announces its end before calls to its former id are rejected. All its
+// heartbeats count, from their arrival on.
+func TestTimeLeftOfAdoptedCandidate(t *testing.T) {
+	b := newLeavingBench(t, true)
+	first, second := b.announcement(time.Second), b.announcement(3*time.Second)
+	first.Incarnation, second.Incarnation = newerIncarnation, newerIncarnation
+	second.Sequence++
+	first.ClockMS, second.ClockMS = 0, 0
+	ends := b.now + time.Second
+	b.gate.OnHeartbeat(b.now, first)
+	b.gate.OnHeartbeat(b.now, second)
+	b.now += 100 * time.Millisecond
+	b.gate.OnHold(b.now, b.gate.NextHold(b.now, 0), Answer{}, HoldAnswer{}, ErrOtherIncarnation)
+	if left, ok := b.gate.timeLeft(b.now); b.gate.current != newerIncarnation || !ok || left != ends-b.now {
+		t.Errorf("incarnation %v, time left %v (%v), want %v", b.gate.current, left, ok, ends-b.now)
+	}
+}
+
 // The event about a leaving target is recorded once for each incarnation, with the time left.
 func TestLeavingIsLoggedOnce(t *testing.T) {
 	b := newLeavingBench(t, true)
@@ -411,6 +460,20 @@
 	}
 }
 
+// The cold time also ends while the target answers no holds, so that owners aren't told speeds from
+// that time as the target's usual one.
+func TestColdTimeEndsWithoutAnswers(t *testing.T) {
+	b := newLeavingBench(t, false)
+	h := b.announcement(0)
+	h.Draining, h.Cold = false, 100*time.Millisecond
+	b.gate.OnHeartbeat(b.now, h)
+	b.now += 120 * time.Millisecond
+	b.gate.Tick(b.now)
+	if !b.gate.lifetime.warm {
+		t.Error("the cold time has not ended")
+	}
+}
+
 // The cold time ends before the ends of the same list are handled, so that their samples are kept.
 func TestColdTimeEndsBeforeEnds(t *testing.T) {
 	b := newLeavingBench(t, false)
@@ -427,3 +490,31 @@
 		t.Error("the cold time has not ended before the run")
 	}
 }
+
+// The run time of a run whose start is not known is computed from its observed progress. Counted
+// from its first list, it would seem to end too early.
+func TestElapsed(t *testing.T) {
+	tests := []struct {
+		name      string
+		startedMS int64
+		listing   listing
+		want      time.Duration
+	}{
+		{"started here", 1000, listing{firstMS: 1030, newestMS: 1530, first: 6, newest: 50}, 530 * time.Millisecond},
+		{"started here, listed at once", 1000, listing{firstMS: 1000, newestMS: 1500, first: 0, newest: 50}, 500 * time.Millisecond},
+		{"started here, progress unknown", 1000, listing{firstMS: 1000, newestMS: 1500, first: PercentUnknown, newest: PercentUnknown}, 500 * time.Millisecond},
+		{"found", 0, listing{firstMS: 1000, newestMS: 1500, first: 50, newest: 60}, 3 * time.Second},
+		{"found, little progress observed", 0, listing{firstMS: 1000, newestMS: 1500, first: 50, newest: 59}, 0},
+		{"found, progress unknown", 0, listing{firstMS: 1000, newestMS: 1500, first: PercentUnknown, newest: 60}, 0},
+		{"found, progress unknown later", 0, listing{firstMS: 1000, newestMS: 1500, first: 50, newest: PercentUnknown}, 0},
+		{"carried out by a newer incarnation", 1000, listing{firstMS: 1000, newestMS: 1500, first: 50, newest: 60}, 3 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := run{startedMS: test.startedMS, progress: progress{listing: test.listing}}
+			if got := r.elapsed(); got != test.want {
+				t.Errorf("elapsed %v, want %v", got, test.want)
+			}
+		})
+	}
+}
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -781,22 +781,27 @@
 // counts once it answers, also what an overtaken one told, counted from their arrival.
 func TestRestartIntoLeaving(t *testing.T) {
 	clocksOfRestart(t, func(t *testing.T, clockAt int64) {
-		for _, withClock := range []bool{true, false} {
+		for _, test := range []struct{ withClock, overtaken bool }{{true, true}, {true, false}, {false, true}, {false, false}} {
 			b := newRestartBench(t)
 			b.gate.options.MoveLeaving = true
 			b.restart(secondIncarnation, clockAt)
-			newer, overtaken := b.heartbeatOf(secondIncarnation, 2, true), b.heartbeatOf(secondIncarnation, 1, true)
-			newer.Remaining, overtaken.Remaining = 3*time.Second, time.Second
-			if !withClock {
-				newer.ClockMS, overtaken.ClockMS = 0, 0
+			long, short := b.heartbeatOf(secondIncarnation, 2, true), b.heartbeatOf(secondIncarnation, 1, true)
+			long.Remaining, short.Remaining = 3*time.Second, time.Second
+			if !test.withClock {
+				long.ClockMS, short.ClockMS = 0, 0
+			}
+			told := []Heartbeat{short, long}
+			if test.overtaken {
+				told = []Heartbeat{long, short}
 			}
 			ends := b.now + time.Second
-			b.gate.OnHeartbeat(b.now, newer)
-			b.gate.OnHeartbeat(b.now, overtaken)
+			for _, h := range told {
+				b.gate.OnHeartbeat(b.now, h)
+			}
 			b.now += 100 * time.Millisecond
 			b.answer(HoldAnswer{})
 			if left, ok := b.gate.timeLeft(b.now); !ok || left > ends-b.now || left < ends-b.now-10*time.Millisecond {
-				t.Errorf("time left %v (%v), want %v (clock in heartbeats %v)", left, ok, ends-b.now, withClock)
+				t.Errorf("time left %v (%v), want %v (%+v)", left, ok, ends-b.now, test)
 			}
 		}
 	})
--- a/owner/leaving_test.go
+++ b/owner/leaving_test.go
@@ -148,8 +148,12 @@
 			}
 		})
 	}
+	// The run's own gate is no other gate, also if its report of being closed comes later.
 	c := newLeavingCase(t, "gate-1")
-	if f := c.report(leavingState); len(f.Stops) != 0 {
+	state := leavingState
+	state.Name = c.run
+	c.owner.OnFrame(c.on, c.links[c.on], gate.Frame{Clock: c.now, Received: 1 << 20, Report: testReport(), States: []gate.RunState{state}})
+	if f := c.flush(c.on, c.links[c.on]); len(f.Stops) != 0 {
 		t.Errorf("stops %v beside no other gate", f.Stops)
 	}
 }
--- a/owner/leavingload_test.go
+++ b/owner/leavingload_test.go
@@ -32,9 +32,11 @@
 	link uint64
 	// deadAt is when the target's process ends; 0 for never. hold is when the next hold is sent.
 	deadAt, hold Time
-	runs         map[job.RunName]*siteRun
-	finished     []gate.Ended
-	ends         int64
+	// cut is set while no frame passes between the gate and the owner.
+	cut      bool
+	runs     map[job.RunName]*siteRun
+	finished []gate.Ended
+	ends     int64
 }
 
 // siteRun is a run on a target; it ends by itself at ends, or at stopAt if it is stopped.
@@ -42,8 +44,8 @@
 	began, ends, stopAt Time
 }
 
-func newFleet(t *testing.T, gates int, move bool, takes func(job.RunName) time.Duration) *fleet {
-	f := &fleet{harness: newHarness(t), takes: takes}
+func newFleet(t *testing.T, gates int, move bool) *fleet {
+	f := &fleet{harness: newHarness(t)}
 	for i := range gates {
 		s := &site{name: fmt.Sprintf("gate-%d", i), runs: map[job.RunName]*siteRun{}}
 		s.gate = gate.New(gate.Options{
@@ -72,12 +74,52 @@
 	}
 }
 
-// leave makes a target announce that its process ends.
-func (f *fleet) leave(s *site, notice time.Duration) {
+// leave makes a target drain whose process ends after notice; told is what its heartbeat says.
+func (f *fleet) leave(s *site, notice, told time.Duration) gate.Heartbeat {
 	h := f.heartbeat(s, 2)
-	h.Draining, h.Remaining = true, notice
+	h.Draining, h.Remaining = true, told
 	s.deadAt = f.now + notice
 	s.gate.OnHeartbeat(f.now, h)
+	return h
+}
+
+// longTasks submits a job of which each seventh task takes seven times its estimate, and returns
+// the target that runs most of these, since placement is random, and how many.
+func (f *fleet) longTasks(tasks int, result func(BestEffortResult)) (most *site, long int) {
+	f.takes = func(name job.RunName) time.Duration {
+		if name.Index%7 == 0 {
+			return 6300 * time.Millisecond
+		}
+		return 900 * time.Millisecond
+	}
+	s := testSubmission(leavingJob, tasks)
+	s.Steps[0].EstimateMS = 900
+	s.Queue.Stretch = 20
+	f.owner.RunBestEffort(s, time.Minute, result)
+	f.proceed(200 * time.Millisecond)
+	for _, s := range f.sites {
+		n := 0
+		for name := range s.runs {
+			if name.Index%7 == 0 {
+				n++
+			}
+		}
+		if n > long {
+			most, long = s, n
+		}
+	}
+	return most, long
+}
+
+// openAt returns the number of tasks with a run at a gate, as the owner sees it.
+func (f *fleet) openAt(s *site) int {
+	n := 0
+	for _, task := range f.owner.jobs[leavingJob].tasks {
+		if task.hasOpenRun() && task.gate == s.name {
+			n++
+		}
+	}
+	return n
 }
 
 // list sends a hold to a target and delivers its answer.
@@ -141,6 +183,9 @@
 				f.list(s)
 			}
 			f.carryOut(s, s.gate.Tick(f.now))
+			if s.cut {
+				continue
+			}
 			if frame, ok := s.gate.Flush(f.now, "entry~1", s.link); ok {
 				f.owner.OnFrame(s.name, s.link, frame)
 			}
@@ -151,72 +196,99 @@
 	}
 }
 
+const (
+	fleetGates  = 7
+	fleetTasks  = 56
+	fleetNotice = 2 * time.Second
+)
+
 // A seventh of the targets leaves with 2 s notice while long tasks run, some of which take seven
 // times as long. Those on the leaving target must go on elsewhere before its end; with the setting
 // off they only do once the lease of the lost target is over. Runs that end in time are not moved.
 func TestTargetLeavesUnderLongTasks(t *testing.T) {
-	const notice = 2 * time.Second
-	const tasks = 56
-	long := func(name job.RunName) bool { return name.Index%7 == 0 }
 	// play returns how long after the target's end the job has ended.
 	play := func(move bool) time.Duration {
 		var ended Time
-		f := newFleet(t, 7, move, func(name job.RunName) time.Duration {
-			if long(name) {
-				return 6300 * time.Millisecond
-			}
-			return 900 * time.Millisecond
-		})
-		s := testSubmission(leavingJob, tasks)
-		s.Steps[0].EstimateMS = 900
-		s.Queue.Stretch = 20
-		f.owner.RunBestEffort(s, time.Minute, func(BestEffortResult) { ended = f.now })
-		f.proceed(200 * time.Millisecond)
-		// Placement is random; the target with the most long runs leaves.
-		var leaves *site
-		running := 0
-		for _, s := range f.sites {
-			n := 0
-			for name := range s.runs {
-				if long(name) {
-					n++
-				}
-			}
-			if n > running {
-				leaves, running = s, n
-			}
-		}
-		f.leave(leaves, notice)
-		f.proceed(notice)
-		dead, late := f.now, 0
-		for _, task := range f.owner.jobs[leavingJob].tasks {
-			if task.hasOpenRun() && task.gate == leaves.name {
-				late++
-			}
-		}
-		if move && late != 0 {
-			t.Errorf("%d tasks were on the target at its end", late)
-		}
-		if !move && late != running {
-			t.Errorf("%d tasks were on the target at its end, want %d", late, running)
-		}
+		f := newFleet(t, fleetGates, move)
+		leaves, running := f.longTasks(fleetTasks, func(BestEffortResult) { ended = f.now })
+		f.leave(leaves, fleetNotice, fleetNotice)
+		f.proceed(fleetNotice)
+		dead, late := f.now, f.openAt(leaves)
 		f.proceed(15 * time.Second)
 		if ended == 0 {
 			t.Fatal("the job has not ended")
 		}
 		t.Logf("move %v: %d long runs on the leaving target, %d there at its end, job ended %v after its end",
 			move, running, late, ended-dead)
-		stats := f.owner.Stats()
-		moved, lost := int64(running), int64(0)
+		moved, lost := running, 0
 		if !move {
 			moved, lost = lost, moved
 		}
-		if stats.MovedLeaving != moved || stats.Lost != lost || stats.Moved != 0 {
-			t.Errorf("%d tasks moved, %d lost, %d behind, want %d, %d and 0 (move %v)", stats.MovedLeaving, stats.Lost, stats.Moved, moved, lost, move)
+		stats := f.owner.Stats()
+		if late != lost || stats.MovedLeaving != int64(moved) || stats.Lost != int64(lost) || stats.Moved != 0 {
+			t.Errorf("%d tasks there at its end, %d moved, %d lost, %d behind, want %d lost, %d moved (move %v)", late, stats.MovedLeaving, stats.Lost, stats.Moved, lost, moved, move)
 		}
 		return ended - dead
 	}
-	if on, off := play(true), play(false); on >= off-notice/2 {
+	if on, off := play(true), play(false); on >= off-fleetNotice/2 {
 		t.Errorf("the job ended %v after the target's end, %v with the setting off", on, off)
 	}
 }
+
+// A target that drains without telling its end, or tells nonsense, which is decoded as 0, is
+// treated as with the setting off: its runs may all end in time.
+func TestTargetLeavesWithoutTelling(t *testing.T) {
+	for _, move := range []bool{true, false} {
+		f := newFleet(t, fleetGates, move)
+		leaves, running := f.longTasks(fleetTasks, func(BestEffortResult) {})
+		f.leave(leaves, fleetNotice, 0)
+		f.proceed(fleetNotice)
+		late := f.openAt(leaves)
+		f.proceed(2 * time.Second)
+		if s := f.owner.Stats(); late != running || s.MovedLeaving != 0 || s.Lost != int64(running) {
+			t.Errorf("%d tasks there at its end, %d moved, %d lost, want %d lost (move %v)", late, s.MovedLeaving, s.Lost, running, move)
+		}
+	}
+}
+
+// Heartbeats that arrive late and tell more time than is left must not leave runs to die with the
+// target: here they arrive in each interval between two lists.
+func TestLateHeartbeatsOfLeavingTarget(t *testing.T) {
+	for _, withClock := range []bool{true, false} {
+		f := newFleet(t, fleetGates, true)
+		leaves, running := f.longTasks(fleetTasks, func(BestEffortResult) {})
+		h := f.leave(leaves, 600*time.Millisecond, 600*time.Millisecond)
+		if !withClock {
+			h.ClockMS = 0
+		}
+		for range 12 {
+			f.proceed(50 * time.Millisecond)
+			h.Sequence++
+			leaves.gate.OnHeartbeat(f.now, h)
+		}
+		late := f.openAt(leaves)
+		f.proceed(2 * time.Second)
+		s := f.owner.Stats()
+		if late != 0 || s.MovedLeaving < int64(running) || s.Lost != 0 {
+			t.Errorf("%d tasks there at its end, %d moved, %d lost, want at least %d moved (clock in heartbeats %v)", late, s.MovedLeaving, s.Lost, running, withClock)
+		}
+	}
+}
+
+// While the owner doesn't answer, the runs of its task go on and die with the target. Their tasks
+// start again once that is known.
+func TestOwnerThatDoesNotAnswerBesideLeavingTarget(t *testing.T) {
+	f := newFleet(t, fleetGates, true)
+	ended := false
+	leaves, running := f.longTasks(fleetTasks, func(r BestEffortResult) { ended = r.State == job.StateCompleted })
+	leaves.cut = true
+	f.leave(leaves, fleetNotice, fleetNotice)
+	f.proceed(fleetNotice)
+	if late, s := f.openAt(leaves), f.owner.Stats(); late < running || s.MovedLeaving != 0 {
+		t.Errorf("%d tasks there at its end, %d moved, want %d and 0", late, s.MovedLeaving, running)
+	}
+	f.proceed(15 * time.Second)
+	if s := f.owner.Stats(); !ended || s.PresumedOver < int64(running) {
+		t.Errorf("job completed %v, %d runs presumed over, want at least %d", ended, s.PresumedOver, running)
+	}
+}
