Refusals that say when to retry

Cause: Retry-After is 1 on every refusal. Callers that obey it return together, on top of the load that had them refused. Ids of refused jobs are remembered, so that a returning job keeps its place among equally urgent ones.

--- a/node/contact.go
+++ b/node/contact.go
@@ -70,5 +70,6 @@
 		Now:       func() time.Duration { return time.Since(e.started) },
 		WallClock: time.Now,
 		OnJobEnd:  func(took time.Duration) { o.Metrics.Time(metricJobTime, took.Microseconds()) },
+		OnRefusal: func(retryAfter time.Duration) { o.Metrics.Sample(metricRetryAfter, retryAfter.Milliseconds()) },
 	}
 }
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"rackspur/job"
 	"rackspur/owner"
+	"rackspur/retryafter"
 )
 
 // Submit submits a durable job and waits for the result. If the context ends first, the
@@ -26,12 +28,29 @@
 	}
 }
 
+// Refusal returns what the caller of a refused request is told. With the id of a durable job
+// that was just refused, that is the owner's decision; without an id, or if the owner has made
+// none, nobody knows when the request would succeed.
+func (e *Entry) Refusal(id job.ID) owner.Refusal {
+	if t := e.current.Load(); t != nil && id != "" {
+		if r, ok := t.owner.Refusal(id); ok {
+			return r
+		}
+	}
+	return owner.Refusal{RetryAfter: e.unknownRetryAfter()}
+}
+
+// unknownRetryAfter returns the delay of refusals that don't come from an owner.
+func (e *Entry) unknownRetryAfter() time.Duration {
+	return retryafter.Unknown(e.options.Decisions.MaxRetryAfter, rand.IntN)
+}
+
 // RunBestEffort runs a best-effort job and waits for its end. The job is dropped when the
 // context ends because its caller has left or its deadline has passed.
 func (e *Entry) RunBestEffort(ctx context.Context, s job.Submission) owner.BestEffortResult {
 	t := e.current.Load()
 	if t == nil {
-		return owner.BestEffortResult{Refused: true}
+		return owner.BestEffortResult{Refused: true, RetryAfter: e.unknownRetryAfter()}
 	}
 	result := make(chan owner.BestEffortResult, 1)
 	timeout := defaultCallTimeout
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -7,7 +7,8 @@
 
 // Names of the metrics of an entry box.
 const (
-	metricJobTime = "jobs.time_us"
+	metricJobTime    = "jobs.time_us"
+	metricRetryAfter = "jobs.retry_after_ms"
 )
 
 // gauges registers the counters of the current owner, the version and age of the
@@ -24,6 +25,7 @@
 	}
 	register("jobs.accepted", func(s owner.Stats) int64 { return s.Accepted })
 	register("jobs.refused", func(s owner.Stats) int64 { return s.Refused })
+	register("jobs.returned", func(s owner.Stats) int64 { return s.Returned })
 	register("jobs.completed", func(s owner.Stats) int64 { return s.Completed })
 	register("jobs.failed", func(s owner.Stats) int64 { return s.Failed })
 	register("jobs.cancelled", func(s owner.Stats) int64 { return s.Cancelled })
--- a/observe/metrics.go
+++ b/observe/metrics.go
@@ -80,11 +80,14 @@
 }
 
 // Time adds a sample in microseconds to a histogram.
-func (m *Metrics) Time(name string, micros int64) {
+func (m *Metrics) Time(name string, micros int64) { m.Sample(name, micros) }
+
+// Sample adds a value to a histogram.
+func (m *Metrics) Sample(name string, value int64) {
 	h := m.registry.GetOrRegister(name, func() metrics.Histogram {
 		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirAlpha))
 	})
-	h.(metrics.Histogram).Update(micros)
+	h.(metrics.Histogram).Update(value)
 }
 
 // ServeHTTP implements http.Handler.ServeHTTP. It responds with all metrics as JSON.
--- a/owner/besteffort.go
+++ b/owner/besteffort.go
@@ -12,6 +12,9 @@
 	State job.State
 	// Refused is set if no task of the job has run or will run.
 	Refused bool
+	// RetryAfter is the time after which the caller of a refused job should return, in whole
+	// seconds.
+	RetryAfter time.Duration
 }
 
 // caller waits for the end of a best-effort job.
@@ -39,9 +42,10 @@
 	}
 	j := newLiveJob(job.Record{Submission: s, Owner: o.options.Incarnation}, now)
 	j.setUrgency()
+	o.noteArrival(now, j)
 	if o.stopped || !o.admits(now, j) {
 		o.logRefused(now, j, "no hope at arrival")
-		result(BestEffortResult{Refused: true})
+		result(o.refusedResult(now, j))
 		return c.ticket
 	}
 	j.phase = jobLive
@@ -66,7 +70,7 @@
 	for i, c := range j.callers {
 		if c.ticket == ticket {
 			j.callers = append(j.callers[:i], j.callers[i+1:]...)
-			c.result(j.unfinishedResult())
+			c.result(o.unfinishedResult(j))
 			break
 		}
 	}
@@ -76,8 +80,11 @@
 }
 
 // unfinishedResult returns the answer for a job that is dropped.
-func (j *liveJob) unfinishedResult() BestEffortResult {
-	return BestEffortResult{Refused: !j.placed}
+func (o *Owner) unfinishedResult(j *liveJob) BestEffortResult {
+	if j.placed {
+		return BestEffortResult{}
+	}
+	return o.refusedResult(o.options.Now(), j)
 }
 
 func (j *liveJob) answerCallers(r BestEffortResult) {
--- a/owner/drop.go
+++ b/owner/drop.go
@@ -18,6 +18,9 @@
 	unconfirmed map[job.RunName]bool
 	// callers wait until that is known; nil once they are answered.
 	callers []caller
+	// refused returns the answer if none of the runs has started; nil once the callers are
+	// answered.
+	refused func() BestEffortResult
 }
 
 // drop ends a best-effort job without a result and withdraws its runs. If none of them
@@ -35,7 +38,7 @@
 	case j.mayHaveRun:
 		d.answer(BestEffortResult{})
 	case len(d.unconfirmed) == 0:
-		d.answer(BestEffortResult{Refused: true})
+		d.answerRefused()
 	default:
 		o.unanswered++
 	}
@@ -53,6 +56,7 @@
 // same job was dropped before, the callers of that time are answered now.
 func (o *Owner) rememberDropped(now Time, j *liveJob) *droppedJob {
 	d := &droppedJob{at: now, unconfirmed: j.openRuns(), callers: j.callers}
+	d.refused = func() BestEffortResult { return o.refusedResult(o.options.Now(), j) }
 	j.callers = nil
 	if earlier := o.dropped[j.record.ID]; earlier != nil {
 		earlier.answer(BestEffortResult{})
@@ -89,7 +93,7 @@
 	case s.End != gate.EndRejected:
 		d.answer(BestEffortResult{})
 	case len(d.unconfirmed) == 0:
-		d.answer(BestEffortResult{Refused: true})
+		d.answerRefused()
 	}
 }
 
@@ -99,6 +103,14 @@
 		c.result(r)
 	}
 	d.callers = nil
+	d.refused = nil
+}
+
+// answerRefused answers the callers that no task has run or will run.
+func (d *droppedJob) answerRefused() {
+	if len(d.callers) > 0 {
+		d.answer(d.refused())
+	}
 }
 
 // expireDropped answers the callers of dropped jobs whose gates have not reported in
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -152,6 +152,7 @@
 	j.started = true
 	j.left--
 	j.record.SetDone(t.index, s.Name.Run)
+	o.noteServed(now, t)
 	o.recordEnd(v, j, s.Name)
 	if j.left == 0 {
 		o.finish(now, j, job.StateCompleted)
--- a/owner/live.go
+++ b/owner/live.go
@@ -121,6 +121,12 @@
 	closed bool
 	// slowLogged is set once the job was logged as slow.
 	slowLogged bool
+	// firstOrder is the position of the job's first attempt in the order of arrival; returned
+	// is set if that attempt was refused.
+	firstOrder uint64
+	returned   bool
+	// refusal is what callers were told when the job was refused.
+	refusal Refusal
 }
 
 // endedJob is what is remembered of a job that has ended.
--- a/owner/log.go
+++ b/owner/log.go
@@ -22,7 +22,7 @@
 	o.stats.Refused++
 	capacity, room := o.roomFor(j)
 	o.log.Info("Job refused.", "job", j.record.ID, "queue", j.record.Queue.Name, "why", why, "ageMS", (now - j.arrived).Milliseconds(),
-		"capacityCPU", capacity, "freeCPU", room, "needCPU", j.need(), "waitingTasks", o.waiting.len(), "slackMS", (j.startBy - now).Milliseconds())
+		"capacityCPU", capacity, "freeCPU", room, "needCPU", j.need(), "waitingTasks", o.waiting.len(), "slackMS", (j.startBy - now).Milliseconds(), "retryAfterMS", o.refusal(now, j).RetryAfter.Milliseconds())
 }
 
 // logDropped logs that a job was dropped.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -63,6 +63,9 @@
 	Decisions Decisions
 	// OnJobEnd is called with the time from each job's arrival to its end; may be nil.
 	OnJobEnd func(took time.Duration)
+	// OnRefusal is called with the time after which each refused caller is told to return;
+	// may be nil.
+	OnRefusal func(retryAfter time.Duration)
 	// Now returns the time on the owner's monotonic clock.
 	Now func() Time
 	// WallClock returns the time of day. It is used in records only.
@@ -130,7 +133,10 @@
 	evacuations evacuation.News
 	// lastContact is when another process last reached this one.
 	lastContact Time
-	log         logr.Logger
+	// returns holds what is known of refused callers; nil while all are told to return after
+	// a second.
+	returns *returns
+	log     logr.Logger
 }
 
 // Stats are the counters of an owner.
@@ -138,11 +144,13 @@
 	Accepted, Refused, Completed, Failed, Cancelled                  int64
 	Placed, Rejected, EndedFailed, Lost, Adopted                     int64
 	Late, VeryLate, Dropped, PresumedOver, Discarded, Stalled, Moved int64
+	// Returned counts jobs that were submitted again after a refusal.
+	Returned int64
 }
 
 // New returns an owner without jobs.
 func New(o Options, w Writer) *Owner {
-	return &Owner{
+	n := &Owner{
 		options:     o,
 		owners:      1,
 		lastOpen:    o.Now(),
@@ -156,6 +164,8 @@
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:         o.Log,
 	}
+	n.returns = n.newReturns()
+	return n
 }
 
 // RenewLease records that the owner's lease is valid until the given time.
@@ -180,7 +190,7 @@
 	o.stopped = true
 	for _, j := range o.jobs {
 		j.notifyWaiters()
-		j.answerCallers(j.unfinishedResult())
+		j.answerCallers(o.unfinishedResult(j))
 	}
 	for _, d := range o.dropped {
 		d.answer(BestEffortResult{})
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -15,7 +15,8 @@
 const (
 	// SubmitAccepted: the job is durable, accepted now or earlier.
 	SubmitAccepted SubmitResult = iota + 1
-	// SubmitRefused: the job is not accepted and never runs.
+	// SubmitRefused: the job is not accepted and never runs. Owner.Refusal tells when its
+	// caller should return.
 	SubmitRefused
 	// SubmitUnknown: the job may have been accepted.
 	SubmitUnknown
@@ -44,7 +45,7 @@
 		return
 	}
 	if !o.mayTake(now, &s) {
-		o.stats.Refused++
+		o.refuseSubmission(now, &s)
 		result(SubmitRefused)
 		return
 	}
@@ -53,6 +54,7 @@
 		AcceptedMS: o.options.WallClock().UnixMilli(),
 	}, now)
 	j.setUrgency()
+	o.noteArrival(now, j)
 	j.submitters = append(j.submitters, result)
 	o.jobs[s.ID] = j
 	o.insert(j)
@@ -69,6 +71,16 @@
 	return o.admitsSubmission(now, s)
 }
 
+// refuseSubmission counts a durable job that is not admitted and decides when its caller
+// should return.
+func (o *Owner) refuseSubmission(now Time, s *job.Submission) {
+	o.stats.Refused++
+	j := newLiveJob(job.Record{Submission: *s}, now)
+	j.setUrgency()
+	o.noteArrival(now, j)
+	o.refusal(now, j)
+}
+
 // insert writes the row of a new job, provided that it does not exist.
 func (o *Owner) insert(j *liveJob) {
 	id := j.record.ID
@@ -110,6 +122,7 @@
 		j.answerSubmitters(SubmitAccepted)
 	default:
 		o.stats.Refused++
+		o.refusal(now, j)
 		j.answerSubmitters(SubmitRefused)
 	}
 }
@@ -136,6 +149,7 @@
 	case len(j.submitters) <= 1 && o.writer.Withdraw(o.part(id), j.insert):
 		delete(o.jobs, id)
 		o.stats.Refused++
+		o.refusal(o.options.Now(), j)
 		return SubmitRefused
 	}
 	return SubmitUnknown
@@ -169,6 +183,6 @@
 	t.gate = ""
 	t.since = now
 	o.order++
-	t.order = o.order
+	t.order = o.taskOrder(t)
 	o.waiting.push(t)
 }
