retryafter: the test of delays notices missing jitter

Cause: with the jitter removed all tests of the package passed. Change: TestDelay wants both ends of the range to occur. Result: it fails without jitter and passes with it; go test -race ./retryafter ./owner passes.

--- a/retryafter/retryafter_test.go
+++ b/retryafter/retryafter_test.go
@@ -12,7 +12,7 @@
 }
 
 // The delay must cover the wait for the work ahead, in whole seconds between 1 s and the
-// limit, for any figures that an owner may pass.
+// limit, for any figures that an owner may pass, and the jitter must use all of its range.
 func TestDelay(t *testing.T) {
 	tests := []struct {
 		name              string
@@ -37,11 +37,16 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
+			got := map[time.Duration]bool{}
 			for seed := range uint64(50) {
 				d := NewScheduler(tt.limit, rand.New(rand.NewPCG(seed, 2))).Delay(5*time.Second, tt.load)
 				if d < tt.shortest || d > tt.longest || d%time.Second != 0 {
 					t.Errorf("seed %d: %v, want whole seconds from %v to %v", seed, d, tt.shortest, tt.longest)
 				}
+				got[d] = true
+			}
+			if !got[tt.shortest] || !got[tt.longest] {
+				t.Errorf("delays %v, want both %v and %v", got, tt.shortest, tt.longest)
 			}
 		})
 	}
