A caller that leaves beside another one is not told that its job won't run

Cause: RemoveCaller answered "refused" to a leaving caller of a job without placed tasks, although the job went on for its other callers and could still run. Change: such a caller gets neither a state nor a refusal. Result: TestOneOfTwoCallersLeaves failed before, passes now; go test ./owner passes.

--- a/owner/admission_test.go
+++ b/owner/admission_test.go
@@ -123,3 +123,23 @@
 		t.Error("a late job comes first")
 	}
 }
+
+// A caller that leaves while another one waits for the same job must not be told that the
+// job will not run.
+func TestOneOfTwoCallersLeaves(t *testing.T) {
+	b := newHarness(t)
+	link := b.connect("gate-1")
+	b.fill("gate-1", link)
+	s := testSubmission("00000000000000ab", 1)
+	var first, second *BestEffortResult
+	ticket := b.owner.RunBestEffort(s, time.Minute, func(r BestEffortResult) { first = &r })
+	b.owner.RunBestEffort(s, time.Minute, func(r BestEffortResult) { second = &r })
+	b.owner.RemoveCaller(s.ID, ticket)
+	if first == nil || first.Refused {
+		t.Errorf("the caller that left was told %+v, want neither a state nor a refusal", first)
+	}
+	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Report: testReport()})
+	if f := b.flush("gate-1", link); len(f.Starts) != 1 || second != nil {
+		t.Errorf("%d starts, answer %+v; want the job to go on for the other caller", len(f.Starts), second)
+	}
+}
--- a/owner/besteffort.go
+++ b/owner/besteffort.go
@@ -70,6 +70,11 @@
 	for i, c := range j.callers {
 		if c.ticket == ticket {
 			j.callers = append(j.callers[:i], j.callers[i+1:]...)
+			if len(j.callers) > 0 {
+				// The job goes on for its other callers, so it may still run.
+				c.result(BestEffortResult{})
+				break
+			}
 			c.result(o.unfinishedResult(j))
 			break
 		}
