Place tasks by when they are expected to end

Cause: targets counted as slow only beyond twice the median, and all other targets were chosen by free room. A job is as late as its slowest task, so with a third of the targets at half speed many jobs were late although the others had room for everything.

Change: gates report the median of the newest ratios of run time to estimate. New metrics gate.median_slowness, tasks.placed_slow, tasks.held_for_speed; new field weightedCapacityCPU on "Job refused.".

With the window kept over a restart of the target TestRestartForgetsSpeed fails. Not run on a deployment.

--- a/gate/hold.go
+++ b/gate/hold.go
@@ -160,6 +160,7 @@
 	r.end = kind
 	r.ran = ran
 	g.health.ended(now, r)
+	g.recordSpeed(now, r)
 	if r.discarded {
 		r.discarded = false
 		g.discard(now, r)
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rackspur/job"
+	"rackspur/speed"
 )
 
 // Incarnation identifies a process of the target from its start to its end. A restarted target
@@ -79,6 +80,8 @@
 	// lapsing is set while the gate lets the lease expire.
 	lapsing bool
 	health  health
+	// speed holds the newest ratios of run time to estimate.
+	speed speed.Window
 }
 
 func newIncarnationState(incarnation Incarnation, now Time) incarnationState {
--- a/gate/report.go
+++ b/gate/report.go
@@ -207,7 +207,8 @@
 	return Report{
 		TargetID: g.current.ID, Service: g.service, Capacity: g.capacity, Free: g.capacity.Minus(g.used),
 		Queued: g.queued(), Labels: g.labels, Open: g.Open(now), Evacuated: g.evacuated(), Slowness: g.health.slownessAt(now),
-		Suspect: g.health.suspect && !g.health.mayStart(now),
+		MedianSlowness: g.MedianSlowness(now),
+		Suspect:        g.health.suspect && !g.health.mayStart(now),
 	}
 }
 
--- /dev/null
+++ b/gate/speed_test.go
@@ -0,0 +1,101 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"rackspur/speed"
+)
+
+// endRun starts a run with an estimate of 100 ms and has it end after some time.
+func (b *bench) endRun(index int, took time.Duration, kind EndKind) {
+	name := testRun("aa", index, 1)
+	b.started(b.order(false, name))
+	b.runFor(took, name)
+	b.hold(HoldAnswer{Finished: []Ended{{Number: int64(index + 1), Name: name, Kind: kind}}})
+}
+
+func (b *bench) medianSlowness() float64 {
+	f, _ := b.gate.Flush(b.now, testOwner, 1)
+	return f.Report.MedianSlowness
+}
+
+// The reported median is unknown until enough runs have ended done, is not moved by single long
+// tasks, and is unknown again without new runs.
+func TestMedianSlowness(t *testing.T) {
+	b := newBench(t)
+	for i := range speed.MinSamples - 1 {
+		b.endRun(i, 200*time.Millisecond, EndDone)
+	}
+	if got := b.medianSlowness(); got != 0 {
+		t.Errorf("slowness %v after %d runs, want it unknown", got, speed.MinSamples-1)
+	}
+	b.endRun(speed.MinSamples-1, 200*time.Millisecond, EndFailed)
+	if got := b.medianSlowness(); got != 0 {
+		t.Errorf("slowness %v, want a failed run not to count", got)
+	}
+	b.endRun(speed.MinSamples, 700*time.Millisecond, EndDone)
+	if got := b.medianSlowness(); got < 1.9 || got > 2.2 {
+		t.Errorf("slowness %v after runs of twice their estimate and one of seven times, want 2", got)
+	}
+	reported := b.gate.Reported()
+	b.now += 11 * time.Second
+	if got := b.medianSlowness(); got != 0 {
+		t.Errorf("slowness %v, 11 s after the last run, want it unknown", got)
+	}
+	if got := b.gate.Reported(); got != reported {
+		t.Errorf("%d more reports, want none because samples are too old", got-reported)
+	}
+}
+
+// Measuring the speed causes no reports beyond those of the end of a run, also when the median
+// becomes known or changes.
+func TestSpeedSendsNoReports(t *testing.T) {
+	b := newBench(t)
+	perRun := uint64(0)
+	for i := range 2 * speed.MinSamples {
+		reported := b.gate.Reported()
+		b.endRun(i, time.Duration(100*(1+i%3))*time.Millisecond, EndDone)
+		got := b.gate.Reported() - reported
+		if i > 0 && got != perRun {
+			t.Errorf("run %d: %d reports, %d for the one before", i, got, perRun)
+		}
+		perRun = got
+	}
+}
+
+// Ends that were heard late, after the agent was suspended, give no sample: the target did not run
+// slowly. Its earlier samples still count.
+func TestLateEndsGiveNoSpeedSample(t *testing.T) {
+	b := newBench(t)
+	for i := range speed.MinSamples {
+		b.endRun(i, 100*time.Millisecond, EndDone)
+	}
+	var ends []Ended
+	for i := range 8 {
+		name := testRun("bb", i, 1)
+		b.started(b.order(false, name))
+		ends = append(ends, Ended{Number: int64(speed.MinSamples + 1 + i), Name: name, Kind: EndDone})
+	}
+	b.now += 2500 * time.Millisecond
+	b.hold(HoldAnswer{Finished: ends})
+	if got := b.medianSlowness(); got < 0.9 || got > 1.2 {
+		t.Errorf("slowness %v, want that of the runs before the suspension, 1", got)
+	}
+}
+
+// The speed belongs to one incarnation of the target: the next may run on another machine.
+func TestRestartForgetsSpeed(t *testing.T) {
+	b := newBench(t)
+	for i := range speed.MinSamples {
+		b.endRun(i, 200*time.Millisecond, EndDone)
+	}
+	if got := b.medianSlowness(); got == 0 {
+		t.Fatal("slowness unknown")
+	}
+	b.gate.OnDeregister(b.now, testIncarnation)
+	b.heartbeat(newerIncarnation, false)
+	if got := b.medianSlowness(); got != 0 {
+		t.Errorf("slowness %v after a restart, want it unknown", got)
+	}
+}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -31,6 +31,8 @@
 	register("jobs.late", func(s owner.Stats) int64 { return s.Late + s.VeryLate })
 	register("jobs.adopted", func(s owner.Stats) int64 { return s.Adopted })
 	register("tasks.placed", func(s owner.Stats) int64 { return s.Placed })
+	register("tasks.placed_slow", func(s owner.Stats) int64 { return s.PlacedSlow })
+	register("tasks.held_for_speed", func(s owner.Stats) int64 { return s.HeldForSpeed })
 	register("tasks.rejected", func(s owner.Stats) int64 { return s.Rejected })
 	register("tasks.failed", func(s owner.Stats) int64 { return s.EndedFailed })
 	register("tasks.lost", func(s owner.Stats) int64 { return s.Lost })
@@ -71,6 +73,8 @@
 	register("gate.heartbeats_passed_over", func(c gate.Counts) int64 { return c.HeartbeatsSkipped })
 	register("gate.target_restarts", func(c gate.Counts) int64 { return c.Restarts })
 	register("gate.runs_lost", func(c gate.Counts) int64 { return c.RunsLost })
+	// In thousandths; 0 while it is unknown.
+	a.options.Metrics.Gauge("gate.median_slowness", func() int64 { return int64(a.driver.MedianSlowness() * 1000) })
 	a.options.Metrics.Gauge("gate.evacuated", func() int64 {
 		if _, evacuated, _ := a.driver.EvacuationsAge(); evacuated {
 			return 1
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rackspur/job"
+	"rackspur/speed"
 )
 
 // Parameters of admission.
@@ -27,7 +28,7 @@
 
 // admits reports whether a new job can start in time, or what the policy decides.
 func (o *Owner) admits(now Time, j *liveJob) bool {
-	capacity, room := o.roomFor(j)
+	capacity, room := o.roomFor(now, j)
 	if capacity == 0 && o.allEvacuated(j.record.Queue.Service) {
 		// An evacuation lasts until an operator ends it, so waiting would not help.
 		return false
@@ -53,14 +54,25 @@
 }
 
 // roomFor returns the total and the free CPU of the gates that a job may use, in
-// thousandths of a core.
-func (o *Owner) roomFor(j *liveJob) (capacity, room int) {
-	for _, v := range o.usableGates() {
+// thousandths of a core. If tasks are placed by speed and speeds differ, the capacity is
+// weighted by speed, and only room where the job is expected to end in time counts.
+func (o *Owner) roomFor(now Time, j *liveJob) (capacity, room int) {
+	usable := o.usableGates()
+	return roomAt(now, usable, o.compareSpeeds(usable), j)
+}
+
+// roomAt is roomFor with a comparison of these gates; it is not weighted if s is nil.
+func roomAt(now Time, usable []*gateView, s *speeds, j *liveJob) (capacity, room int) {
+	var longest speed.Task
+	if s != nil {
+		longest = j.longestTask(now)
+	}
+	for _, v := range usable {
 		if v.report.Service != j.record.Queue.Service {
 			continue
 		}
-		capacity += v.report.Capacity.CPU
-		room += max(0, v.free().CPU)
+		capacity += s.capacity(v)
+		room += s.room(v, longest)
 	}
 	return capacity, room
 }
--- /dev/null
+++ b/owner/fleet_test.go
@@ -0,0 +1,289 @@
+package owner
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"rackspur/gate"
+	"rackspur/job"
+	"rackspur/speed"
+)
+
+// fleetLoad is a load for several owners that share simulated gates.
+type fleetLoad struct {
+	// slowness has the ratio of run time to estimate of each target.
+	slowness []float64
+	// factor scales the arrival rates; 1 is half of the capacity of targets of slowness 1.
+	factor float64
+	// longTail is the share of tasks that take seven times as long.
+	longTail float64
+	owners   int
+	lasts    time.Duration
+	placing  Decisions
+	seed     uint64
+	// restartAt is when the processes of all gates restart and forget how fast their targets are.
+	restartAt Time
+}
+
+// fleetResult counts the jobs of a load that arrived after the first second.
+type fleetResult struct {
+	jobs, late, refused int
+	// lateByQueue has the late jobs of each queue.
+	lateByQueue map[string]int
+	slow, held  int64
+	// use is the share of its time that the core of a target is in use, by target.
+	use      []float64
+	rejected int64
+}
+
+// lostShare returns the share of the jobs that were late or refused.
+func (r fleetResult) lostShare() float64 { return float64(r.late+r.refused) / float64(max(1, r.jobs)) }
+
+func (r fleetResult) String() string {
+	return fmt.Sprintf("%d jobs, late %d %v (%.3f), refused %d, placed slow %d, held %d, rejected %d, use %.2f",
+		r.jobs, r.late, r.lateByQueue, r.lostShare(), r.refused, r.slow, r.held, r.rejected, r.use)
+}
+
+// fleetQueues are the queues of docs/design/decisions-under-load.md, for targets with as many
+// cores together as 12 of 40.
+var fleetQueues = []struct {
+	queue    job.Queue
+	rate     float64
+	tasks    int
+	estimate int
+}{
+	{job.Queue{Name: "wide", Priority: 0}, 38, 8, 55},
+	{job.Queue{Name: "long", Priority: 2}, 7, 4, 830},
+	{job.Queue{Name: "narrow", Priority: 1}, 112, 2, 185},
+}
+
+const (
+	fleetCores = 40000
+	fleetNeed  = 2750
+	// fleetLatency is the time of a frame on its way.
+	fleetLatency = 2 * time.Millisecond
+	// fleetReportPause is the shortest time between two frames with only a report.
+	fleetReportPause = 30 * time.Millisecond
+)
+
+// simRun is a run at a simulated gate.
+type simRun struct {
+	owner int
+	order gate.Order
+	ends  Time
+	ran   time.Duration
+}
+
+// simGate is a simulated gate with its target.
+type simGate struct {
+	name     string
+	slowness float64
+	window   speed.Window
+	smoothed float64
+	running  []*simRun
+	queued   []*simRun
+	states   [][]gate.RunState
+	received []uint64
+	reported []Time
+	busy     float64
+}
+
+// simFleet plays a load in steps of one millisecond.
+type simFleet struct {
+	load fleetLoad
+	// arrivals and runs draw the jobs and the run times.
+	arrivals, runs *rand.Rand
+	now            Time
+	owners         []*Owner
+	gates          []*simGate
+	later          map[Time][]func()
+	result         fleetResult
+}
+
+func playFleet(t *testing.T, l fleetLoad) fleetResult {
+	t.Helper()
+	f := &simFleet{load: l, arrivals: rand.New(rand.NewPCG(l.seed, 0)), runs: rand.New(rand.NewPCG(l.seed, 1)), now: time.Second, later: map[Time][]func(){}}
+	f.result.lateByQueue = map[string]int{}
+	for i := range l.owners {
+		o := New(Options{
+			Incarnation: fmt.Sprintf("entry~%d", i), Parts: 1, ContactTimeout: 1400 * time.Millisecond, BestEffortContactTimeout: 850 * time.Millisecond,
+			Lease: time.Second, KeepFinished: time.Minute, Log: logr.Discard(), Decisions: l.placing,
+			Now: func() Time { return f.now }, WallClock: func() time.Time { return time.Unix(1700000000, 0) },
+		}, &fakeWriter{})
+		o.random = rand.New(rand.NewPCG(l.seed, uint64(i)+2))
+		o.SetOwners(l.owners)
+		f.owners = append(f.owners, o)
+	}
+	for i, slowness := range l.slowness {
+		g := &simGate{name: fmt.Sprintf("gate-%02d", i), slowness: slowness, states: make([][]gate.RunState, l.owners), received: make([]uint64, l.owners), reported: make([]Time, l.owners)}
+		f.gates = append(f.gates, g)
+		for _, o := range f.owners {
+			o.AddGate(g.name, "zone-a")
+			o.LinkUp(g.name, 1, nil)
+			o.OnFrame(g.name, 1, gate.Frame{Clock: f.now, Report: g.report(f.now), Inventory: true})
+		}
+	}
+	end := f.now + l.lasts
+	for f.now < end+10*time.Second {
+		f.now += time.Millisecond
+		f.step(f.now < end)
+	}
+	for _, o := range f.owners {
+		s := o.Stats()
+		f.result.slow += s.PlacedSlow
+		f.result.held += s.HeldForSpeed
+		f.result.rejected += s.Rejected
+		if n := o.LiveJobs(); n != 0 {
+			t.Errorf("%d jobs left at %s", n, o.options.Incarnation)
+		}
+	}
+	for _, g := range f.gates {
+		f.result.use = append(f.result.use, g.busy/fleetCores/l.lasts.Seconds())
+	}
+	return f.result
+}
+
+func (f *simFleet) step(arrivals bool) {
+	for _, do := range f.later[f.now] {
+		do()
+	}
+	delete(f.later, f.now)
+	for _, g := range f.gates {
+		if f.now == f.load.restartAt {
+			g.window.Reset()
+			g.smoothed = 0
+		}
+	}
+	for _, q := range fleetQueues {
+		for p := f.load.factor * q.rate / 1000; arrivals && f.arrivals.Float64() < p; p-- {
+			f.submit(q.queue, q.tasks, q.estimate)
+		}
+	}
+	for _, g := range f.gates {
+		f.endRuns(g)
+		f.startRuns(g)
+	}
+	for i, o := range f.owners {
+		if (f.now.Milliseconds()+int64(3*i))%10 == 0 {
+			o.Tick()
+		}
+		for _, g := range f.gates {
+			f.exchange(i, o, g)
+		}
+	}
+}
+
+func (f *simFleet) submit(q job.Queue, tasks, estimate int) {
+	q.Service, q.Attempts, q.Stretch, q.TargetLatencyMS = testService, 2, 1.6, 60
+	f.result.jobs++
+	arrived := f.now
+	objective := time.Duration(1.6*float64(estimate)+60) * time.Millisecond
+	counts := arrived >= 2*time.Second
+	if !counts {
+		f.result.jobs--
+	}
+	s := job.Submission{
+		ID: job.ID(fmt.Sprintf("%016x", f.arrivals.Uint64())), Spec: "spec", BestEffort: true, Queue: q,
+		Steps: []job.Step{{Count: tasks, Need: job.Resources{CPU: fleetNeed, Memory: 1}, EstimateMS: estimate}},
+	}
+	f.owners[f.arrivals.IntN(len(f.owners))].RunBestEffort(s, time.Minute, func(r BestEffortResult) {
+		switch {
+		case !counts:
+		case r.Refused:
+			f.result.refused++
+		case r.State == "" || f.now-arrived > objective:
+			f.result.late++
+			f.result.lateByQueue[q.Name]++
+		}
+	})
+}
+
+func (g *simGate) used() int { return fleetNeed * len(g.running) }
+
+func (g *simGate) report(now Time) gate.Report {
+	return gate.Report{
+		TargetID: g.name, Service: testService, Capacity: job.Resources{CPU: fleetCores, Memory: 1 << 20},
+		Free:   job.Resources{CPU: fleetCores - g.used(), Memory: 1 << 20},
+		Queued: job.Resources{CPU: fleetNeed * len(g.queued)}, Open: true,
+		Slowness: g.smoothed, MedianSlowness: math.Round(1000*g.window.Slowness(now)) / 1000,
+	}
+}
+
+func (f *simFleet) endRuns(g *simGate) {
+	g.busy += float64(g.used()) / 1000
+	g.running = slices.DeleteFunc(g.running, func(r *simRun) bool {
+		if f.now < r.ends {
+			return false
+		}
+		g.window.Add(f.now, r.ran, r.order.Estimate)
+		ratio := float64(r.ran) / float64(r.order.Estimate)
+		if g.smoothed == 0 {
+			g.smoothed = ratio
+		}
+		g.smoothed += 0.15 * (ratio - g.smoothed)
+		g.states[r.owner] = append(g.states[r.owner], gate.RunState{Name: r.order.Name, End: gate.EndDone, Ran: r.ran})
+		return true
+	})
+}
+
+func (f *simFleet) startRuns(g *simGate) {
+	slices.SortStableFunc(g.queued, func(a, b *simRun) int { return int(a.order.Rank - b.order.Rank) })
+	for len(g.queued) > 0 && g.used()+fleetNeed <= fleetCores {
+		r := g.queued[0]
+		g.queued = g.queued[1:]
+		ran := float64(r.order.Estimate) * g.slowness * (0.6 + 0.8*f.runs.Float64())
+		if f.runs.Float64() < f.load.longTail {
+			ran *= 7
+		}
+		r.ran = time.Duration(ran)
+		r.ends = f.now + r.ran
+		g.running = append(g.running, r)
+		g.states[r.owner] = append(g.states[r.owner], gate.RunState{Name: r.order.Name, Running: true})
+	}
+	for len(g.queued) > 1 && g.used()+fleetNeed*len(g.queued) > fleetCores*(1000+gate.QueueShare)/1000 {
+		r := g.queued[len(g.queued)-1]
+		g.queued = g.queued[:len(g.queued)-1]
+		g.states[r.owner] = append(g.states[r.owner], gate.RunState{Name: r.order.Name, End: gate.EndRejected, Reason: gate.ReasonFull})
+	}
+}
+
+// exchange sends the frames that are due between an owner and a gate.
+func (f *simFleet) exchange(i int, o *Owner, g *simGate) {
+	v := o.gates[g.name]
+	if len(v.starts)+len(v.verdicts)+len(v.stops) > 0 {
+		frame, _ := o.Flush(g.name, 1)
+		f.after(fleetLatency, func() {
+			g.received[i] = frame.Sequence
+			for _, order := range frame.Starts {
+				g.queued = append(g.queued, &simRun{owner: i, order: order})
+			}
+		})
+	}
+	if len(g.states[i]) == 0 && f.now-g.reported[i] < fleetReportPause {
+		return
+	}
+	g.reported[i] = f.now
+	frame := gate.Frame{Clock: f.now, Received: g.received[i], Report: g.report(f.now), States: g.states[i]}
+	g.states[i] = nil
+	f.after(fleetLatency, func() { o.OnFrame(g.name, 1, frame) })
+}
+
+func (f *simFleet) after(d time.Duration, do func()) { f.later[f.now+d] = append(f.later[f.now+d], do) }
+
+// targets returns the slowness of n targets, every k-th of which is slow.
+func targets(n, k int, slow, fast float64) []float64 {
+	all := make([]float64, n)
+	for i := range all {
+		all[i] = fast
+		if k > 0 && i%k == 0 {
+			all[i] = slow
+		}
+	}
+	return all
+}
--- a/owner/live.go
+++ b/owner/live.go
@@ -43,6 +43,8 @@
 	fullPause time.Duration
 	// moves counts how often the task was moved to another gate.
 	moves int
+	// held is set while the task waits for a faster target.
+	held bool
 	// position is the index in the queue of waiting tasks, -1 if the task is not in it.
 	position int
 	order    uint64
@@ -119,6 +121,11 @@
 	// closed is set if a best-effort job may not start any more tasks, because its
 	// callers may have submitted it elsewhere.
 	closed bool
+	// expectedLate is set once a task was placed where it is expected to end after the
+	// objective, so that the job's other tasks need not be fast.
+	expectedLate bool
+	// paths are the lengths of the longest chains from each step on; nil until needed.
+	paths []time.Duration
 	// slowLogged is set once the job was logged as slow.
 	slowLogged bool
 }
--- a/owner/log.go
+++ b/owner/log.go
@@ -20,9 +20,10 @@
 // logRefused counts and logs a refused job, with the figures behind the decision.
 func (o *Owner) logRefused(now Time, j *liveJob, why string) {
 	o.stats.Refused++
-	capacity, room := o.roomFor(j)
+	capacity, room := roomAt(now, o.usableGates(), nil, j)
+	weighted, _ := o.roomFor(now, j)
 	o.log.Info("Job refused.", "job", j.record.ID, "queue", j.record.Queue.Name, "why", why, "ageMS", (now - j.arrived).Milliseconds(),
-		"capacityCPU", capacity, "freeCPU", room, "needCPU", j.need(), "waitingTasks", o.waiting.len(), "slackMS", (j.startBy - now).Milliseconds())
+		"capacityCPU", capacity, "weightedCapacityCPU", weighted, "freeCPU", room, "needCPU", j.need(), "waitingTasks", o.waiting.len(), "slackMS", (j.startBy - now).Milliseconds())
 }
 
 // logDropped logs that a job was dropped.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -128,6 +128,12 @@
 	shortSince Time
 	// evacuations is the newest state of the evacuated failure domains.
 	evacuations evacuation.News
+	// measured is used by compareSpeeds.
+	measured []float64
+	// meanRun is the smoothed estimate of the tasks that were placed, meanOf their number; both
+	// are 0 unless tasks are placed by speed.
+	meanRun time.Duration
+	meanOf  int64
 	// lastContact is when another process last reached this one.
 	lastContact Time
 	log         logr.Logger
@@ -138,6 +144,9 @@
 	Accepted, Refused, Completed, Failed, Cancelled                  int64
 	Placed, Rejected, EndedFailed, Lost, Adopted                     int64
 	Late, VeryLate, Dropped, PresumedOver, Discarded, Stalled, Moved int64
+	// PlacedSlow counts tasks placed on a target that is slower than the median one,
+	// HeldForSpeed how often a task waited for a faster target.
+	PlacedSlow, HeldForSpeed int64
 }
 
 // New returns an owner without jobs.
--- a/owner/place.go
+++ b/owner/place.go
@@ -16,6 +16,10 @@
 	// lateRankPenalty is added to the rank of runs of late jobs, which puts them behind
 	// all others at a gate.
 	lateRankPenalty = time.Minute
+	// placementNoise is the random part of a score.
+	placementNoise = 0.02
+	// rackPenalty is taken from the score of gates outside the rack that a task prefers.
+	rackPenalty = 0.5
 )
 
 // place sends waiting tasks to gates that have room for them.
@@ -26,6 +30,7 @@
 	}
 	usable := o.usableGates()
 	median := medianSlowness(usable)
+	s := o.compareSpeeds(usable)
 	var unplaced []*task
 	misses := 0
 	for o.waiting.len() > 0 && len(usable) > 0 && misses < maxMisses {
@@ -34,12 +39,16 @@
 			unplaced = append(unplaced, t)
 			continue
 		}
-		v := o.choose(now, usable, median, t)
+		held := s.heldSoFar()
+		v := o.choose(now, usable, median, s, t)
 		if v == nil {
 			unplaced = append(unplaced, t)
-			misses++
+			if s.heldSoFar() == held {
+				misses++
+			}
 			continue
 		}
+		o.notePlaced(s, v, t)
 		o.sendStart(now, v, t)
 	}
 	for _, t := range unplaced {
@@ -61,10 +70,13 @@
 }
 
 // choose returns the gate for a task, or nil if none has room.
-func (o *Owner) choose(now Time, usable []*gateView, median float64, t *task) *gateView {
+func (o *Owner) choose(now Time, usable []*gateView, median float64, s *speeds, t *task) *gateView {
 	if o.options.Policy != nil {
 		return o.chooseByPolicy(now, usable, median, t)
 	}
+	if s != nil && t.step.EstimateMS > 0 {
+		return o.chooseBySpeed(now, usable, s, t)
+	}
 	var best *gateView
 	bestScore := 0.0
 	for _, v := range usable {
@@ -83,31 +95,42 @@
 // score rates a gate for a task; higher is better. It returns false if the gate can't
 // take the task.
 func (o *Owner) score(now Time, v *gateView, t *task, median float64) (float64, bool) {
-	capacity := v.report.Capacity
-	if t.avoid[v.name] || v.report.Service != t.job.record.Queue.Service || capacity.CPU == 0 || !capacity.Fits(t.step.Need) {
-		return 0, false
-	}
-	if t.step.Label != "" && !slices.Contains(v.report.Labels, t.step.Label) {
-		return 0, false
-	}
-	if t.step.Spread > 0 && o.countOnGate(v, t) >= t.step.Spread {
+	if !o.eligible(v, t) {
 		return 0, false
 	}
+	capacity := v.report.Capacity
 	free := v.free()
 	room := free.Plus(job.Resources{CPU: capacity.CPU * queueShare(now, t) / 1000, Memory: capacity.Memory, GPU: capacity.GPU})
 	if !room.Fits(t.step.Need) {
 		return 0, false
 	}
-	score := float64(free.CPU-t.step.Need.CPU)/float64(capacity.CPU) + o.random.Float64()*0.02
+	score := float64(free.CPU-t.step.Need.CPU)/float64(capacity.CPU) + o.random.Float64()*placementNoise
 	if median > 0 && v.report.Slowness > slowFactor*median {
 		score -= 1
 	}
-	if t.step.Rack != "" && !slices.Contains(v.report.Labels, t.step.Rack) {
-		score -= 0.5
+	if t.lacksRack(v) {
+		score -= rackPenalty
 	}
 	return score, true
 }
 
+// eligible reports whether a gate may take a task if it has room.
+func (o *Owner) eligible(v *gateView, t *task) bool {
+	capacity := v.report.Capacity
+	if t.avoid[v.name] || v.report.Service != t.job.record.Queue.Service || capacity.CPU == 0 || !capacity.Fits(t.step.Need) {
+		return false
+	}
+	if t.step.Label != "" && !slices.Contains(v.report.Labels, t.step.Label) {
+		return false
+	}
+	return t.step.Spread <= 0 || o.countOnGate(v, t) < t.step.Spread
+}
+
+// lacksRack reports whether a gate is outside the rack that a task prefers.
+func (t *task) lacksRack(v *gateView) bool {
+	return t.step.Rack != "" && !slices.Contains(v.report.Labels, t.step.Rack)
+}
+
 // queueShare returns the share of a gate's capacity, in thousandths, that may be queued
 // there for the gate to accept a task. Tasks of the highest priority are also sent to
 // gates with a full queue, which then reject runs that rank lower.
--- a/owner/policy.go
+++ b/owner/policy.go
@@ -28,7 +28,7 @@
 		if g.report.Service != j.record.Queue.Service {
 			continue
 		}
-		t := targetView(g, j.record.Steps[0].Need)
+		t := o.targetView(g, j.record.Steps[0].Need)
 		v.Slots += t.Slots
 		v.Free += t.Free
 	}
@@ -43,7 +43,7 @@
 		if _, ok := o.score(now, v, t, median); !ok {
 			continue
 		}
-		view := targetView(v, t.step.Need)
+		view := o.targetView(v, t.step.Need)
 		view.Tie = o.random.Float64()
 		gates = append(gates, v)
 		views = append(views, view)
@@ -94,11 +94,11 @@
 
 // targetView returns the policy's view of a gate. Its room is the number of tasks with
 // this need that fit, including those that may be queued at the gate.
-func targetView(v *gateView, need job.Resources) dispatch.TargetView {
+func (o *Owner) targetView(v *gateView, need job.Resources) dispatch.TargetView {
 	capacity := v.report.Capacity
 	free := v.free().Plus(job.Resources{CPU: capacity.CPU * gate.QueueShare / 1000})
 	return dispatch.TargetView{
-		Name: v.name, Domain: v.domain, Slots: tasksIn(capacity, need), Free: tasksIn(free, need), Pace: v.report.Slowness,
+		Name: v.name, Domain: v.domain, Slots: tasksIn(capacity, need), Free: tasksIn(free, need), Pace: o.pace(v),
 	}
 }
 
--- /dev/null
+++ b/owner/speed.go
@@ -0,0 +1,282 @@
+package owner
+
+import (
+	"time"
+
+	"rackspur/job"
+	"rackspur/speed"
+)
+
+// Parameters of placement by speed.
+const (
+	// deliveryTime is added to a task's run time: the order's way to the target, and the way
+	// back of the end, with half a tick of waiting at each.
+	deliveryTime = 10 * time.Millisecond
+	// roomPause is the shortest time in which a gate that is full reports room: the pause
+	// between two reports (package peer).
+	roomPause = 30 * time.Millisecond
+	// refuseMargin is how long before its job would be refused a task stops waiting: one and a
+	// half pauses between ticks (package node), so that it is placed before.
+	refuseMargin = 15 * time.Millisecond
+	// maxHeldSteps bounds the steps whose tasks wait for a faster target and are passed over for
+	// others in one call of place. Beyond it they count as tasks without a gate, see maxMisses.
+	maxHeldSteps = 16
+	// meanRunWeight is the weight of a new task in the mean run time: the mean of the last 200
+	// tasks or so, as many as an owner places in about a second. With fewer, single long tasks
+	// move it past the short ones.
+	meanRunWeight = 0.005
+)
+
+// speeds compares the usable gates for one call of place. It is nil if tasks are placed by room.
+type speeds struct {
+	fleet speed.Fleet
+	// slowest is the slowness of the slowest gate.
+	slowest float64
+	// used is the share of the gates' capacity that is in use.
+	used float64
+	// fastCapacity is the capacity of the fast gates, as the work by estimate that they do in a
+	// second, in thousandths of core-seconds.
+	fastCapacity float64
+	// held is the number of tasks that wait for a faster target, heldSteps that of their steps,
+	// heldWork their work in thousandths of core-seconds.
+	held, heldSteps int
+	heldWork        float64
+	// lastHeld is the step of the newest of these if no task was placed since.
+	lastHeld *job.Step
+}
+
+// compareSpeeds compares the gates' speeds and sets their expected slowness. It returns nil
+// unless tasks are placed by speed and speeds differ.
+func (o *Owner) compareSpeeds(usable []*gateView) *speeds {
+	if !o.options.Decisions.PlaceBySpeed {
+		return nil
+	}
+	o.measured = o.measured[:0]
+	cold := false
+	for _, v := range usable {
+		o.measured = append(o.measured, v.report.MedianSlowness)
+		cold = cold || (v.report.Cold > 0 && v.report.MedianSlowness <= 0)
+	}
+	s := &speeds{fleet: speed.Compare(o.measured, cold)}
+	total, used := 0.0, 0.0
+	for _, v := range usable {
+		v.slowness, v.slownessKnown = s.fleet.Slowness(speed.Target{Measured: v.report.MedianSlowness, Cold: v.report.Cold > 0})
+		if !s.fleet.Differ {
+			continue
+		}
+		s.slowest = max(s.slowest, v.slowness)
+		capacity := s.fleet.Weight(v.slowness) * float64(v.report.Capacity.CPU)
+		total += capacity
+		if v.report.Capacity.CPU > 0 {
+			used += capacity * (1 - float64(max(0, v.free().CPU))/float64(v.report.Capacity.CPU))
+		}
+		if s.fleet.IsFast(v.slowness) {
+			s.fastCapacity += capacity
+		}
+	}
+	if !s.fleet.Differ {
+		return nil
+	}
+	if total > 0 {
+		s.used = used / total
+	}
+	return s
+}
+
+// capacity returns a gate's capacity in terms of work by estimate, in thousandths of a core.
+func (s *speeds) capacity(v *gateView) int {
+	if s == nil || v.report.Capacity.CPU == 0 {
+		return v.report.Capacity.CPU
+	}
+	return max(1, int(s.fleet.Weight(v.slowness)*float64(v.report.Capacity.CPU)))
+}
+
+// room returns how much of a gate's free CPU counts for a task, in thousandths of a core: the
+// more likely the task ends late there, the less.
+func (s *speeds) room(v *gateView, longest speed.Task) int {
+	free := max(0, v.free().CPU)
+	if s == nil || free == 0 {
+		return free
+	}
+	return int(float64(free) * max(0, 1-longest.Expect(s.fleet.Cautious(v.slowness), 0).Late))
+}
+
+// pace returns the slowness of a gate that an operator's policy is given.
+func (o *Owner) pace(v *gateView) float64 {
+	switch {
+	case !o.options.Decisions.PlaceBySpeed:
+		return v.report.Slowness
+	case v.slownessKnown:
+		return v.slowness
+	}
+	return 0
+}
+
+// chooseBySpeed returns the gate for a task by when it is expected to end there; nil if none has
+// room or the task waits for a faster target.
+func (o *Owner) chooseBySpeed(now Time, usable []*gateView, s *speeds, t *task) *gateView {
+	if s.lastHeld == t.step && len(t.avoid) == 0 {
+		o.hold(s, t)
+		return nil
+	}
+	work := t.expected(now)
+	wait := s.expectedWait(o.ownersPerGate())
+	share := queueShare(now, t)
+	var best *gateView
+	var bestEnd, later speed.End
+	bestScore, laterKnown := 0.0, false
+	for _, v := range usable {
+		if !o.eligible(v, t) {
+			continue
+		}
+		slowness := o.expectedSlowness(s, v, t)
+		free, capacity := v.free(), v.report.Capacity
+		missing := float64(t.step.Need.CPU-free.CPU) / float64(capacity.CPU)
+		queued := int(float64(capacity.CPU*share/1000) * min(1, s.fleet.Reference/slowness))
+		if !free.Plus(job.Resources{CPU: queued, Memory: capacity.Memory, GPU: capacity.GPU}).Fits(t.step.Need) {
+			if end := work.Expect(slowness, wait); !laterKnown || end.Late < later.Late {
+				later, laterKnown = end, true
+			}
+			continue
+		}
+		delay := time.Duration(0)
+		if missing > 0 {
+			delay = speed.QueueDelay(missing, slowness, o.meanRun)
+		}
+		end := work.Expect(slowness, delay)
+		score := s.fleet.Score(slowness, end, speed.Room{Free: -missing, Used: s.used})
+		// Other owners decide by the same reports. Differences of less than the task itself
+		// are left to chance, so that they don't all choose the same gate.
+		score += o.random.Float64() * max(placementNoise, float64(t.step.Need.CPU)/float64(capacity.CPU))
+		if t.lacksRack(v) {
+			score -= rackPenalty
+		}
+		if best == nil || score > bestScore {
+			best, bestScore, bestEnd = v, score, end
+		}
+	}
+	if best == nil {
+		o.clearAvoided(usable, t)
+		return nil
+	}
+	if laterKnown && t.mayHold(now) && speed.WorthWaiting(bestEnd, later) {
+		if s.heldSteps < maxHeldSteps {
+			s.heldSteps++
+			o.hold(s, t)
+		}
+		return nil
+	}
+	s.lastHeld = nil
+	t.job.expectedLate = t.job.expectedLate || !bestEnd.InTime
+	return best
+}
+
+// notePlaced counts a task that is placed on a gate.
+func (o *Owner) notePlaced(s *speeds, v *gateView, t *task) {
+	t.held = false
+	if !o.options.Decisions.PlaceBySpeed {
+		return
+	}
+	o.meanOf++
+	weight := max(meanRunWeight, 1/float64(o.meanOf))
+	o.meanRun += time.Duration(weight * float64(time.Duration(t.step.EstimateMS)*time.Millisecond-o.meanRun))
+	if s != nil && s.fleet.IsSlow(v.slowness) {
+		o.stats.PlacedSlow++
+	}
+}
+
+// expectedSlowness returns the slowness to expect for a task. A target that was slow is unknown
+// again when it has had no runs for a time. So one of unknown slowness gets short tasks only, one
+// from each owner at a time, until it has as many runs as make its slowness known; beyond that it
+// counts as the slowest one.
+func (o *Owner) expectedSlowness(s *speeds, v *gateView, t *task) float64 {
+	if v.slownessKnown {
+		return s.fleet.Cautious(v.slowness)
+	}
+	used := v.report.Capacity.CPU - v.report.Free.CPU + v.report.Queued.CPU
+	long := o.meanRun > 0 && time.Duration(t.step.EstimateMS)*time.Millisecond > o.meanRun
+	if long || len(v.starts)+len(v.inFlight) > 0 || used >= speed.MinSamples*t.step.Need.CPU {
+		return s.slowest
+	}
+	return v.slowness
+}
+
+// hold notes that a task waits for a faster target.
+func (o *Owner) hold(s *speeds, t *task) {
+	s.held++
+	s.lastHeld = t.step
+	s.heldWork += float64(t.step.Need.CPU) * float64(t.step.EstimateMS) / 1000
+	if !t.held {
+		t.held = true
+		o.stats.HeldForSpeed++
+	}
+}
+
+// expectedWait estimates how long a task waits for room at a fast gate behind those held before
+// it, which other owners' tasks wait for, too.
+func (s *speeds) expectedWait(owners float64) time.Duration {
+	if s.fastCapacity == 0 {
+		return roomPause
+	}
+	return roomPause + time.Duration(s.heldWork/s.fastCapacity*owners*float64(time.Second))
+}
+
+// mayHold reports whether a task may wait although a gate has room: its job would not be
+// refused meanwhile for having no task placed, and can still be in time.
+func (t *task) mayHold(now Time) bool {
+	j := t.job
+	if j.record.BestEffort && !j.placed && now+refuseMargin > j.refuseAt() {
+		return false
+	}
+	return !j.late && !j.expectedLate
+}
+
+// expected returns what is known of a task's end. The time left is divided among the steps that
+// are still to run, by their estimates. A late job's tasks are to end before its result has lost
+// its value.
+func (t *task) expected(now Time) speed.Task {
+	j := t.job
+	until := j.objective
+	if j.late || j.expectedLate {
+		until = j.veryLateAt
+	}
+	if j.paths == nil {
+		j.paths = j.pathsFrom()
+	}
+	estimate := time.Duration(t.step.EstimateMS) * time.Millisecond
+	left := time.Duration(float64(until-now) * float64(estimate) / float64(j.paths[t.name.Step]))
+	return speed.Task{Estimate: estimate, Left: left - deliveryTime, Tasks: j.left}
+}
+
+// longestTask returns the longest task of a new job, to be placed now.
+func (j *liveJob) longestTask(now Time) (longest speed.Task) {
+	for _, t := range j.tasks {
+		if work := t.expected(now); work.Estimate > longest.Estimate {
+			longest = work
+		}
+	}
+	longest.Tasks = 1
+	return longest
+}
+
+// pathsFrom returns the length of the longest chain of steps from each step on, by their
+// estimates.
+func (j *liveJob) pathsFrom() []time.Duration {
+	paths := make([]time.Duration, len(j.record.Steps))
+	for i := len(j.record.Steps) - 1; i >= 0; i-- {
+		s := &j.record.Steps[i]
+		paths[i] += time.Duration(s.EstimateMS) * time.Millisecond
+		for _, a := range s.After {
+			paths[a] = max(paths[a], paths[i])
+		}
+	}
+	return paths
+}
+
+// heldSoFar returns the number of tasks that wait for a faster target.
+func (s *speeds) heldSoFar() int {
+	if s == nil {
+		return 0
+	}
+	return s.held
+}
--- a/owner/view.go
+++ b/owner/view.go
@@ -24,6 +24,10 @@
 	// presumed is set once the gate's runs were presumed over.
 	presumed bool
 	report   gate.Report
+	// slowness is the expected ratio of run time to estimate, slownessKnown whether it was
+	// measured there or the target is cold; see compareSpeeds.
+	slowness      float64
+	slownessKnown bool
 	// adopted are the incarnations whose runs the gate has reported since it was last
 	// asked; handedOver is set once the gate has handed runs of any incarnation over to
 	// this owner.
--- /dev/null
+++ b/speed/fleet.go
@@ -0,0 +1,115 @@
+package speed
+
+import (
+	"math"
+	"slices"
+)
+
+// Parameters of the comparison of targets.
+const (
+	// tolerance is how far, relative to the median, a target's slowness may be from it to count
+	// as equal: two standard deviations of a measured median (see maxSamples).
+	tolerance = 0.15
+	// certain is the deviation from which a slowness counts as it was measured. Between the
+	// two it counts partly, so that a target that has deviated by chance is hardly avoided.
+	certain = 0.30
+	// coldFactor is how many times slower than the median a cold target counts whose slowness
+	// is unknown.
+	coldFactor = 2
+	// fastShare is the share of the targets, by slowness, whose slowest gives the slowness of
+	// the fast ones. The fastest target alone may only seem fast by chance.
+	fastShare = 0.2
+)
+
+// Target is what an owner knows of the speed of a target.
+type Target struct {
+	// Measured is the reported median slowness, 0 if it is unknown.
+	Measured float64
+	// Cold says that the target has just started and runs slowly.
+	Cold bool
+}
+
+// Fleet compares the targets of an owner.
+type Fleet struct {
+	// Reference is the median slowness, 0 if none is known.
+	Reference float64
+	// Differ is set if a target is faster or slower than the median by more than the tolerance.
+	Differ bool
+	// Fast is the slowness of the fast targets.
+	Fast float64
+}
+
+// Compare returns the comparison of targets with these slownesses, of which those that are not
+// positive are unknown, and says whether any target is cold and unknown. It sorts the slice.
+func Compare(measured []float64, cold bool) Fleet {
+	slices.Sort(measured)
+	first, _ := slices.BinarySearch(measured, 0)
+	for first < len(measured) && measured[first] <= 0 {
+		first++
+	}
+	known := measured[first:]
+	if len(known) == 0 {
+		if cold {
+			// Only the ratio to the other targets is known.
+			return Fleet{Reference: 1, Fast: 1, Differ: true}
+		}
+		return Fleet{}
+	}
+	f := Fleet{Reference: known[len(known)/2], Differ: cold}
+	f.Differ = f.Differ || f.deviates(known[0]) || f.deviates(known[len(known)-1])
+	f.Fast = f.adjust(known[int(fastShare*float64(len(known)))])
+	return f
+}
+
+func (f Fleet) deviates(slowness float64) bool {
+	return slowness > f.Reference*(1+tolerance) || slowness < f.Reference*(1-tolerance)
+}
+
+// adjust returns the slowness that a measured one counts as: the median within the tolerance.
+func (f Fleet) adjust(slowness float64) float64 {
+	deviation := slowness/f.Reference - 1
+	size := math.Abs(deviation)
+	if size >= certain {
+		return slowness
+	}
+	partly := max(0, size-tolerance) * certain / (certain - tolerance)
+	return f.Reference * (1 + math.Copysign(partly, deviation))
+}
+
+// Slowness returns the slowness to expect of a target, and whether it is based on the target
+// itself. An unknown target counts as the median one, so that new targets get work.
+func (f Fleet) Slowness(t Target) (slowness float64, known bool) {
+	switch {
+	case t.Measured > 0:
+		return f.adjust(t.Measured), true
+	case t.Cold:
+		return coldFactor * f.Reference, true
+	}
+	return f.Reference, false
+}
+
+// IsSlow reports whether a slowness is worse than the median's by more than the tolerance.
+func (f Fleet) IsSlow(slowness float64) bool { return slowness > f.Reference*(1+tolerance) }
+
+// IsFast reports whether a target is one of the fast ones.
+func (f Fleet) IsFast(slowness float64) bool { return slowness <= f.Fast*(1+tolerance) }
+
+// Cautious returns the slowness by which a task's end is expected. A target that is slower than
+// the fast ones counts as slow as it may be within the error of the measurement: otherwise tasks
+// go just to those that seem less slow by chance.
+func (f Fleet) Cautious(slowness float64) float64 {
+	if f.IsFast(slowness) {
+		return slowness
+	}
+	return slowness * (1 + tolerance)
+}
+
+// Weight returns how much of its capacity a target counts, relative to a target that runs tasks
+// in their estimated time, or to the fast ones if all are slower. It is 1 for the median target
+// unless most targets are slow.
+func (f Fleet) Weight(slowness float64) float64 {
+	if !f.Differ || slowness <= 0 {
+		return 1
+	}
+	return min(f.Reference, max(f.Fast, 1)) / slowness
+}
