--- a/owner/speed.go
+++ b/owner/speed.go
@@ -9,8 +9,8 @@
 
 // Parameters of placement by speed.
 const (
-	// deliveryTime is added to a task's run time: the order's way to the target, and the way
-	// back of the end, with half a tick of waiting at each.
+	// deliveryTime is taken from the time left: a frame takes a few milliseconds, and a task
+	// needs one with the order and one with the end.
 	deliveryTime = 10 * time.Millisecond
 	// roomPause is the shortest time in which a gate that is full reports room: the pause
 	// between two reports (package peer).
@@ -185,7 +185,7 @@
 	}
 }
 
-// expectedSlowness returns the slowness to expect for a task. A target that was slow is unknown
+// expectedSlowness returns the slowness by which a task's end is expected. A target that was slow is unknown
 // again when it has had no runs for a time. So one of unknown slowness gets short tasks only, one
 // from each owner at a time, until it has as many runs as make its slowness known; beyond that it
 // counts as the slowest one.
