--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"rackspur/job"
+	"rackspur/speed"
 )
 
 // Incarnation identifies a process of the target from its start to its end. A restarted target
@@ -81,6 +82,9 @@
 	health  health
 	// lifetime is what the incarnation has announced of its end and of its cold time.
 	lifetime lifetime
+
+	// speed holds the newest ratios of run time to estimate.
+	speed speed.Window
 }
 
 func newIncarnationState(incarnation Incarnation, now Time) incarnationState {
--- a/gate/leaving.go
+++ b/gate/leaving.go
@@ -140,6 +140,7 @@
 // nothing about the target's usual speed.
 func (g *Gate) endCold() {
 	g.lifetime.warm = true
+	g.speed.Reset()
 	g.reportChanged()
 }
 
@@ -204,7 +205,7 @@
 		}
 		listed = append(listed, r)
 		runs = append(runs, leaving.Run{
-			Elapsed: r.elapsed(), Percent: l.newest, Estimate: r.estimate, Slowness: g.health.slownessAt(now),
+			Elapsed: r.elapsed(), Percent: l.newest, Estimate: r.estimate, Slowness: g.MedianSlowness(now),
 			Checkpointed: l.checkpointed, Moved: l.reported || r.mustStop,
 		})
 	}
--- a/owner/live.go
+++ b/owner/live.go
@@ -45,6 +45,9 @@
 	moves int
 	// leavingRun is the run that was stopped because its target leaves; 0 for none.
 	leavingRun int
+
+	// held is set while the task waits for a faster target.
+	held bool
 	// position is the index in the queue of waiting tasks, -1 if the task is not in it.
 	position int
 	order    uint64
@@ -121,6 +124,11 @@
 	// closed is set if a best-effort job may not start any more tasks, because its
 	// callers may have submitted it elsewhere.
 	closed bool
+	// expectedLate is set once a task was placed where it is expected to end after the
+	// objective, so that the job's other tasks need not be fast.
+	expectedLate bool
+	// paths are the lengths of the longest chains from each step on; nil until needed.
+	paths []time.Duration
 	// slowLogged is set once the job was logged as slow.
 	slowLogged bool
 	// firstOrder is the position of the job's first attempt in the order of arrival; returned
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -131,6 +131,12 @@
 	shortSince Time
 	// evacuations is the newest state of the evacuated failure domains.
 	evacuations evacuation.News
+	// measured is used by compareSpeeds.
+	measured []float64
+	// meanRun is the smoothed estimate of the tasks that were placed, meanOf their number; both
+	// are 0 unless tasks are placed by speed.
+	meanRun time.Duration
+	meanOf  int64
 	// lastContact is when another process last reached this one.
 	lastContact Time
 	// returns holds what is known of refused callers; nil while all are told to return after
@@ -148,6 +154,10 @@
 
 	// Returned counts jobs that were submitted again after a refusal.
 	Returned int64
+
+	// PlacedSlow counts tasks placed on a target that is slower than the median one,
+	// HeldForSpeed how often a task waited for a faster target.
+	PlacedSlow, HeldForSpeed int64
 }
 
 // New returns an owner without jobs.
--- a/owner/retryafter.go
+++ b/owner/retryafter.go
@@ -98,7 +98,7 @@
 		return time.Second
 	}
 	s, work := o.returns.scheduler, j.work()
-	capacity, _ := o.roomFor(j)
+	capacity, _ := o.roomFor(now, j)
 	switch {
 	case capacity == 0 && o.allEvacuated(j.record.Queue.Service):
 		return s.Longest(now, work)
