--- a/node/metrics.go
+++ b/node/metrics.go
@@ -38,6 +38,11 @@
 	register("tasks.discarded", func(s owner.Stats) int64 { return s.Discarded })
 	register("tasks.moved", func(s owner.Stats) int64 { return s.Moved })
 	register("tasks.stalled", func(s owner.Stats) int64 { return s.Stalled })
+	if e.options.Decisions.FairShares {
+		register("jobs.share_lifted", func(s owner.Stats) int64 { return s.ShareLifted })
+		register("share.worst_served", func(s owner.Stats) int64 { return s.ShareWorst })
+		register("share.served", func(s owner.Stats) int64 { return s.ShareServed })
+	}
 	e.options.Metrics.Gauge("config.version", func() int64 {
 		if t := e.routes.Current(); t != nil {
 			return int64(t.Version)
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -103,7 +103,7 @@
 // setUrgency computes the times by which a job's tasks are ordered.
 func (j *liveJob) setUrgency() {
 	j.startBy = j.objective - j.criticalPath()
-	j.urgency = j.startBy + time.Duration(j.record.Queue.Priority)*priorityStep
+	j.urgency = j.startBy + time.Duration(j.record.Queue.Priority)*priorityStep - j.share.step
 }
 
 // SetOwners sets the number of owners that share the targets.
@@ -116,6 +116,11 @@
 // admitsSubmission reports whether a durable job is admitted.
 func (o *Owner) admitsSubmission(now Time, s *job.Submission) bool {
 	j := newLiveJob(job.Record{Submission: *s}, now)
+	o.setShare(now, j)
 	j.setUrgency()
-	return o.admits(now, j)
+	admitted := o.admits(now, j)
+	if !admitted {
+		o.countShareRefused(now, j)
+	}
+	return admitted
 }
--- a/owner/besteffort.go
+++ b/owner/besteffort.go
@@ -38,8 +38,10 @@
 		return c.ticket
 	}
 	j := newLiveJob(job.Record{Submission: s, Owner: o.options.Incarnation}, now)
+	o.setShare(now, j)
 	j.setUrgency()
 	if o.stopped || !o.admits(now, j) {
+		o.countShareRefused(now, j)
 		o.logRefused(now, j, "no hope at arrival")
 		result(BestEffortResult{Refused: true})
 		return c.ticket
@@ -49,6 +51,7 @@
 	j.callers = append(j.callers, c)
 	o.jobs[s.ID] = j
 	o.stats.Accepted++
+	o.countShareArrived(now, j)
 	o.makeReady(now, j)
 	o.place(now)
 	return c.ticket
--- a/owner/drop.go
+++ b/owner/drop.go
@@ -25,6 +25,7 @@
 // job that has not run from one that may have.
 func (o *Owner) drop(j *liveJob) {
 	now := o.options.Now()
+	o.withdrawShare(now, j)
 	delete(o.jobs, j.record.ID)
 	o.stats.Dropped++
 	o.logDropped(now, j)
--- a/owner/live.go
+++ b/owner/live.go
@@ -89,7 +89,9 @@
 	// late is set while the job can't end in time and others go first; see isLate.
 	late bool
 	// urgency orders the tasks of jobs; lower comes first.
-	urgency    Time
+	urgency Time
+	// share is the job's part in the shares of the capacity.
+	share      jobShare
 	insert     *rowstore.Write
 	submitters []func(SubmitResult)
 	// callers wait for the end of a best-effort job.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -19,6 +19,7 @@
 	"rackspur/evacuation"
 	"rackspur/job"
 	"rackspur/rowstore"
+	"rackspur/share"
 )
 
 // Time is a time on the owner's monotonic clock.
@@ -130,7 +131,11 @@
 	evacuations evacuation.News
 	// lastContact is when another process last reached this one.
 	lastContact Time
-	log         logr.Logger
+	// shares are the accounts of the classes of jobs; nil without fair shares.
+	shares *share.Accounts
+	// sharesLogged is when changes of the lifted classes were last logged.
+	sharesLogged Time
+	log          logr.Logger
 }
 
 // Stats are the counters of an owner.
@@ -138,6 +143,12 @@
 	Accepted, Refused, Completed, Failed, Cancelled                  int64
 	Placed, Rejected, EndedFailed, Lost, Adopted                     int64
 	Late, VeryLate, Dropped, PresumedOver, Discarded, Stalled, Moved int64
+	// ShareLifted counts the jobs that were scheduled earlier because their class was
+	// below its share.
+	ShareLifted int64
+	// ShareWorst and ShareServed are the served ratios of the class that is served worst
+	// and of all, in thousandths; 0 without fair shares.
+	ShareWorst, ShareServed int64
 }
 
 // New returns an owner without jobs.
@@ -155,6 +166,7 @@
 		foreign:     map[job.ID][]endRef{},
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:         o.Log,
+		shares:      newShares(o.Decisions),
 	}
 }
 
@@ -217,7 +229,7 @@
 func (o *Owner) Stats() Stats {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.stats
+	return o.withShareStats(o.stats)
 }
 
 // Tick does the work that depends on time.
@@ -231,6 +243,7 @@
 	o.presumeSilentGates(now)
 	o.checkAdoptions(now)
 	o.writeProgress(now)
+	o.updateShares(now)
 	o.dropExpired(now)
 	o.expireDropped(now)
 	o.checkWaiting(now)
--- a/owner/place.go
+++ b/owner/place.go
@@ -157,6 +157,7 @@
 func (o *Owner) sendStart(now Time, v *gateView, t *task) {
 	t.run = max(t.run+1, job.FirstRun(t.job.record.Generation))
 	t.phase = taskPlaced
+	t.job.share.longestWait = max(t.job.share.longestWait, now-t.since)
 	if !t.job.placed {
 		o.reorder(t.job, func() { t.job.placed = true })
 	}
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -52,7 +52,9 @@
 		Submission: s, Owner: o.options.Incarnation, Sequence: 1,
 		AcceptedMS: o.options.WallClock().UnixMilli(),
 	}, now)
+	o.setShare(now, j)
 	j.setUrgency()
+	o.countShareArrived(now, j)
 	j.submitters = append(j.submitters, result)
 	o.jobs[s.ID] = j
 	o.insert(j)
@@ -91,10 +93,12 @@
 	now := o.options.Now()
 	if o.jobs[j.record.ID] != j {
 		// The job existed already and was adopted meanwhile.
+		o.withdrawShare(now, j)
 		j.answerSubmitters(SubmitAccepted)
 		return
 	}
 	if err != nil {
+		o.withdrawShare(now, j)
 		delete(o.jobs, j.record.ID)
 	}
 	switch {
@@ -134,6 +138,7 @@
 	case j.phase != jobInserting:
 		return SubmitAccepted
 	case len(j.submitters) <= 1 && o.writer.Withdraw(o.part(id), j.insert):
+		o.withdrawShare(o.options.Now(), j)
 		delete(o.jobs, id)
 		o.stats.Refused++
 		return SubmitRefused
--- a/owner/waiting.go
+++ b/owner/waiting.go
@@ -21,6 +21,7 @@
 		}
 	}
 	for _, j := range refused {
+		o.loseShare(now, j)
 		o.logRefused(now, j, "no task placed in time")
 		o.drop(j)
 	}
@@ -63,6 +64,7 @@
 			continue
 		}
 		if now >= j.deadline || (now >= j.veryLateAt && j.hasWaiting()) {
+			o.settleShare(now, j)
 			o.drop(j)
 		}
 	}
--- a/owner/write.go
+++ b/owner/write.go
@@ -60,6 +60,7 @@
 // lostJob removes a job whose row another incarnation has changed.
 func (o *Owner) lostJob(j *liveJob, err error) {
 	o.log.Info("Lost a job to another owner.", "job", j.record.ID, "error", err.Error())
+	o.withdrawShare(o.options.Now(), j)
 	delete(o.jobs, j.record.ID)
 	for _, t := range j.tasks {
 		o.waiting.remove(t)
@@ -73,6 +74,7 @@
 	if j.final != "" {
 		return
 	}
+	o.endShare(now, j, state)
 	j.final = state
 	j.phase = jobEnding
 	for _, t := range j.tasks {
