--- a/owner/log.go
+++ b/owner/log.go
@@ -22,9 +22,10 @@
 	o.stats.Refused++
 	capacity, room := roomAt(now, o.usableGates(), nil, j)
 	weighted, _ := o.roomFor(now, j)
-	o.log.Info("Job refused.", "job", j.record.ID, "queue", j.record.Queue.Name, "why", why, "ageMS", (now - j.arrived).Milliseconds(),
+	fields := []any{"job", j.record.ID, "queue", j.record.Queue.Name, "why", why, "ageMS", (now - j.arrived).Milliseconds(),
 		"capacityCPU", capacity, "weightedCapacityCPU", weighted, "freeCPU", room, "needCPU", j.need(), "waitingTasks", o.waiting.len(), "slackMS", (j.startBy - now).Milliseconds(),
-		"retryAfterMS", o.refusal(now, j).RetryAfter.Milliseconds())
+		"retryAfterMS", o.refusal(now, j).RetryAfter.Milliseconds()}
+	o.log.Info("Job refused.", append(fields, o.shareFields(now, j)...)...)
 }
 
 // logDropped logs that a job was dropped.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -19,6 +19,7 @@
 	"rackspur/evacuation"
 	"rackspur/job"
 	"rackspur/rowstore"
+	"rackspur/share"
 )
 
 // Time is a time on the owner's monotonic clock.
@@ -142,7 +143,12 @@
 	// returns holds what is known of refused callers; nil while all are told to return after
 	// a second.
 	returns *returns
-	log     logr.Logger
+
+	// shares are the accounts of the classes of jobs; nil without fair shares.
+	shares *share.Accounts
+	// sharesLogged is when changes of the lifted classes were last logged.
+	sharesLogged Time
+	log          logr.Logger
 }
 
 // Stats are the counters of an owner.
@@ -158,6 +164,13 @@
 	// PlacedSlow counts tasks placed on a target that is slower than the median one,
 	// HeldForSpeed how often a task waited for a faster target.
 	PlacedSlow, HeldForSpeed int64
+
+	// ShareLifted counts the jobs that were scheduled earlier because their class was
+	// below its share.
+	ShareLifted int64
+	// ShareWorst and ShareServed are the served ratios of the class that is served worst
+	// and of all, in thousandths; 0 without fair shares.
+	ShareWorst, ShareServed int64
 }
 
 // New returns an owner without jobs.
@@ -175,6 +188,7 @@
 		foreign:     map[job.ID][]endRef{},
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:         o.Log,
+		shares:      newShares(o.Decisions),
 	}
 	n.returns = n.newReturns()
 	return n
@@ -239,7 +253,7 @@
 func (o *Owner) Stats() Stats {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.stats
+	return o.withShareStats(o.stats)
 }
 
 // Tick does the work that depends on time.
@@ -253,6 +267,7 @@
 	o.presumeSilentGates(now)
 	o.checkAdoptions(now)
 	o.writeProgress(now)
+	o.updateShares(now)
 	o.dropExpired(now)
 	o.expireDropped(now)
 	o.checkWaiting(now)
--- a/owner/retryafter.go
+++ b/owner/retryafter.go
@@ -120,16 +120,7 @@
 	return j.insert != nil || !o.active(now) || o.writer.FailingFor(o.part(j.record.ID)) > storeDownAfter
 }
 
-// work returns the work of all tasks of a job, in thousandths of core-seconds.
-func (j *liveJob) work() float64 {
-	total := 0.0
-	for i := range j.record.Steps {
-		total += float64(j.record.Steps[i].Count) * stepWork(&j.record.Steps[i])
-	}
-	return total
-}
-
-// stepWork returns the work of one task of a step, in thousandths of core-seconds.
+// stepWork returns the work of one task of a step by its estimate, in core-milliseconds.
 func stepWork(s *job.Step) float64 {
 	return float64(s.Need.CPU) * float64(s.EstimateMS) / 1000
 }
