Owners share a view of the waiting work (--load-view=shared)

Cause: an owner multiplies its own queue by the number of owners of each gate, as if all entry boxes had the same demand. A box with all the clients refuses jobs that the targets could take, and an idle box beside busy ones admits jobs that must wait. Change: package loadview; an owner reports its waiting work to its gates, a gate reports the sum of the others' work, both on frames that are sent anyway, and the expected wait of a job counts both. Owners and gates of earlier builds, and owners with the setting off, are told apart from those where nothing waits. Metrics and log fields for the decisions. Result: one box of ten with all the clients admits 5 jobs where it admitted 1; with equal demand the expected wait is 133.7 ms against 133.3 ms (TestOneBoxWithAllClients, TestEqualDemand). 10.1 and 10.5 bytes in a busy frame, 0 in an idle one, for 10 x 60 and 184 x 800 processes (TestLoadViewGrowsWithLinksOnly). Tests of loadview, owner, gate, peer and node pass.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -16,6 +16,7 @@
 
 	"rackspur/evacuation"
 	"rackspur/job"
+	"rackspur/loadview"
 )
 
 // Time is the monotonic time since the gate started.
@@ -181,6 +182,8 @@
 	orders  uint64
 	owners  map[string]*ownerState
 	adopted map[string]string
+	// load is the waiting work of the linked owners.
+	load loadview.Table
 	// reported counts the changes of the report; onReport is called on each.
 	reported uint64
 	onReport func()
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -55,7 +55,7 @@
 	// Evacuations is what the owner knows of evacuations, with AsOf on the gate's clock.
 	Evacuations evacuation.News
 	// Waiting is the owner's waiting work for each gate that it is linked to, in
-	// core-milliseconds, by how soon it must start.
+	// core-milliseconds, by how soon it must start; see package loadview.
 	Waiting  []int
 	Sequence uint64
 	Starts   []Order
@@ -87,6 +87,7 @@
 	o.states = nil
 	o.received = 0
 	o.wake = wake
+	g.load.Link(owner)
 	o.notify()
 	return true
 }
@@ -100,6 +101,7 @@
 	o.open = false
 	o.states = nil
 	o.wake = nil
+	g.load.Drop(owner)
 }
 
 func (o *ownerState) notify() {
@@ -120,6 +122,7 @@
 	o.contact = max(o.contact, min(f.Echo, now))
 	o.durableContact = max(o.durableContact, min(f.DurableEcho, now))
 	o.received = f.Sequence
+	g.noteWaiting(now, owner, &f)
 	a := g.UpdateEvacuations(now, f.Evacuations)
 	g.adopt(now, owner, f.Adopt)
 	for _, v := range f.Verdicts {
@@ -155,6 +158,7 @@
 			r.owner = owner
 		}
 		delete(g.owners, incarnation)
+		g.load.Drop(incarnation)
 	}
 	g.owners[owner].inventory = true
 	g.owners[owner].notify()
--- a/gate/report.go
+++ b/gate/report.go
@@ -22,7 +22,9 @@
 	// newest ratios; 0 if unknown.
 	Slowness, MedianSlowness float64
 	Suspect                  bool
-	// OthersWaiting is the sum of OwnerFrame.Waiting of the gate's other owners.
+	// OthersWaiting is the sum of OwnerFrame.Waiting of the gate's other owners, followed by
+	// the number of linked owners that do not report theirs, if there are any; see package
+	// loadview.
 	OthersWaiting []int
 	// Leaving is the least time until the process of a draining target ends; 0 if it is unknown
 	// or the target is not draining.
@@ -140,6 +142,7 @@
 		return Frame{}, false
 	}
 	f = Frame{Clock: now, Received: o.received, Report: g.report(now)}
+	f.Report.OthersWaiting = g.load.Others(now, owner)
 	if o.inventory {
 		o.inventory = false
 		f.Inventory = true
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -37,6 +37,10 @@
 	register("tasks.presumed_over", func(s owner.Stats) int64 { return s.PresumedOver })
 	register("tasks.discarded", func(s owner.Stats) int64 { return s.Discarded })
 	register("tasks.moved", func(s owner.Stats) int64 { return s.Moved })
+	register("jobs.admitted_by_view", func(s owner.Stats) int64 { return s.AdmittedByView })
+	register("jobs.refused_by_view", func(s owner.Stats) int64 { return s.RefusedByView })
+	register("load.own_core_ms", func(s owner.Stats) int64 { return s.OwnWaiting })
+	register("load.others_core_ms", func(s owner.Stats) int64 { return s.OthersWaiting })
 	register("tasks.stalled", func(s owner.Stats) int64 { return s.Stalled })
 	e.options.Metrics.Gauge("config.version", func() int64 {
 		if t := e.routes.Current(); t != nil {
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -43,13 +43,13 @@
 	if room >= j.need() {
 		return true
 	}
-	return now+o.expectedWait(j, capacity) <= min(j.startBy, j.refuseAt())+admitSlack
+	return o.startsBy(now, o.estimateWait(j, capacity), min(j.startBy, j.refuseAt())+admitSlack)
 }
 
 // expectedWait estimates how long a job waits for the queued work ahead of it. The
 // capacity is in thousandths of a core and shared with other owners.
 func (o *Owner) expectedWait(j *liveJob, capacity int) time.Duration {
-	return time.Duration(o.workAhead(j) / float64(capacity) * o.ownersPerGate() * float64(time.Second))
+	return o.estimateWait(j, capacity).wait
 }
 
 // roomFor returns the total and the free CPU of the gates that a job may use, in
--- /dev/null
+++ b/owner/loadview.go
@@ -0,0 +1,180 @@
+package owner
+
+import (
+	"time"
+
+	"rackspur/loadview"
+)
+
+// waitingMaxAge is how long the sums over the waiting tasks are used: a tick. Frames go out
+// to many gates at the same moment, and need no sums of their own.
+const waitingMaxAge = 10 * time.Millisecond
+
+// ownWaiting is the owner's waiting work as it is reported to gates.
+type ownWaiting struct {
+	// at is when the sums were made; known is set once they were.
+	at    Time
+	known bool
+	// total is the sum over all services, in core-milliseconds.
+	total int
+	// fields has, for each service, the field of a frame to one of its gates.
+	fields map[string][]int
+}
+
+// waitingFor returns the field of the next frame to a gate that reports the owner's waiting
+// work. The first frame of a link has it in any case, which tells the gate that the owner
+// takes part.
+func (o *Owner) waitingFor(v *gateView) []int {
+	if !o.options.Decisions.SharedLoad {
+		return nil
+	}
+	field := o.ownWork(o.options.Now()).fields[v.report.Service]
+	if len(field) == 0 && v.sequence == 1 {
+		return loadview.Announcement()
+	}
+	return field
+}
+
+// ownWork returns the sums over the tasks that wait now, or did so within waitingMaxAge.
+func (o *Owner) ownWork(now Time) *ownWaiting {
+	w := &o.ownWaiting
+	if o.waiting.len() == 0 {
+		*w = ownWaiting{}
+		return w
+	}
+	if w.known && now-w.at < waitingMaxAge {
+		return w
+	}
+	*w = ownWaiting{at: now, known: true, fields: map[string][]int{}}
+	backlogs := map[string]*loadview.Backlog{}
+	for _, t := range o.waiting.items {
+		if t.job.late {
+			continue
+		}
+		service := t.job.record.Queue.Service
+		b := backlogs[service]
+		if b == nil {
+			b = &loadview.Backlog{}
+			backlogs[service] = b
+		}
+		b.Add(t.job.loadBucket(now), t.step.Need.CPU, t.step.EstimateMS)
+	}
+	for service, b := range backlogs {
+		w.fields[service] = b.PerGate(o.linkedGates(service)).Encode()
+		w.total += b.PerGate(1).Total()
+	}
+	return w
+}
+
+// linkedGates returns the number of linked gates of a service.
+func (o *Owner) linkedGates(service string) int {
+	n := 0
+	for _, v := range o.activeGates {
+		if v.linked && v.report.Service == service {
+			n++
+		}
+	}
+	return n
+}
+
+// loadBucket returns the bucket that a job's waiting tasks are reported in. It follows the
+// order of before: jobs that have tasks placed come first, late ones last.
+func (j *liveJob) loadBucket(now Time) int {
+	switch {
+	case j.late:
+		return loadview.Buckets - 1
+	case j.placed:
+		return 0
+	}
+	return loadview.BucketOf(j.urgency - now)
+}
+
+// loadView returns what the linked gates of a service have reported of other owners.
+func (o *Owner) loadView(now Time, service string) *loadview.View {
+	view := &loadview.View{}
+	for _, v := range o.activeGates {
+		if v.linked && v.report.Service == service {
+			view.Add(loadview.Gate{TakesPart: v.sharesLoad, Age: now - v.heard, Capacity: v.report.Capacity.CPU, Others: v.report.OthersWaiting})
+		}
+	}
+	return view
+}
+
+// waitEstimate is how long a job is expected to wait.
+type waitEstimate struct {
+	wait time.Duration
+	// own is the estimate without the shared view.
+	own time.Duration
+	// shared says that the shared view was used, and oldest is the age of its oldest report.
+	shared bool
+	oldest time.Duration
+}
+
+// estimateWait estimates how long a job waits for the queued work ahead of it. The capacity
+// is in thousandths of a core and shared with other owners.
+func (o *Owner) estimateWait(j *liveJob, capacity int) waitEstimate {
+	ahead := o.workAhead(j)
+	wait := func(work float64) time.Duration {
+		return time.Duration(work / float64(capacity) * float64(time.Second))
+	}
+	e := waitEstimate{own: wait(ahead * o.ownersPerGate())}
+	e.wait = e.own
+	if !o.options.Decisions.SharedLoad {
+		return e
+	}
+	now := o.options.Now()
+	if view := o.loadView(now, j.record.Queue.Service); view.Usable() {
+		e.shared = true
+		e.oldest = view.Oldest()
+		e.wait = wait(view.Ahead(ahead, j.loadBucket(now)))
+	}
+	return e
+}
+
+// startsBy reports whether a job is expected to start by a time, and counts the decision if
+// the shared view has changed it.
+func (o *Owner) startsBy(now Time, e waitEstimate, latest Time) bool {
+	in, ownIn := now+e.wait <= latest, now+e.own <= latest
+	switch {
+	case in && !ownIn:
+		o.stats.AdmittedByView++
+	case !in && ownIn:
+		o.stats.RefusedByView++
+	}
+	return in
+}
+
+// addLoad adds the waiting work of this owner and of the others to its counters.
+func (o *Owner) addLoad(s *Stats) {
+	if !o.options.Decisions.SharedLoad {
+		return
+	}
+	now := o.options.Now()
+	s.OwnWaiting = int64(o.ownWork(now).total)
+	services := map[string]bool{}
+	for _, v := range o.activeGates {
+		if service := v.report.Service; v.linked && !services[service] {
+			services[service] = true
+			s.OthersWaiting += int64(o.loadView(now, service).OthersTotal())
+		}
+	}
+}
+
+// waitFields returns the fields of a log line about a job's expected wait; -1 means that it
+// is unknown.
+func (o *Owner) waitFields(j *liveJob, capacity int) []any {
+	if capacity == 0 {
+		return []any{"expectedWaitMS", int64(-1), "loadView", loadViewOwn, "viewAgeMS", int64(-1)}
+	}
+	e := o.estimateWait(j, capacity)
+	if !e.shared {
+		return []any{"expectedWaitMS", e.wait.Milliseconds(), "loadView", loadViewOwn, "viewAgeMS", int64(-1)}
+	}
+	return []any{"expectedWaitMS", e.wait.Milliseconds(), "loadView", loadViewShared, "viewAgeMS", e.oldest.Milliseconds()}
+}
+
+// Values of the log key loadView: whose waiting work the expected wait includes.
+const (
+	loadViewOwn    = "own"
+	loadViewShared = "shared"
+)
--- a/owner/log.go
+++ b/owner/log.go
@@ -21,8 +21,9 @@
 func (o *Owner) logRefused(now Time, j *liveJob, why string) {
 	o.stats.Refused++
 	capacity, room := o.roomFor(j)
-	o.log.Info("Job refused.", "job", j.record.ID, "queue", j.record.Queue.Name, "why", why, "ageMS", (now - j.arrived).Milliseconds(),
-		"capacityCPU", capacity, "freeCPU", room, "needCPU", j.need(), "waitingTasks", o.waiting.len(), "slackMS", (j.startBy - now).Milliseconds())
+	fields := []any{"job", j.record.ID, "queue", j.record.Queue.Name, "why", why, "ageMS", (now - j.arrived).Milliseconds(),
+		"capacityCPU", capacity, "freeCPU", room, "needCPU", j.need(), "waitingTasks", o.waiting.len(), "slackMS", (j.startBy - now).Milliseconds()}
+	o.log.Info("Job refused.", append(fields, o.waitFields(j, capacity)...)...)
 }
 
 // logDropped logs that a job was dropped.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -98,8 +98,10 @@
 	// allBusy is set while every gate counts as busy.
 	allBusy bool
 	waiting taskQueue
-	random  *rand.Rand
-	order   uint64
+	// ownWaiting is the waiting work as reported to gates.
+	ownWaiting ownWaiting
+	random     *rand.Rand
+	order      uint64
 	// owners is the number of owners that share the targets.
 	owners int
 	// lastOpen is when a gate was last open, initially the start of the owner.
@@ -138,6 +140,11 @@
 	Accepted, Refused, Completed, Failed, Cancelled                  int64
 	Placed, Rejected, EndedFailed, Lost, Adopted                     int64
 	Late, VeryLate, Dropped, PresumedOver, Discarded, Stalled, Moved int64
+	// AdmittedByView and RefusedByView count the decisions that the shared view has changed.
+	AdmittedByView, RefusedByView int64
+	// OwnWaiting and OthersWaiting are the waiting work of this owner, and that of others at
+	// its gates as far as it is known, in core-milliseconds; 0 without the shared view.
+	OwnWaiting, OthersWaiting int64
 }
 
 // New returns an owner without jobs.
@@ -217,7 +224,9 @@
 func (o *Owner) Stats() Stats {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.stats
+	s := o.stats
+	o.addLoad(&s)
+	return s
 }
 
 // Tick does the work that depends on time.
--- a/owner/view.go
+++ b/owner/view.go
@@ -24,6 +24,9 @@
 	// presumed is set once the gate's runs were presumed over.
 	presumed bool
 	report   gate.Report
+	// sharesLoad is set once the gate has reported the waiting work of other owners over
+	// the current link; an earlier build does not.
+	sharesLoad bool
 	// adopted are the incarnations whose runs the gate has reported since it was last
 	// asked; handedOver is set once the gate has handed runs of any incarnation over to
 	// this owner.
@@ -96,6 +99,7 @@
 	v.link = link
 	v.linked = false
 	v.clock = 0
+	v.sharesLoad = false
 	v.wake = wake
 	v.starts = nil
 	v.stops = nil
@@ -159,7 +163,7 @@
 	}
 	o.checkIsolation(o.options.Now())
 	v.sequence++
-	f = gate.OwnerFrame{Echo: o.echo(v), DurableEcho: o.durableEcho(v), Evacuations: o.evacuationsFor(o.options.Now(), v), Sequence: v.sequence, Starts: v.starts, Stops: v.stops, Verdicts: v.verdicts, Adopt: v.adopt}
+	f = gate.OwnerFrame{Echo: o.echo(v), DurableEcho: o.durableEcho(v), Evacuations: o.evacuationsFor(o.options.Now(), v), Sequence: v.sequence, Starts: v.starts, Stops: v.stops, Verdicts: v.verdicts, Adopt: v.adopt, Waiting: o.waitingFor(v)}
 	for _, s := range v.starts {
 		v.inFlight = append(v.inFlight, sentOrder{sequence: v.sequence, name: s.Name, need: s.Need})
 	}
@@ -197,6 +201,7 @@
 	v.heard = now
 	v.presumed = false
 	v.report = f.Report
+	v.sharesLoad = v.sharesLoad || len(f.Report.OthersWaiting) > 0
 	for len(v.inFlight) > 0 && v.inFlight[0].sequence <= f.Received {
 		v.inFlight = v.inFlight[1:]
 	}
