--- a/owner/loadview_test.go
+++ b/owner/loadview_test.go
@@ -347,6 +347,9 @@
 	f.pass(waitingMaxAge)
 	f.exchange()
 	f.wantWait(1, 0, true)
+	if n := f.owners[1].Stats().OthersWaiting; n != 0 {
+		t.Errorf("%d core-ms of late jobs are reported, which no job waits for", n)
+	}
 }
 
 // Without fresh reports an owner decides as without the shared view.
@@ -571,3 +574,29 @@
 		}
 	}
 }
+
+// BenchmarkLoadView measures what the shared view costs an owner with 35 gates and 1,000
+// waiting tasks: a frame to each gate in one moment, and the estimate for one job.
+func BenchmarkLoadView(b *testing.B) {
+	for _, d := range []Decisions{ownLoad, sharedLoad} {
+		f := newFleet(&testing.T{}, 1, 35, d)
+		s := testSubmission("ffffffffffffffff", 1000)
+		s.BestEffort = false
+		j := newLiveJob(job.Record{Submission: s}, f.now)
+		j.setUrgency()
+		f.owners[0].makeReady(f.now, j)
+		b.Run(fmt.Sprintf("frames, shared %v", d.SharedLoad), func(b *testing.B) {
+			for range b.N {
+				f.now += waitingMaxAge
+				for g := range f.gates {
+					f.owners[0].Flush(gateName(g), f.links[[2]int{0, g}])
+				}
+			}
+		})
+		b.Run(fmt.Sprintf("estimate, shared %v", d.SharedLoad), func(b *testing.B) {
+			for range b.N {
+				f.owners[0].estimateWait(j, 1000)
+			}
+		})
+	}
+}
--- a/peer/loadview_test.go
+++ b/peer/loadview_test.go
@@ -1,7 +1,10 @@
 package peer
 
 import (
+	"errors"
 	"fmt"
+	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -13,6 +16,7 @@
 	"rackspur/loadview"
 	"rackspur/member"
 	"rackspur/owner"
+	"rackspur/peer/peerpb"
 )
 
 // linkedFleet is a deployment of real owners and gates that are linked as in the product.
@@ -173,3 +177,35 @@
 		})
 	}
 }
+
+// The fields of the shared view come over the wire as they are; amounts out of range become
+// the nearest in range, and not small ones by overflow.
+func TestLoadViewOnWire(t *testing.T) {
+	for _, c := range []struct{ sent, want []int }{
+		{nil, nil},
+		{loadview.Announcement(), []int{0}},
+		{[]int{0, 0, 7}, []int{0, 0, 7}},
+		{[]int{1, 2, 3, 4, 5, 6, 2}, []int{1, 2, 3, 4, 5, 6, 2}},
+		{[]int{1 << 40, -3}, []int{math.MaxUint32, 0}},
+	} {
+		owners, err := proto.Marshal(toOwnerFrame(gate.OwnerFrame{Waiting: c.sent}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		gates, err := proto.Marshal(toGateFrame(gate.Frame{Report: gate.Report{OthersWaiting: c.sent}}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var o peerpb.OwnerFrame
+		var g peerpb.GateFrame
+		if err := errors.Join(proto.Unmarshal(owners, &o), proto.Unmarshal(gates, &g)); err != nil {
+			t.Fatal(err)
+		}
+		if got := fromOwnerFrame(&o).Waiting; !slices.Equal(got, c.want) {
+			t.Errorf("waiting %v arrives as %v", c.sent, got)
+		}
+		if got := fromGateFrame(&g).Report.OthersWaiting; !slices.Equal(got, c.want) {
+			t.Errorf("others' waiting %v arrives as %v", c.sent, got)
+		}
+	}
+}
