--- a/node/metrics.go
+++ b/node/metrics.go
@@ -42,6 +42,11 @@
 	register("tasks.discarded", func(s owner.Stats) int64 { return s.Discarded })
 	register("tasks.moved", func(s owner.Stats) int64 { return s.Moved })
 	register("tasks.moved_leaving", func(s owner.Stats) int64 { return s.MovedLeaving })
+
+	register("jobs.admitted_by_view", func(s owner.Stats) int64 { return s.AdmittedByView })
+	register("jobs.refused_by_view", func(s owner.Stats) int64 { return s.RefusedByView })
+	register("load.own_core_ms", func(s owner.Stats) int64 { return s.OwnWaiting })
+	register("load.others_core_ms", func(s owner.Stats) int64 { return s.OthersWaiting })
 	register("tasks.stalled", func(s owner.Stats) int64 { return s.Stalled })
 	if e.options.Decisions.FairShares {
 		register("jobs.share_lifted", func(s owner.Stats) int64 { return s.ShareLifted })
--- a/owner/log.go
+++ b/owner/log.go
@@ -25,6 +25,7 @@
 	fields := []any{"job", j.record.ID, "queue", j.record.Queue.Name, "why", why, "ageMS", (now - j.arrived).Milliseconds(),
 		"capacityCPU", capacity, "weightedCapacityCPU", weighted, "freeCPU", room, "needCPU", j.need(), "waitingTasks", o.waiting.len(), "slackMS", (j.startBy - now).Milliseconds(),
 		"retryAfterMS", o.refusal(now, j).RetryAfter.Milliseconds()}
+	fields = append(fields, o.waitFields(j, weighted)...)
 	o.log.Info("Job refused.", append(fields, o.shareFields(now, j)...)...)
 }
 
