--- a/owner/loadsim_test.go
+++ b/owner/loadsim_test.go
@@ -61,12 +61,12 @@
 // simSite is a gate with its target.
 type simSite struct {
 	gate    *gate.Gate
-	runs    map[job.RunName]*simRun
+	runs    map[job.RunName]*loadRun
 	ended   []gate.Ended
 	counter int64
 }
 
-type simRun struct{ since, until Time }
+type loadRun struct{ since, until Time }
 
 // simLink is the link between an owner and a gate.
 type simLink struct {
@@ -81,7 +81,7 @@
 func newLoadSim(t *testing.T, seed uint64, d Decisions) *loadSim {
 	s := &loadSim{t: t, seed: seed, now: 10 * time.Second, random: rand.New(rand.NewPCG(seed, 1))}
 	for range simGates {
-		site := &simSite{gate: gate.New(gate.Options{Node: "gate", Lease: time.Second, ContactTimeout: 1400 * time.Millisecond, BestEffortContactTimeout: 850 * time.Millisecond}), runs: map[job.RunName]*simRun{}}
+		site := &simSite{gate: gate.New(gate.Options{Node: "gate", Lease: time.Second, ContactTimeout: 1400 * time.Millisecond, BestEffortContactTimeout: 850 * time.Millisecond}), runs: map[job.RunName]*loadRun{}}
 		s.sites = append(s.sites, site)
 		site.gate.OnHeartbeat(s.now, gate.Heartbeat{Incarnation: gate.Incarnation{ID: testTarget}, Service: testService, Capacity: job.Resources{CPU: 32000, Memory: 1 << 20}, ClockMS: s.now.Milliseconds(), Sequence: 1})
 		s.hold(site)
@@ -97,10 +97,10 @@
 		o.SetOwners(simOwners)
 		s.owners = append(s.owners, o)
 		for g := range s.sites {
-			o.AddGate(gateName(g), "zone-a")
+			o.AddGate(loadGateName(g), "zone-a")
 		}
 		for g, site := range s.sites {
-			l := &simLink{owner: o, site: site, name: gateName(g), ownerDue: true}
+			l := &simLink{owner: o, site: site, name: loadGateName(g), ownerDue: true}
 			if !site.gate.Connect(s.now, o.options.Incarnation, 1, func() { l.gateDue = true }) {
 				t.Fatal("link turned away")
 			}
@@ -157,7 +157,7 @@
 		h := fnv.New64a()
 		fmt.Fprint(h, c.Name.TaskName)
 		took := time.Duration(float64(estimate) * (0.6 + 0.8*rand.New(rand.NewPCG(s.seed, h.Sum64())).Float64()))
-		site.runs[c.Name] = &simRun{since: s.now, until: s.now + took}
+		site.runs[c.Name] = &loadRun{since: s.now, until: s.now + took}
 		s.carryOut(site, site.gate.OnStart(s.now, a.Incarnation, c, s.answer(), nil))
 	}
 }
--- a/owner/loadview_test.go
+++ b/owner/loadview_test.go
@@ -12,9 +12,9 @@
 	"rackspur/job"
 )
 
-// fleet is a number of owners that are linked to a number of gates, with one clock. The
+// loadFleet is a number of owners that are linked to a number of gates, with one clock. The
 // targets are full: no task is placed, and all jobs that are admitted wait.
-type fleet struct {
+type loadFleet struct {
 	t      *testing.T
 	now    Time
 	owners []*Owner
@@ -31,8 +31,8 @@
 
 const testTarget = "i-1"
 
-func newFleet(t *testing.T, owners, gates int, decisions Decisions) *fleet {
-	f := &fleet{t: t, now: 10 * time.Second, links: map[[2]int]uint64{}, silent: map[int]bool{}, earlierGates: map[int]bool{}, earlierOwners: map[int]bool{}}
+func newLoadFleet(t *testing.T, owners, gates int, decisions Decisions) *loadFleet {
+	f := &loadFleet{t: t, now: 10 * time.Second, links: map[[2]int]uint64{}, silent: map[int]bool{}, earlierGates: map[int]bool{}, earlierOwners: map[int]bool{}}
 	for i := range owners {
 		// With a long contact time an isolated owner keeps its best-effort jobs, as it
 		// always does with durable ones.
@@ -51,7 +51,7 @@
 	}
 	for o := range owners {
 		for g := range gates {
-			f.owners[o].AddGate(gateName(g), "zone-a")
+			f.owners[o].AddGate(loadGateName(g), "zone-a")
 			f.link(o, g)
 		}
 	}
@@ -60,10 +60,10 @@
 	return f
 }
 
-func gateName(g int) string { return fmt.Sprintf("gate-%d", g) }
+func loadGateName(g int) string { return fmt.Sprintf("gate-%d", g) }
 
 // newGate returns an open gate of a target with 16 cores.
-func (f *fleet) newGate() *gate.Gate {
+func (f *loadFleet) newGate() *gate.Gate {
 	g := gate.New(gate.Options{Node: "gate", Lease: time.Second, ContactTimeout: 1400 * time.Millisecond, BestEffortContactTimeout: 850 * time.Millisecond})
 	g.OnHeartbeat(f.now, gate.Heartbeat{Incarnation: gate.Incarnation{ID: testTarget}, Service: testService, Capacity: job.Resources{CPU: 16000, Memory: 32768}, ClockMS: f.now.Milliseconds(), Sequence: 1})
 	f.answerHold(g)
@@ -72,31 +72,31 @@
 }
 
 // answerHold answers a hold of a gate: its target is alive and has no runs.
-func (f *fleet) answerHold(g *gate.Gate) {
+func (f *loadFleet) answerHold(g *gate.Gate) {
 	h := g.NextHold(f.now, 0)
 	g.OnHold(f.now, h, gate.Answer{ClockMS: f.now.Milliseconds(), Incarnation: gate.Incarnation{ID: testTarget}}, gate.HoldAnswer{}, nil)
 }
 
-func (f *fleet) link(o, g int) {
+func (f *loadFleet) link(o, g int) {
 	f.t.Helper()
 	f.counter++
 	if !f.gates[g].Connect(f.now, f.owners[o].options.Incarnation, f.counter, nil) {
 		f.t.Fatalf("gate %d turned owner %d away", g, o)
 	}
 	f.links[[2]int{o, g}] = f.counter
-	f.owners[o].LinkUp(gateName(g), f.counter, nil)
+	f.owners[o].LinkUp(loadGateName(g), f.counter, nil)
 	f.fromGate(o, g)
 }
 
-func (f *fleet) unlink(o, g int) {
+func (f *loadFleet) unlink(o, g int) {
 	at := [2]int{o, g}
 	f.gates[g].Disconnect(f.owners[o].options.Incarnation, f.links[at])
-	f.owners[o].LinkDown(gateName(g), f.links[at])
+	f.owners[o].LinkDown(loadGateName(g), f.links[at])
 	delete(f.links, at)
 }
 
 // fromGate carries a frame from a gate, which reports that its target is full.
-func (f *fleet) fromGate(o, g int) {
+func (f *loadFleet) fromGate(o, g int) {
 	link := f.links[[2]int{o, g}]
 	frame, ok := f.gates[g].Flush(f.now, f.owners[o].options.Incarnation, link)
 	if !ok {
@@ -107,15 +107,15 @@
 	}
 	frame.Report.Free = job.Resources{}
 	frame.Report.Queued = frame.Report.Capacity
-	f.owners[o].OnFrame(gateName(g), link, frame)
+	f.owners[o].OnFrame(loadGateName(g), link, frame)
 }
 
 // exchange carries a frame over each link in both directions, those of the owners first.
-func (f *fleet) exchange() {
+func (f *loadFleet) exchange() {
 	for o := range f.owners {
 		for g := range f.gates {
 			if link := f.links[[2]int{o, g}]; link != 0 && !f.silent[o] {
-				frame, ok := f.owners[o].Flush(gateName(g), link)
+				frame, ok := f.owners[o].Flush(loadGateName(g), link)
 				if !ok {
 					f.t.Fatalf("no frame from owner %d to gate %d", o, g)
 				}
@@ -136,7 +136,7 @@
 }
 
 // pass lets time pass without frames between owners and gates.
-func (f *fleet) pass(d time.Duration) {
+func (f *loadFleet) pass(d time.Duration) {
 	f.now += d
 	for _, g := range f.gates {
 		f.answerHold(g)
@@ -145,7 +145,7 @@
 
 // submit submits a job of 8 tasks of 1.6 cores and 100 ms to an owner and reports whether it
 // was admitted. The job may wait about 64 ms.
-func (f *fleet) submit(o int) (admitted bool) {
+func (f *loadFleet) submit(o int) (admitted bool) {
 	f.jobs++
 	admitted = true
 	f.owners[o].RunBestEffort(testSubmission(job.ID(fmt.Sprintf("%016x", f.jobs)), 8), time.Minute, func(BestEffortResult) { admitted = false })
@@ -153,7 +153,7 @@
 }
 
 // submitUntilRefused returns how many jobs in a row an owner admits.
-func (f *fleet) submitUntilRefused(o int) int {
+func (f *loadFleet) submitUntilRefused(o int) int {
 	for n := range 100 {
 		if !f.submit(o) {
 			return n
@@ -164,7 +164,7 @@
 }
 
 // leave ends all jobs of an owner: their callers have left.
-func (f *fleet) leave(o int) {
+func (f *loadFleet) leave(o int) {
 	for id, j := range f.owners[o].jobs {
 		for len(j.callers) > 0 {
 			f.owners[o].RemoveCaller(id, j.callers[0].ticket)
@@ -173,15 +173,15 @@
 }
 
 // wait returns how long an owner expects a new job to wait.
-func (f *fleet) wait(o int) waitEstimate {
+func (f *loadFleet) wait(o int) waitEstimate {
 	s := testSubmission("ffffffffffffffff", 8)
 	j := newLiveJob(job.Record{Submission: s}, f.now)
 	j.setUrgency()
-	capacity, _ := f.owners[o].roomFor(j)
+	capacity, _ := f.owners[o].roomFor(f.now, j)
 	return f.owners[o].estimateWait(j, capacity)
 }
 
-func (f *fleet) wantWait(o int, want time.Duration, shared bool) {
+func (f *loadFleet) wantWait(o int, want time.Duration, shared bool) {
 	f.t.Helper()
 	e := f.wait(o)
 	// Shares of a job's work are rounded up to 1 core-ms each.
@@ -205,7 +205,7 @@
 // unless it knows better.
 func TestOneBoxWithAllClients(t *testing.T) {
 	admitted := func(d Decisions) (int, Stats) {
-		f := newFleet(t, testOwners, testGates, d)
+		f := newLoadFleet(t, testOwners, testGates, d)
 		n := f.submitUntilRefused(0)
 		return n, f.owners[0].Stats()
 	}
@@ -232,7 +232,7 @@
 		decisions Decisions
 		admitted  bool
 	}{{ownLoad, true}, {sharedLoad, false}} {
-		f := newFleet(t, testOwners, testGates, c.decisions)
+		f := newLoadFleet(t, testOwners, testGates, c.decisions)
 		for o := range 5 {
 			f.submit(o)
 		}
@@ -254,7 +254,7 @@
 		decisions Decisions
 		moved     int
 	}{{ownLoad, 0}, {sharedLoad, 2}} {
-		f := newFleet(t, testOwners, testGates, c.decisions)
+		f := newLoadFleet(t, testOwners, testGates, c.decisions)
 		for o := range 3 {
 			f.submit(o + 7)
 		}
@@ -273,7 +273,7 @@
 
 // Clients that have left a box no longer count: its next frames clear what it reported.
 func TestClientsLeave(t *testing.T) {
-	f := newFleet(t, testOwners, testGates, sharedLoad)
+	f := newLoadFleet(t, testOwners, testGates, sharedLoad)
 	for o := range 7 {
 		f.submit(o)
 	}
@@ -292,7 +292,7 @@
 	var decided [2][]bool
 	var waits [2]time.Duration
 	for i, d := range []Decisions{ownLoad, sharedLoad} {
-		f := newFleet(t, testOwners, testGates, d)
+		f := newLoadFleet(t, testOwners, testGates, d)
 		for range 3 {
 			for o := range testOwners {
 				decided[i] = append(decided[i], f.submit(o))
@@ -311,7 +311,7 @@
 
 // Jobs that are admitted for free room are admitted whatever the view says.
 func TestViewDoesNotRefuseWithRoom(t *testing.T) {
-	f := newFleet(t, testOwners, testGates, sharedLoad)
+	f := newLoadFleet(t, testOwners, testGates, sharedLoad)
 	for o := range 9 {
 		f.submit(o)
 	}
@@ -321,7 +321,7 @@
 	}
 	r := testReport()
 	r.OthersWaiting = []int{1 << 20}
-	f.owners[9].OnFrame(gateName(0), f.links[[2]int{9, 0}], gate.Frame{Clock: f.now, Report: r})
+	f.owners[9].OnFrame(loadGateName(0), f.links[[2]int{9, 0}], gate.Frame{Clock: f.now, Report: r})
 	if !f.submit(9) {
 		t.Error("refused though a target has room for the whole job")
 	}
@@ -330,7 +330,7 @@
 // Late jobs are behind a new one, tasks of jobs with tasks placed ahead of it, also at other
 // owners.
 func TestOrderOfOthersWork(t *testing.T) {
-	f := newFleet(t, 2, testGates, sharedLoad)
+	f := newLoadFleet(t, 2, testGates, sharedLoad)
 	f.submit(0)
 	f.exchange()
 	f.wantWait(1, jobWait, true)
@@ -354,7 +354,7 @@
 
 // Without fresh reports an owner decides as without the shared view.
 func TestStaleView(t *testing.T) {
-	f := newFleet(t, testOwners, testGates, sharedLoad)
+	f := newLoadFleet(t, testOwners, testGates, sharedLoad)
 	f.submit(0)
 	f.exchange()
 	f.wantWait(0, jobWait, true)
@@ -370,7 +370,7 @@
 
 // With gates lost the rest stands for all: their capacity is lost with their reports.
 func TestGatesLost(t *testing.T) {
-	f := newFleet(t, testOwners, testGates, sharedLoad)
+	f := newLoadFleet(t, testOwners, testGates, sharedLoad)
 	for o := range 4 {
 		f.submit(o)
 	}
@@ -380,7 +380,7 @@
 	f.pass(time.Second + time.Millisecond)
 	for o := range testOwners {
 		for g := range 4 {
-			frame, _ := f.owners[o].Flush(gateName(g), f.links[[2]int{o, g}])
+			frame, _ := f.owners[o].Flush(loadGateName(g), f.links[[2]int{o, g}])
 			f.gates[g].OnFrame(f.now, f.owners[o].options.Incarnation, f.links[[2]int{o, g}], frame)
 		}
 	}
@@ -401,7 +401,7 @@
 // A frozen owner's work stops counting after a second. Once it runs again it decides as
 // without the shared view until frames arrive.
 func TestOwnerFrozen(t *testing.T) {
-	f := newFleet(t, testOwners, testGates, sharedLoad)
+	f := newLoadFleet(t, testOwners, testGates, sharedLoad)
 	f.submit(0)
 	f.submit(1)
 	f.exchange()
@@ -423,7 +423,7 @@
 // Half of the entry boxes are cut off. The others stop counting their work within a second,
 // and those cut off decide as without the shared view.
 func TestHalfOfTheBoxesCutOff(t *testing.T) {
-	f := newFleet(t, testOwners, testGates, sharedLoad)
+	f := newLoadFleet(t, testOwners, testGates, sharedLoad)
 	for o := range testOwners {
 		f.submit(o)
 	}
@@ -448,7 +448,7 @@
 // The gate of a target is restarted. It knows no owner's work at first; what the owners that
 // are linked again have not reported yet counts as much as the own work does.
 func TestGateRestarted(t *testing.T) {
-	f := newFleet(t, testOwners, testGates, sharedLoad)
+	f := newLoadFleet(t, testOwners, testGates, sharedLoad)
 	for o := range testOwners {
 		f.submit(o)
 	}
@@ -468,7 +468,7 @@
 	f.wantWait(9, 10*jobWait, false)
 	for g := range testGates {
 		link := f.links[[2]int{9, g}]
-		frame, _ := f.owners[9].Flush(gateName(g), link)
+		frame, _ := f.owners[9].Flush(loadGateName(g), link)
 		f.gates[g].OnFrame(f.now, f.owners[9].options.Incarnation, link, frame)
 		f.fromGate(9, g)
 	}
@@ -480,7 +480,7 @@
 // Processes of an earlier build report nothing. Gates of one are not taken for gates where
 // nobody waits, and owners of one count with as much work as the own.
 func TestEarlierBuilds(t *testing.T) {
-	f := newFleet(t, testOwners, testGates, sharedLoad)
+	f := newLoadFleet(t, testOwners, testGates, sharedLoad)
 	f.submit(0)
 	for g := range testGates {
 		f.earlierGates[g] = true
@@ -511,11 +511,11 @@
 // nothing waits has it only when the link is new.
 func TestFieldOnlyWhenNeeded(t *testing.T) {
 	for _, d := range []Decisions{ownLoad, sharedLoad} {
-		f := newFleet(t, 2, 1, d)
+		f := newLoadFleet(t, 2, 1, d)
 		link := f.links[[2]int{0, 0}]
 		frame := func() gate.OwnerFrame {
 			f.t.Helper()
-			frame, ok := f.owners[0].Flush(gateName(0), link)
+			frame, ok := f.owners[0].Flush(loadGateName(0), link)
 			if !ok {
 				f.t.Fatal("no frame")
 			}
@@ -540,7 +540,7 @@
 
 // The sums are made once for the frames of a moment, not once for each gate.
 func TestSumsAreCached(t *testing.T) {
-	f := newFleet(t, 1, 2, sharedLoad)
+	f := newLoadFleet(t, 1, 2, sharedLoad)
 	f.submit(0)
 	first := f.owners[0].ownWork(f.now)
 	at := first.at
@@ -563,7 +563,7 @@
 		{40 * time.Millisecond, `"expectedWaitMS"=66 "loadView"="shared" "viewAgeMS"=40`},
 		{1100 * time.Millisecond, `"expectedWaitMS"=666 "loadView"="own" "viewAgeMS"=-1`},
 	} {
-		f := newFleet(t, testOwners, testGates, sharedLoad)
+		f := newLoadFleet(t, testOwners, testGates, sharedLoad)
 		var line string
 		f.submitUntilRefused(0)
 		f.pass(c.pass)
@@ -579,7 +579,7 @@
 // waiting tasks: a frame to each gate in one moment, and the estimate for one job.
 func BenchmarkLoadView(b *testing.B) {
 	for _, d := range []Decisions{ownLoad, sharedLoad} {
-		f := newFleet(&testing.T{}, 1, 35, d)
+		f := newLoadFleet(&testing.T{}, 1, 35, d)
 		s := testSubmission("ffffffffffffffff", 1000)
 		s.BestEffort = false
 		j := newLiveJob(job.Record{Submission: s}, f.now)
@@ -589,7 +589,7 @@
 			for range b.N {
 				f.now += waitingMaxAge
 				for g := range f.gates {
-					f.owners[0].Flush(gateName(g), f.links[[2]int{0, g}])
+					f.owners[0].Flush(loadGateName(g), f.links[[2]int{0, g}])
 				}
 			}
 		})
