Compare the speed of targets within each service

Gates of all services were compared together. Where the estimates of two services are off by different factors, the targets of one counted as slow: they got less weight in admission control, and tasks waited for others.

The comparison is made once for each service with a waiting task in a call of place, and for the service of the job at admission. Holding a task is a result of choose instead of a difference of counters.

TestServicesAreComparedSeparately fails with one comparison for all.

--- a/owner/admission.go
+++ b/owner/admission.go
@@ -58,7 +58,7 @@
 // weighted by speed, and only room where the job is expected to end in time counts.
 func (o *Owner) roomFor(now Time, j *liveJob) (capacity, room int) {
 	usable := o.usableGates()
-	return roomAt(now, usable, o.compareSpeeds(usable), j)
+	return roomAt(now, usable, o.compareSpeeds(usable, j.record.Queue.Service), j)
 }
 
 // roomAt is roomFor with a comparison of these gates; it is not weighted if s is nil.
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -131,7 +131,7 @@
 	shortSince Time
 	// evacuations is the newest state of the evacuated failure domains.
 	evacuations evacuation.News
-	// measured is used by compareSpeeds.
+	// measured is the buffer of compareGates.
 	measured []float64
 	// meanRun is the smoothed estimate of the tasks that were placed, meanOf their number; both
 	// are 0 unless tasks are placed by speed.
@@ -155,7 +155,7 @@
 	// Returned counts jobs that were submitted again after a refusal.
 	Returned int64
 
-	// PlacedSlow counts tasks placed on a target that is slower than the median one,
+	// PlacedSlow counts tasks placed on a target that is slower than its service's median one,
 	// HeldForSpeed how often a task waited for a faster target.
 	PlacedSlow, HeldForSpeed int64
 }
--- a/owner/place.go
+++ b/owner/place.go
@@ -30,7 +30,7 @@
 	}
 	usable := o.usableGates()
 	median := medianSlowness(usable)
-	s := o.compareSpeeds(usable)
+	var c compared
 	var unplaced []*task
 	misses := 0
 	for o.waiting.len() > 0 && len(usable) > 0 && misses < maxMisses {
@@ -39,11 +39,11 @@
 			unplaced = append(unplaced, t)
 			continue
 		}
-		held := s.heldSoFar()
-		v := o.choose(now, usable, median, s, t)
+		s := c.of(o, usable, t.job.record.Queue.Service)
+		v, held := o.choose(now, usable, median, s, t)
 		if v == nil {
 			unplaced = append(unplaced, t)
-			if s.heldSoFar() == held {
+			if !held {
 				misses++
 			}
 			continue
@@ -69,10 +69,11 @@
 	return usable
 }
 
-// choose returns the gate for a task, or nil if none has room.
-func (o *Owner) choose(now Time, usable []*gateView, median float64, s *speeds, t *task) *gateView {
+// choose returns the gate for a task, or nil if none has room or the task is held for a faster
+// target.
+func (o *Owner) choose(now Time, usable []*gateView, median float64, s *speeds, t *task) (v *gateView, held bool) {
 	if o.options.Policy != nil {
-		return o.chooseByPolicy(now, usable, median, t)
+		return o.chooseByPolicy(now, usable, median, t), false
 	}
 	if s != nil && t.step.EstimateMS > 0 {
 		return o.chooseBySpeed(now, usable, s, t)
@@ -89,7 +90,7 @@
 	if best == nil {
 		o.clearAvoided(usable, t)
 	}
-	return best
+	return best, false
 }
 
 // score rates a gate for a task; higher is better. It returns false if the gate can't
--- a/owner/speed.go
+++ b/owner/speed.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"rackspur/job"
@@ -18,8 +19,9 @@
 	// refuseMargin is how long before its job would be refused a task stops waiting: one and a
 	// half pauses between ticks (package node), so that it is placed before.
 	refuseMargin = 15 * time.Millisecond
-	// maxHeldSteps bounds the steps whose tasks wait for a faster target and are passed over for
-	// others in one call of place. Beyond it they count as tasks without a gate, see maxMisses.
+	// maxHeldSteps bounds, for each service, the steps whose tasks wait for a faster target and are
+	// passed over for others in one call of place. Beyond it they count as tasks without a gate,
+	// see maxMisses.
 	maxHeldSteps = 16
 	// meanRunWeight is the weight of a new task in the mean run time: the mean of the last 200
 	// tasks or so, as many as an owner places in about a second. With fewer, single long tasks
@@ -27,9 +29,11 @@
 	meanRunWeight = 0.005
 )
 
-// speeds compares the usable gates for one call of place. It is nil if tasks are placed by room.
+// speeds compares the usable gates of one service, for one call of place or for the admission of
+// one job. It is nil if tasks are placed by room.
 type speeds struct {
-	fleet speed.Fleet
+	service string
+	fleet   speed.Fleet
 	// slowest is the slowness of the slowest gate.
 	slowest float64
 	// used is the share of the gates' capacity that is in use.
@@ -37,29 +41,60 @@
 	// fastCapacity is the capacity of the fast gates, as the work by estimate that they do in a
 	// second, in thousandths of core-seconds.
 	fastCapacity float64
-	// held is the number of tasks that wait for a faster target, heldSteps that of their steps,
-	// heldWork their work in thousandths of core-seconds.
-	held, heldSteps int
-	heldWork        float64
-	// lastHeld is the step of the newest of these if no task was placed since.
+	// heldSteps is the number of steps of which a task waits for a faster target in this call of
+	// place, heldWork the work of these tasks in thousandths of core-seconds.
+	heldSteps int
+	heldWork  float64
+	// lastHeld is the step of the newest of these tasks if no task was placed since. The step's
+	// other tasks wait without a look at the gates.
 	lastHeld *job.Step
 }
 
-// compareSpeeds compares the gates' speeds and sets their expected slowness. It returns nil
-// unless tasks are placed by speed and speeds differ.
-func (o *Owner) compareSpeeds(usable []*gateView) *speeds {
+// compared holds the comparisons of one call of place: one for each service that has a waiting
+// task, usually a single one.
+type compared []speeds
+
+// of returns the comparison of a service's gates, which it makes when the service is first asked
+// for. It returns nil if tasks are placed by room. The result is valid until the next call.
+func (c *compared) of(o *Owner, usable []*gateView, service string) *speeds {
 	if !o.options.Decisions.PlaceBySpeed {
 		return nil
 	}
+	i := slices.IndexFunc(*c, func(s speeds) bool { return s.service == service })
+	if i < 0 {
+		i = len(*c)
+		*c = append(*c, o.compareGates(usable, service))
+	}
+	if s := &(*c)[i]; s.fleet.Differ {
+		return s
+	}
+	return nil
+}
+
+// compareSpeeds compares the gates of a service. It returns nil unless tasks are placed by speed
+// and the speeds differ.
+func (o *Owner) compareSpeeds(usable []*gateView, service string) *speeds {
+	var c compared
+	return c.of(o, usable, service)
+}
+
+// compareGates compares the gates of a service and sets their expected slowness. Services are not
+// compared with each other, since the estimates of each may be off by another factor.
+func (o *Owner) compareGates(usable []*gateView, service string) speeds {
 	o.measured = o.measured[:0]
 	cold := false
 	for _, v := range usable {
-		o.measured = append(o.measured, v.report.MedianSlowness)
-		cold = cold || (v.report.Cold > 0 && v.report.MedianSlowness <= 0)
+		if v.report.Service == service {
+			o.measured = append(o.measured, v.report.MedianSlowness)
+			cold = cold || (v.report.Cold > 0 && v.report.MedianSlowness <= 0)
+		}
 	}
-	s := &speeds{fleet: speed.Compare(o.measured, cold)}
+	s := speeds{service: service, fleet: speed.Compare(o.measured, cold)}
 	total, used := 0.0, 0.0
 	for _, v := range usable {
+		if v.report.Service != service {
+			continue
+		}
 		v.slowness, v.slownessKnown = s.fleet.Slowness(speed.Target{Measured: v.report.MedianSlowness, Cold: v.report.Cold > 0})
 		if !s.fleet.Differ {
 			continue
@@ -74,9 +109,6 @@
 			s.fastCapacity += capacity
 		}
 	}
-	if !s.fleet.Differ {
-		return nil
-	}
 	if total > 0 {
 		s.used = used / total
 	}
@@ -112,12 +144,12 @@
 	return 0
 }
 
-// chooseBySpeed returns the gate for a task by when it is expected to end there; nil if none has
-// room or the task waits for a faster target.
-func (o *Owner) chooseBySpeed(now Time, usable []*gateView, s *speeds, t *task) *gateView {
+// chooseBySpeed returns the gate for a task by when it is expected to end there. It returns nil if
+// none has room or the task waits for a faster target; held tells which.
+func (o *Owner) chooseBySpeed(now Time, usable []*gateView, s *speeds, t *task) (v *gateView, held bool) {
 	if s.lastHeld == t.step && len(t.avoid) == 0 {
 		o.hold(s, t)
-		return nil
+		return nil, true
 	}
 	work := t.expected(now)
 	wait := s.expectedWait(o.ownersPerGate())
@@ -157,18 +189,19 @@
 	}
 	if best == nil {
 		o.clearAvoided(usable, t)
-		return nil
+		return nil, false
 	}
 	if laterKnown && t.mayHold(now) && speed.WorthWaiting(bestEnd, later) {
-		if s.heldSteps < maxHeldSteps {
-			s.heldSteps++
-			o.hold(s, t)
+		if s.heldSteps == maxHeldSteps {
+			return nil, false
 		}
-		return nil
+		s.heldSteps++
+		o.hold(s, t)
+		return nil, true
 	}
 	s.lastHeld = nil
 	t.job.expectedLate = t.job.expectedLate || !bestEnd.InTime
-	return best
+	return best, false
 }
 
 // notePlaced counts a task that is placed on a gate.
@@ -185,10 +218,10 @@
 	}
 }
 
-// expectedSlowness returns the slowness by which a task's end is expected. A target that was slow is unknown
-// again when it has had no runs for a time. So one of unknown slowness gets short tasks only, one
-// from each owner at a time, until it has as many runs as make its slowness known; beyond that it
-// counts as the slowest one.
+// expectedSlowness returns the slowness by which a task's end is expected. A slow target that has
+// had no runs for a time is unknown again. So an unknown target counts as the median one only for
+// tasks no longer than the mean, for one from each owner at a time, and until it has as many runs
+// as make its slowness known. Otherwise it counts as the slowest one.
 func (o *Owner) expectedSlowness(s *speeds, v *gateView, t *task) float64 {
 	if v.slownessKnown {
 		return s.fleet.Cautious(v.slowness)
@@ -203,7 +236,6 @@
 
 // hold notes that a task waits for a faster target.
 func (o *Owner) hold(s *speeds, t *task) {
-	s.held++
 	s.lastHeld = t.step
 	s.heldWork += float64(t.step.Need.CPU) * float64(t.step.EstimateMS) / 1000
 	if !t.held {
@@ -272,11 +304,3 @@
 	}
 	return paths
 }
-
-// heldSoFar returns the number of tasks that wait for a faster target.
-func (s *speeds) heldSoFar() int {
-	if s == nil {
-		return 0
-	}
-	return s.held
-}
--- a/owner/speed_test.go
+++ b/owner/speed_test.go
@@ -337,7 +337,7 @@
 	for i := range 4 {
 		b.change(i, func(r *gate.Report) { r.Slowness = 3 })
 	}
-	b.owner.compareSpeeds(b.owner.usableGates())
+	b.owner.compareSpeeds(b.owner.usableGates(), testService)
 	for i, want := range []float64{1, 2.2, 0, 4.4} {
 		v := b.owner.gates[gateName(i)]
 		if got := b.owner.targetView(v, job.Resources{CPU: 1}).Pace; got != want {
@@ -350,6 +350,52 @@
 	}
 }
 
+// The gates of each service are compared with each other only: where the estimates of one service
+// are off by another factor than those of the other, neither service has slow targets, and each
+// task goes to the same gate as by room. A slow target of one service doesn't change the other.
+func TestServicesAreComparedSeparately(t *testing.T) {
+	play := func(bySpeed bool, slowness ...float64) (first [][]int, slow int64) {
+		b := newSpeedHarness(t, slowness...)
+		b.owner.options.Decisions.PlaceBySpeed = bySpeed
+		b.owner.random = rand.New(rand.NewPCG(1, 2))
+		for i := 3; i < len(slowness); i++ {
+			b.change(i, func(r *gate.Report) { r.Service = "other" })
+		}
+		for i := range 20 {
+			b.use(i%3, 16000-1600*(i%7))
+			b.run(i, 1+i%3, 50+i*20)
+			first = append(first, b.starts())
+		}
+		return first, b.owner.Stats().PlacedSlow
+	}
+	byRoom, _ := play(false, 0, 0, 0, 0, 0, 0, 0)
+	for _, slowness := range [][]float64{
+		{2.2, 2.2, 2.2, 1, 1, 1, 1},
+		{1, 1, 1, 2.2, 2.2, 2.2, 2.2},
+		{1, 1, 1, 1, 1, 2.2, 2.2},
+	} {
+		if got, slow := play(true, slowness...); fmt.Sprint(got) != fmt.Sprint(byRoom) || slow != 0 {
+			t.Errorf("slowness %v: placed %v, %d on slow targets, by room %v", slowness, got, slow, byRoom)
+		}
+	}
+
+	// The estimates of the service "other" are off by a factor of 4; one of its targets is slow.
+	b := newSpeedHarness(t, 1, 1, 1, 4, 4, 8.8)
+	for i := 3; i < 6; i++ {
+		b.change(i, func(r *gate.Report) { r.Service = "other" })
+	}
+	for i := 3; i < 5; i++ {
+		b.use(i, 3200)
+	}
+	s := testSubmission("00000000000000aa", 2)
+	s.Queue.Service, s.Queue.Stretch = "other", 6
+	s.Steps[0].EstimateMS = 200
+	b.owner.RunBestEffort(s, time.Minute, func(BestEffortResult) {})
+	if got := b.starts(); got[3]+got[4] != 2 {
+		t.Errorf("starts %v, want none on the slow target of the other service", got)
+	}
+}
+
 // BenchmarkPlace measures one call of place for a task that finds no room at 60 gates.
 func BenchmarkPlace(b *testing.B) {
 	for _, bySpeed := range []bool{false, true} {
--- a/owner/view.go
+++ b/owner/view.go
@@ -25,7 +25,7 @@
 	presumed bool
 	report   gate.Report
 	// slowness is the expected ratio of run time to estimate, slownessKnown whether it was
-	// measured there or the target is cold; see compareSpeeds.
+	// measured there or the target is cold; see compareGates.
 	slowness      float64
 	slownessKnown bool
 	// adopted are the incarnations whose runs the gate has reported since it was last
