Hold a step's tasks for speed only if the held one may go anywhere

Once a task is held, the other tasks of its step are held without a look at the gates. If the held one avoided a gate, the others missed room there until it was placed. TestAvoidingTaskDoesNotHoldOthers fails without the change.

--- a/owner/speed.go
+++ b/owner/speed.go
@@ -45,8 +45,8 @@
 	// place, heldWork the work of these tasks in thousandths of core-seconds.
 	heldSteps int
 	heldWork  float64
-	// lastHeld is the step of the newest of these tasks if no task was placed since. The step's
-	// other tasks wait without a look at the gates.
+	// lastHeld is the step of the newest of these tasks if that may go to all gates and no task
+	// was placed since. The step's other tasks wait without a look at the gates.
 	lastHeld *job.Step
 }
 
@@ -236,7 +236,10 @@
 
 // hold notes that a task waits for a faster target.
 func (o *Owner) hold(s *speeds, t *task) {
-	s.lastHeld = t.step
+	s.lastHeld = nil
+	if len(t.avoid) == 0 {
+		s.lastHeld = t.step
+	}
 	s.heldWork += float64(t.step.Need.CPU) * float64(t.step.EstimateMS) / 1000
 	if !t.held {
 		t.held = true
--- a/owner/speed_test.go
+++ b/owner/speed_test.go
@@ -229,6 +229,23 @@
 	b.want("short", 0, 0, 0, 2)
 }
 
+// A task that waits because it avoids the fast target with room doesn't keep the other tasks of its
+// step from that target.
+func TestAvoidingTaskDoesNotHoldOthers(t *testing.T) {
+	b := newSpeedHarness(t, 1, 1, 1, 2.2)
+	for i := range 3 {
+		b.use(i, 0)
+	}
+	j := b.run(1, 3, 800)
+	b.want("on arrival", 0, 0, 0, 0)
+	j.tasks[0].avoid = map[string]bool{gateName(0): true}
+	b.use(0, 3200)
+	b.want("with room at a fast target", 2, 0, 0, 0)
+	if !j.tasks[0].held || j.tasks[0].phase != taskWaiting {
+		t.Error("the task that avoids the target was placed")
+	}
+}
+
 // A target of unknown speed gets work like the median one, but no more than shows its speed:
 // it may have been slow before it had no runs for a time.
 func TestUnknownTargetsAreTried(t *testing.T) {
