--- a/owner/fleet_test.go
+++ b/owner/fleet_test.go
@@ -130,7 +130,7 @@
 		}
 	}
 	end := f.now + l.lasts
-	for f.now < end+10*time.Second {
+	for f.now < end || (f.jobsLeft() && f.now < end+10*time.Second) {
 		f.now += time.Millisecond
 		f.step(f.now < end)
 	}
@@ -149,6 +149,11 @@
 	return f.result
 }
 
+// jobsLeft reports whether a job has not ended.
+func (f *simFleet) jobsLeft() bool {
+	return slices.ContainsFunc(f.owners, func(o *Owner) bool { return o.LiveJobs() > 0 })
+}
+
 func (f *simFleet) step(arrivals bool) {
 	for _, do := range f.later[f.now] {
 		do()
