Don't keep dropped jobs without callers in memory

The answer to the callers of a dropped job refers to the job. TestDroppedJobWithoutCallersIsReleased fails without the change.

--- a/owner/drop.go
+++ b/owner/drop.go
@@ -18,8 +18,8 @@
 	unconfirmed map[job.RunName]bool
 	// callers wait until that is known; nil once they are answered.
 	callers []caller
-	// refused returns the answer if none of the runs has started; nil once the callers are
-	// answered.
+	// refused returns the answer if none of the runs has started; nil if no caller waits, so that
+	// the job is not kept in memory.
 	refused func() BestEffortResult
 }
 
@@ -56,7 +56,9 @@
 // same job was dropped before, the callers of that time are answered now.
 func (o *Owner) rememberDropped(now Time, j *liveJob) *droppedJob {
 	d := &droppedJob{at: now, unconfirmed: j.openRuns(), callers: j.callers}
-	d.refused = func() BestEffortResult { return o.refusedResult(o.options.Now(), j) }
+	if len(d.callers) > 0 {
+		d.refused = func() BestEffortResult { return o.refusedResult(o.options.Now(), j) }
+	}
 	j.callers = nil
 	if earlier := o.dropped[j.record.ID]; earlier != nil {
 		earlier.answer(BestEffortResult{})
--- a/owner/drop_test.go
+++ b/owner/drop_test.go
@@ -193,6 +193,20 @@
 	}
 }
 
+// A dropped job is remembered by its runs only: a job whose callers have left would otherwise stay
+// in memory with its specification for as long as its runs are remembered.
+func TestDroppedJobWithoutCallersIsReleased(t *testing.T) {
+	b := newHarness(t)
+	link := b.connect("gate-1")
+	s := testSubmission("00000000000000aa", 1)
+	ticket := b.owner.RunBestEffort(s, time.Minute, func(BestEffortResult) {})
+	b.flush("gate-1", link)
+	b.owner.RemoveCaller(s.ID, ticket)
+	if d := b.owner.dropped[s.ID]; d == nil || d.refused != nil {
+		t.Errorf("dropped job %+v, want it remembered without a reference to the job", d)
+	}
+}
+
 // A task that a full gate has rejected must not be sent to a full gate again with each
 // frame, only after a growing pause.
 func TestTaskGivenBackByFullGateWaits(t *testing.T) {
