Keep a mean estimate for each service

The mean estimate decides which tasks try a target of unknown speed. It was one for all services, and tasks without an estimate counted as 0. So the tasks of a service beside one with shorter tasks, or beside tasks without an estimate, were all longer than the mean: they never tried an unknown target, which counted as the slowest one.

It is kept for each service, at most 64, and leaves out tasks without an estimate.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -133,10 +133,9 @@
 	evacuations evacuation.News
 	// measured is the buffer of compareGates.
 	measured []float64
-	// meanRun is the smoothed estimate of the tasks that were placed, meanOf their number; both
-	// are 0 unless tasks are placed by speed.
-	meanRun time.Duration
-	meanOf  int64
+	// means has the mean estimate of the tasks of each service; empty unless tasks are placed
+	// by speed.
+	means map[string]*meanEstimate
 	// lastContact is when another process last reached this one.
 	lastContact Time
 	// returns holds what is known of refused callers; nil while all are told to return after
@@ -175,6 +174,7 @@
 		foreign:     map[job.ID][]endRef{},
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:         o.Log,
+		means:       map[string]*meanEstimate{},
 	}
 	n.returns = n.newReturns()
 	return n
--- a/owner/speed.go
+++ b/owner/speed.go
@@ -23,17 +23,50 @@
 	// passed over for others in one call of place. Beyond it they count as tasks without a gate,
 	// see maxMisses.
 	maxHeldSteps = 16
-	// meanRunWeight is the weight of a new task in the mean run time: the mean of the last 200
-	// tasks or so, as many as an owner places in about a second. With fewer, single long tasks
-	// move it past the short ones.
-	meanRunWeight = 0.005
+	// meanWeight is the weight of a new task in the mean estimate: the mean of the last 200 tasks
+	// or so, as many as an owner places in about a second. With fewer, single long tasks move it
+	// past the short ones.
+	meanWeight = 0.005
+	// maxMeans bounds the services with a mean estimate. All are dropped beyond it, which costs
+	// a second until they are known again.
+	maxMeans = 64
 )
 
+// meanEstimate is the smoothed estimate of the tasks of a service that were placed.
+type meanEstimate struct {
+	value time.Duration
+	tasks int64
+}
+
+// add counts a task. One without an estimate tells nothing of the run time.
+func (m *meanEstimate) add(estimate time.Duration) {
+	if estimate <= 0 {
+		return
+	}
+	m.tasks++
+	weight := max(meanWeight, 1/float64(m.tasks))
+	m.value += time.Duration(weight * float64(estimate-m.value))
+}
+
+// meanOf returns the mean estimate of a service's tasks.
+func (o *Owner) meanOf(service string) *meanEstimate {
+	m := o.means[service]
+	if m == nil {
+		if len(o.means) >= maxMeans {
+			clear(o.means)
+		}
+		m = &meanEstimate{}
+		o.means[service] = m
+	}
+	return m
+}
+
 // speeds compares the usable gates of one service, for one call of place or for the admission of
 // one job. It is nil if tasks are placed by room.
 type speeds struct {
 	service string
 	fleet   speed.Fleet
+	mean    *meanEstimate
 	// slowest is the slowness of the slowest gate.
 	slowest float64
 	// used is the share of the gates' capacity that is in use.
@@ -89,7 +122,7 @@
 			cold = cold || (v.report.Cold > 0 && v.report.MedianSlowness <= 0)
 		}
 	}
-	s := speeds{service: service, fleet: speed.Compare(o.measured, cold)}
+	s := speeds{service: service, fleet: speed.Compare(o.measured, cold), mean: o.meanOf(service)}
 	total, used := 0.0, 0.0
 	for _, v := range usable {
 		if v.report.Service != service {
@@ -161,7 +194,7 @@
 		if !o.eligible(v, t) {
 			continue
 		}
-		slowness := o.expectedSlowness(s, v, t)
+		slowness := s.expectedSlowness(v, t)
 		free, capacity := v.free(), v.report.Capacity
 		missing := float64(t.step.Need.CPU-free.CPU) / float64(capacity.CPU)
 		queued := int(float64(capacity.CPU*share/1000) * min(1, s.fleet.Reference/slowness))
@@ -173,7 +206,7 @@
 		}
 		delay := time.Duration(0)
 		if missing > 0 {
-			delay = speed.QueueDelay(missing, slowness, o.meanRun)
+			delay = speed.QueueDelay(missing, slowness, s.mean.value)
 		}
 		end := work.Expect(slowness, delay)
 		score := s.fleet.Score(slowness, end, speed.Room{Free: -missing, Used: s.used})
@@ -210,9 +243,7 @@
 	if !o.options.Decisions.PlaceBySpeed {
 		return
 	}
-	o.meanOf++
-	weight := max(meanRunWeight, 1/float64(o.meanOf))
-	o.meanRun += time.Duration(weight * float64(time.Duration(t.step.EstimateMS)*time.Millisecond-o.meanRun))
+	o.meanOf(t.job.record.Queue.Service).add(time.Duration(t.step.EstimateMS) * time.Millisecond)
 	if s != nil && s.fleet.IsSlow(v.slowness) {
 		o.stats.PlacedSlow++
 	}
@@ -222,12 +253,12 @@
 // had no runs for a time is unknown again. So an unknown target counts as the median one only for
 // tasks no longer than the mean, for one from each owner at a time, and until it has as many runs
 // as make its slowness known. Otherwise it counts as the slowest one.
-func (o *Owner) expectedSlowness(s *speeds, v *gateView, t *task) float64 {
+func (s *speeds) expectedSlowness(v *gateView, t *task) float64 {
 	if v.slownessKnown {
 		return s.fleet.Cautious(v.slowness)
 	}
 	used := v.report.Capacity.CPU - v.report.Free.CPU + v.report.Queued.CPU
-	long := o.meanRun > 0 && time.Duration(t.step.EstimateMS)*time.Millisecond > o.meanRun
+	long := s.mean.value > 0 && time.Duration(t.step.EstimateMS)*time.Millisecond > s.mean.value
 	if long || len(v.starts)+len(v.inFlight) > 0 || used >= speed.MinSamples*t.step.Need.CPU {
 		return s.slowest
 	}
--- a/owner/speed_test.go
+++ b/owner/speed_test.go
@@ -267,6 +267,42 @@
 	}
 }
 
+// Tasks of another service and tasks without an estimate don't count in the mean estimate, by which
+// the tasks are chosen that try an unknown target: they would keep all others from it.
+func TestOtherTasksDoNotKeepUnknownTargetsUntried(t *testing.T) {
+	for _, test := range []struct {
+		name, service string
+		estimateMS    int
+	}{{"short tasks of another service", "other", 10}, {"tasks without an estimate", testService, 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newSpeedHarness(t, 1, 2.2, 0, 1, 1, 1)
+			b.change(5, func(r *gate.Report) { r.Service = "other" })
+			b.run(1, 1, 100)
+			s := testSubmission("00000000000000aa", 8)
+			s.Queue.Service, s.Steps[0].EstimateMS = test.service, test.estimateMS
+			b.owner.RunBestEffort(s, time.Minute, func(BestEffortResult) {})
+			b.starts()
+			for _, i := range []int{0, 1, 3, 4} {
+				b.use(i, 8000)
+			}
+			b.use(2, 16000)
+			b.run(2, 1, 100)
+			b.want("as long as the mean", 0, 0, 1, 0, 0, 0)
+		})
+	}
+}
+
+// The mean estimates don't grow with the number of services that were ever configured.
+func TestMeanEstimatesAreBounded(t *testing.T) {
+	b := newSpeedHarness(t)
+	for i := range 3 * maxMeans {
+		b.owner.meanOf(fmt.Sprint(i)).add(time.Second)
+	}
+	if n := len(b.owner.means); n > maxMeans {
+		t.Errorf("%d services have a mean estimate, want at most %d", n, maxMeans)
+	}
+}
+
 // A target that has just started and is cold counts as slow until it is measured.
 func TestColdTarget(t *testing.T) {
 	b := newSpeedHarness(t, 1, 1, 1, 0)
