--- a/gate/leaving.go
+++ b/gate/leaving.go
@@ -196,6 +196,7 @@
 	if !g.watchesLeaving() {
 		return
 	}
+	slowness := g.MedianSlowness(now)
 	var listed []*run
 	var runs []leaving.Run
 	for _, r := range g.runs {
@@ -205,7 +206,7 @@
 		}
 		listed = append(listed, r)
 		runs = append(runs, leaving.Run{
-			Elapsed: r.elapsed(), Percent: l.newest, Estimate: r.estimate, Slowness: g.MedianSlowness(now),
+			Elapsed: r.elapsed(), Percent: l.newest, Estimate: r.estimate, Slowness: slowness,
 			Checkpointed: l.checkpointed, Moved: l.reported || r.mustStop,
 		})
 	}
