Tests of leaving targets: tell the two simulated fleets apart

fleet and simFleet, fleetStep and fleetCores belonged to different simulations. They stay two: one needs real gates, lists and stops for some 50 runs, the other queues of simulated gates between several owners.

--- a/owner/leavingload_test.go
+++ b/owner/leavingload_test.go
@@ -9,16 +9,17 @@
 	"rackspur/job"
 )
 
-// Times of the simulated fleet.
+// Times of a leavingFleet.
 const (
-	fleetStep = 5 * time.Millisecond
-	// fleetStop is how long a simulated target takes to carry out a stop.
-	fleetStop = 50 * time.Millisecond
-	fleetHold = 50 * time.Millisecond
+	leavingStep = 5 * time.Millisecond
+	// leavingStop is how long a simulated target takes to carry out a stop.
+	leavingStop = 50 * time.Millisecond
+	leavingHold = 50 * time.Millisecond
 )
 
-// fleet is an owner with real gates beside simulated targets.
-type fleet struct {
+// leavingFleet is an owner with real gates beside simulated targets, since gates decide which runs
+// can't end. simFleet has simulated gates and several owners, for loads of thousands of runs.
+type leavingFleet struct {
 	*harness
 	sites []*site
 	// takes returns how long a run takes.
@@ -44,8 +45,8 @@
 	began, ends, stopAt Time
 }
 
-func newFleet(t *testing.T, gates int, move bool) *fleet {
-	f := &fleet{harness: newHarness(t)}
+func newLeavingFleet(t *testing.T, gates int, move bool) *leavingFleet {
+	f := &leavingFleet{harness: newHarness(t)}
 	for i := range gates {
 		s := &site{name: fmt.Sprintf("gate-%d", i), runs: map[job.RunName]*siteRun{}}
 		s.gate = gate.New(gate.Options{
@@ -67,7 +68,7 @@
 	return f
 }
 
-func (f *fleet) heartbeat(s *site, sequence int64) gate.Heartbeat {
+func (f *leavingFleet) heartbeat(s *site, sequence int64) gate.Heartbeat {
 	return gate.Heartbeat{
 		Incarnation: gate.Incarnation{ID: s.name + "-i"}, Service: testService, Capacity: job.Resources{CPU: 16000, Memory: 32768},
 		ClockMS: f.now.Milliseconds(), Sequence: sequence,
@@ -75,7 +76,7 @@
 }
 
 // leave makes a target drain whose process ends after notice; told is what its heartbeat says.
-func (f *fleet) leave(s *site, notice, told time.Duration) gate.Heartbeat {
+func (f *leavingFleet) leave(s *site, notice, told time.Duration) gate.Heartbeat {
 	h := f.heartbeat(s, 2)
 	h.Draining, h.Remaining = true, told
 	s.deadAt = f.now + notice
@@ -85,7 +86,7 @@
 
 // longTasks submits a job of which each seventh task takes seven times its estimate, and returns
 // the target that runs most of these, since placement is random, and how many.
-func (f *fleet) longTasks(tasks int, result func(BestEffortResult)) (most *site, long int) {
+func (f *leavingFleet) longTasks(tasks int, result func(BestEffortResult)) (most *site, long int) {
 	f.takes = func(name job.RunName) time.Duration {
 		if name.Index%7 == 0 {
 			return 6300 * time.Millisecond
@@ -112,7 +113,7 @@
 }
 
 // openAt returns the number of tasks with a run at a gate, as the owner sees it.
-func (f *fleet) openAt(s *site) int {
+func (f *leavingFleet) openAt(s *site) int {
 	n := 0
 	for _, task := range f.owner.jobs[leavingJob].tasks {
 		if task.hasOpenRun() && task.gate == s.name {
@@ -123,7 +124,7 @@
 }
 
 // list sends a hold to a target and delivers its answer.
-func (f *fleet) list(s *site) {
+func (f *leavingFleet) list(s *site) {
 	h := s.gate.NextHold(f.now, 0)
 	if s.deadAt != 0 && f.now >= s.deadAt {
 		f.carryOut(s, s.gate.OnHold(f.now, h, gate.Answer{}, gate.HoldAnswer{}, gate.ErrUnreachable))
@@ -155,7 +156,7 @@
 }
 
 // carryOut carries out a gate's calls.
-func (f *fleet) carryOut(s *site, a gate.Actions) {
+func (f *leavingFleet) carryOut(s *site, a gate.Actions) {
 	dead := s.deadAt != 0 && f.now >= s.deadAt
 	answer := gate.Answer{ClockMS: f.now.Milliseconds()}
 	for _, c := range a.Starts {
@@ -167,19 +168,19 @@
 	}
 	for _, c := range a.Stops {
 		if r := s.runs[c.Name]; r != nil && !dead && r.stopAt == 0 {
-			r.stopAt = f.now + fleetStop
+			r.stopAt = f.now + leavingStop
 			s.gate.OnStop(f.now, a.Incarnation, c, answer, nil)
 		}
 	}
 }
 
 // proceed lets time pass.
-func (f *fleet) proceed(most time.Duration) {
+func (f *leavingFleet) proceed(most time.Duration) {
 	for until := f.now + most; f.now < until; {
-		f.now += fleetStep
+		f.now += leavingStep
 		for _, s := range f.sites {
 			if f.now >= s.hold {
-				s.hold = f.now + fleetHold
+				s.hold = f.now + leavingHold
 				f.list(s)
 			}
 			f.carryOut(s, s.gate.Tick(f.now))
@@ -197,9 +198,9 @@
 }
 
 const (
-	fleetGates  = 7
-	fleetTasks  = 56
-	fleetNotice = 2 * time.Second
+	leavingGates  = 7
+	leavingTasks  = 56
+	leavingNotice = 2 * time.Second
 )
 
 // A seventh of the targets leaves with 2 s notice while long tasks run, some of which take seven
@@ -209,10 +210,10 @@
 	// play returns how long after the target's end the job has ended.
 	play := func(move bool) time.Duration {
 		var ended Time
-		f := newFleet(t, fleetGates, move)
-		leaves, running := f.longTasks(fleetTasks, func(BestEffortResult) { ended = f.now })
-		f.leave(leaves, fleetNotice, fleetNotice)
-		f.proceed(fleetNotice)
+		f := newLeavingFleet(t, leavingGates, move)
+		leaves, running := f.longTasks(leavingTasks, func(BestEffortResult) { ended = f.now })
+		f.leave(leaves, leavingNotice, leavingNotice)
+		f.proceed(leavingNotice)
 		dead, late := f.now, f.openAt(leaves)
 		f.proceed(15 * time.Second)
 		if ended == 0 {
@@ -230,7 +231,7 @@
 		}
 		return ended - dead
 	}
-	if on, off := play(true), play(false); on >= off-fleetNotice/2 {
+	if on, off := play(true), play(false); on >= off-leavingNotice/2 {
 		t.Errorf("the job ended %v after the target's end, %v with the setting off", on, off)
 	}
 }
@@ -239,10 +240,10 @@
 // treated as with the setting off: its runs may all end in time.
 func TestTargetLeavesWithoutTelling(t *testing.T) {
 	for _, move := range []bool{true, false} {
-		f := newFleet(t, fleetGates, move)
-		leaves, running := f.longTasks(fleetTasks, func(BestEffortResult) {})
-		f.leave(leaves, fleetNotice, 0)
-		f.proceed(fleetNotice)
+		f := newLeavingFleet(t, leavingGates, move)
+		leaves, running := f.longTasks(leavingTasks, func(BestEffortResult) {})
+		f.leave(leaves, leavingNotice, 0)
+		f.proceed(leavingNotice)
 		late := f.openAt(leaves)
 		f.proceed(2 * time.Second)
 		if s := f.owner.Stats(); late != running || s.MovedLeaving != 0 || s.Lost != int64(running) {
@@ -255,8 +256,8 @@
 // target: here they arrive in each interval between two lists.
 func TestLateHeartbeatsOfLeavingTarget(t *testing.T) {
 	for _, withClock := range []bool{true, false} {
-		f := newFleet(t, fleetGates, true)
-		leaves, running := f.longTasks(fleetTasks, func(BestEffortResult) {})
+		f := newLeavingFleet(t, leavingGates, true)
+		leaves, running := f.longTasks(leavingTasks, func(BestEffortResult) {})
 		h := f.leave(leaves, 600*time.Millisecond, 600*time.Millisecond)
 		if !withClock {
 			h.ClockMS = 0
@@ -278,12 +279,12 @@
 // While the owner doesn't answer, the runs of its task go on and die with the target. Their tasks
 // start again once that is known.
 func TestOwnerThatDoesNotAnswerBesideLeavingTarget(t *testing.T) {
-	f := newFleet(t, fleetGates, true)
+	f := newLeavingFleet(t, leavingGates, true)
 	ended := false
-	leaves, running := f.longTasks(fleetTasks, func(r BestEffortResult) { ended = r.State == job.StateCompleted })
+	leaves, running := f.longTasks(leavingTasks, func(r BestEffortResult) { ended = r.State == job.StateCompleted })
 	leaves.cut = true
-	f.leave(leaves, fleetNotice, fleetNotice)
-	f.proceed(fleetNotice)
+	f.leave(leaves, leavingNotice, leavingNotice)
+	f.proceed(leavingNotice)
 	if late, s := f.openAt(leaves), f.owner.Stats(); late < running || s.MovedLeaving != 0 {
 		t.Errorf("%d tasks there at its end, %d moved, want %d and 0", late, s.MovedLeaving, running)
 	}
