--- a/gate/leaving.go
+++ b/gate/leaving.go
@@ -67,6 +67,8 @@
 	// leavingLogged is set once the event about the end was recorded, warm once the cold time has
 	// ended.
 	leavingLogged, warm bool
+	// warmMS is the target's clock when the cold time ended; 0 before that or if it is unknown.
+	warmMS int64
 }
 
 // update applies a heartbeat; only a draining target has an end.
@@ -133,13 +135,14 @@
 	if g.lifetime.warm || !g.lifetime.cold.known() || g.coldLeft(now) > 0 {
 		return
 	}
-	g.endCold()
+	g.endCold(now)
 }
 
 // endCold ends the cold time, once for each incarnation. What was measured in that time says
 // nothing about the target's usual speed.
-func (g *Gate) endCold() {
+func (g *Gate) endCold(now Time) {
 	g.lifetime.warm = true
+	g.lifetime.warmMS = g.knownClock(now)
 	g.speed.Reset()
 	g.reportChanged()
 }
--- a/gate/speed_test.go
+++ b/gate/speed_test.go
@@ -99,3 +99,27 @@
 		t.Errorf("slowness %v after a restart, want it unknown", got)
 	}
 }
+
+// Runs that began in the cold time are slow too if they end after it. Were they counted, a target
+// full of runs at the end of its cold time would seem slow for 10 s.
+func TestRunsBegunColdGiveNoSpeedSample(t *testing.T) {
+	b := newBench(t)
+	b.gate.lifetime.cold.update(b.now, 0, 100*time.Millisecond)
+	var ends []Ended
+	for i := range speed.MinSamples {
+		name := testRun("bb", i, 1)
+		b.started(b.order(false, name))
+		ends = append(ends, Ended{Number: int64(1 + i), Name: name, Kind: EndDone})
+	}
+	b.now += 200 * time.Millisecond
+	b.hold(HoldAnswer{Finished: ends})
+	if got := b.medianSlowness(); got != 0 || !b.gate.lifetime.warm {
+		t.Errorf("slowness %v, cold time ended %v; want it unknown after runs that began cold", got, b.gate.lifetime.warm)
+	}
+	for i := range speed.MinSamples {
+		b.endRun(speed.MinSamples+i, 100*time.Millisecond, EndDone)
+	}
+	if got := b.medianSlowness(); got < 0.9 || got > 1.2 {
+		t.Errorf("slowness %v, want that of the runs after the cold time, 1", got)
+	}
+}
