Log the free capacity that counted for a refused job

With placement by speed, free cores count by how likely the job would be in time there. The line had only all free cores, so refusals seemed to happen while there was room. TestRefusalLogsRoomInTime fails without the field.

--- a/owner/log.go
+++ b/owner/log.go
@@ -21,9 +21,9 @@
 func (o *Owner) logRefused(now Time, j *liveJob, why string) {
 	o.stats.Refused++
 	capacity, room := roomAt(now, o.usableGates(), nil, j)
-	weighted, _ := o.roomFor(now, j)
+	weighted, inTime := o.roomFor(now, j)
 	o.log.Info("Job refused.", "job", j.record.ID, "queue", j.record.Queue.Name, "why", why, "ageMS", (now - j.arrived).Milliseconds(),
-		"capacityCPU", capacity, "weightedCapacityCPU", weighted, "freeCPU", room, "needCPU", j.need(), "waitingTasks", o.waiting.len(), "slackMS", (j.startBy - now).Milliseconds(),
+		"capacityCPU", capacity, "weightedCapacityCPU", weighted, "freeCPU", room, "inTimeFreeCPU", inTime, "needCPU", j.need(), "waitingTasks", o.waiting.len(), "slackMS", (j.startBy - now).Milliseconds(),
 		"retryAfterMS", o.refusal(now, j).RetryAfter.Milliseconds())
 }
 
--- a/owner/speed_test.go
+++ b/owner/speed_test.go
@@ -383,6 +383,23 @@
 	}
 }
 
+// The log line of a refused job has the free CPU that counted beside all of it: otherwise a job
+// that would be late on the free targets seems to be refused although there is room.
+func TestRefusalLogsRoomInTime(t *testing.T) {
+	b := newSpeedHarness(t, 1, 1, 1, 2.2)
+	for i := range 3 {
+		b.use(i, 0)
+	}
+	line := ""
+	b.owner.log = logr.New(funcr.New(func(_, args string) { line = args }, funcr.Options{}).GetSink())
+	s := testSubmission("00000000000000aa", 1)
+	s.Steps[0].EstimateMS = 800
+	b.owner.logRefused(b.now, newLiveJob(job.Record{Submission: s}, b.now), "test")
+	if want := `"freeCPU"=16000 "inTimeFreeCPU"=0`; !strings.Contains(line, want) {
+		t.Errorf("log line %s, want %s", line, want)
+	}
+}
+
 // An operator's policy sees the median slowness if tasks are placed by speed.
 func TestPolicySeesSpeed(t *testing.T) {
 	b := newSpeedHarness(t, 1, 2.2, 0, 0)
