--- a/owner/place.go
+++ b/owner/place.go
@@ -164,7 +164,7 @@
 }
 
 func medianSlowness(usable []*gateView) float64 {
-	var all []float64
+	all := make([]float64, 0, len(usable))
 	for _, v := range usable {
 		if v.report.Slowness > 0 {
 			all = append(all, v.report.Slowness)
--- a/owner/speed_test.go
+++ b/owner/speed_test.go
@@ -475,6 +475,7 @@
 			h.owner.options.Decisions.PlaceBySpeed = bySpeed
 			for i := range slowness {
 				h.use(i, 0)
+				h.change(i, func(r *gate.Report) { r.Slowness = slowness[i] })
 			}
 			h.run(1, 1, 800)
 			b.ReportAllocs()
