--- a/owner/owner.go
+++ b/owner/owner.go
@@ -134,12 +134,11 @@
 	shortSince Time
 	// evacuations is the newest state of the evacuated failure domains.
 	evacuations evacuation.News
-	// measured is used by compareSpeeds.
+	// measured is the buffer of compareGates.
 	measured []float64
-	// meanRun is the smoothed estimate of the tasks that were placed, meanOf their number; both
-	// are 0 unless tasks are placed by speed.
-	meanRun time.Duration
-	meanOf  int64
+	// means has the mean estimate of the tasks of each service; empty unless tasks are placed
+	// by speed.
+	means map[string]*meanEstimate
 	// lastContact is when another process last reached this one.
 	lastContact Time
 	// returns holds what is known of refused callers; nil while all are told to return after
@@ -163,7 +162,7 @@
 	// Returned counts jobs that were submitted again after a refusal.
 	Returned int64
 
-	// PlacedSlow counts tasks placed on a target that is slower than the median one,
+	// PlacedSlow counts tasks placed on a target that is slower than its service's median one,
 	// HeldForSpeed how often a task waited for a faster target.
 	PlacedSlow, HeldForSpeed int64
 
@@ -197,6 +196,8 @@
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:         o.Log,
 		shares:      newShares(o.Decisions),
+
+		means: map[string]*meanEstimate{},
 	}
 	n.returns = n.newReturns()
 	return n
--- a/owner/speed_test.go
+++ b/owner/speed_test.go
@@ -229,6 +229,23 @@
 	b.want("short", 0, 0, 0, 2)
 }
 
+// A task that waits because it avoids the fast target with room doesn't keep the other tasks of its
+// step from that target.
+func TestAvoidingTaskDoesNotHoldOthers(t *testing.T) {
+	b := newSpeedHarness(t, 1, 1, 1, 2.2)
+	for i := range 3 {
+		b.use(i, 0)
+	}
+	j := b.run(1, 3, 800)
+	b.want("on arrival", 0, 0, 0, 0)
+	j.tasks[0].avoid = map[string]bool{gateName(0): true}
+	b.use(0, 3200)
+	b.want("with room at a fast target", 2, 0, 0, 0)
+	if !j.tasks[0].held || j.tasks[0].phase != taskWaiting {
+		t.Error("the task that avoids the target was placed")
+	}
+}
+
 // A target of unknown speed gets work like the median one, but no more than shows its speed:
 // it may have been slow before it had no runs for a time.
 func TestUnknownTargetsAreTried(t *testing.T) {
@@ -250,6 +267,42 @@
 	}
 }
 
+// Tasks of another service and tasks without an estimate don't count in the mean estimate, by which
+// the tasks are chosen that try an unknown target: they would keep all others from it.
+func TestOtherTasksDoNotKeepUnknownTargetsUntried(t *testing.T) {
+	for _, test := range []struct {
+		name, service string
+		estimateMS    int
+	}{{"short tasks of another service", "other", 10}, {"tasks without an estimate", testService, 0}} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newSpeedHarness(t, 1, 2.2, 0, 1, 1, 1)
+			b.change(5, func(r *gate.Report) { r.Service = "other" })
+			b.run(1, 1, 100)
+			s := testSubmission("00000000000000aa", 8)
+			s.Queue.Service, s.Steps[0].EstimateMS = test.service, test.estimateMS
+			b.owner.RunBestEffort(s, time.Minute, func(BestEffortResult) {})
+			b.starts()
+			for _, i := range []int{0, 1, 3, 4} {
+				b.use(i, 8000)
+			}
+			b.use(2, 16000)
+			b.run(2, 1, 100)
+			b.want("as long as the mean", 0, 0, 1, 0, 0, 0)
+		})
+	}
+}
+
+// The mean estimates don't grow with the number of services that were ever configured.
+func TestMeanEstimatesAreBounded(t *testing.T) {
+	b := newSpeedHarness(t)
+	for i := range 3 * maxMeans {
+		b.owner.meanOf(fmt.Sprint(i)).add(time.Second)
+	}
+	if n := len(b.owner.means); n > maxMeans {
+		t.Errorf("%d services have a mean estimate, want at most %d", n, maxMeans)
+	}
+}
+
 // A target that has just started and is cold counts as slow until it is measured.
 func TestColdTarget(t *testing.T) {
 	b := newSpeedHarness(t, 1, 1, 1, 0)
@@ -330,6 +383,23 @@
 	}
 }
 
+// The log line of a refused job has the free CPU that counted beside all of it: otherwise a job
+// that would be late on the free targets seems to be refused although there is room.
+func TestRefusalLogsRoomInTime(t *testing.T) {
+	b := newSpeedHarness(t, 1, 1, 1, 2.2)
+	for i := range 3 {
+		b.use(i, 0)
+	}
+	line := ""
+	b.owner.log = logr.New(funcr.New(func(_, args string) { line = args }, funcr.Options{}).GetSink())
+	s := testSubmission("00000000000000aa", 1)
+	s.Steps[0].EstimateMS = 800
+	b.owner.logRefused(b.now, newLiveJob(job.Record{Submission: s}, b.now), "test")
+	if want := `"freeCPU"=16000 "inTimeFreeCPU"=0`; !strings.Contains(line, want) {
+		t.Errorf("log line %s, want %s", line, want)
+	}
+}
+
 // An operator's policy sees the median slowness if tasks are placed by speed.
 func TestPolicySeesSpeed(t *testing.T) {
 	b := newSpeedHarness(t, 1, 2.2, 0, 0)
@@ -337,7 +407,7 @@
 	for i := range 4 {
 		b.change(i, func(r *gate.Report) { r.Slowness = 3 })
 	}
-	b.owner.compareSpeeds(b.owner.usableGates())
+	b.owner.compareSpeeds(b.owner.usableGates(), testService)
 	for i, want := range []float64{1, 2.2, 0, 4.4} {
 		v := b.owner.gates[gateName(i)]
 		if got := b.owner.targetView(v, job.Resources{CPU: 1}).Pace; got != want {
@@ -350,6 +420,52 @@
 	}
 }
 
+// The gates of each service are compared with each other only: where the estimates of one service
+// are off by another factor than those of the other, neither service has slow targets, and each
+// task goes to the same gate as by room. A slow target of one service doesn't change the other.
+func TestServicesAreComparedSeparately(t *testing.T) {
+	play := func(bySpeed bool, slowness ...float64) (first [][]int, slow int64) {
+		b := newSpeedHarness(t, slowness...)
+		b.owner.options.Decisions.PlaceBySpeed = bySpeed
+		b.owner.random = rand.New(rand.NewPCG(1, 2))
+		for i := 3; i < len(slowness); i++ {
+			b.change(i, func(r *gate.Report) { r.Service = "other" })
+		}
+		for i := range 20 {
+			b.use(i%3, 16000-1600*(i%7))
+			b.run(i, 1+i%3, 50+i*20)
+			first = append(first, b.starts())
+		}
+		return first, b.owner.Stats().PlacedSlow
+	}
+	byRoom, _ := play(false, 0, 0, 0, 0, 0, 0, 0)
+	for _, slowness := range [][]float64{
+		{2.2, 2.2, 2.2, 1, 1, 1, 1},
+		{1, 1, 1, 2.2, 2.2, 2.2, 2.2},
+		{1, 1, 1, 1, 1, 2.2, 2.2},
+	} {
+		if got, slow := play(true, slowness...); fmt.Sprint(got) != fmt.Sprint(byRoom) || slow != 0 {
+			t.Errorf("slowness %v: placed %v, %d on slow targets, by room %v", slowness, got, slow, byRoom)
+		}
+	}
+
+	// The estimates of the service "other" are off by a factor of 4; one of its targets is slow.
+	b := newSpeedHarness(t, 1, 1, 1, 4, 4, 8.8)
+	for i := 3; i < 6; i++ {
+		b.change(i, func(r *gate.Report) { r.Service = "other" })
+	}
+	for i := 3; i < 5; i++ {
+		b.use(i, 3200)
+	}
+	s := testSubmission("00000000000000aa", 2)
+	s.Queue.Service, s.Queue.Stretch = "other", 6
+	s.Steps[0].EstimateMS = 200
+	b.owner.RunBestEffort(s, time.Minute, func(BestEffortResult) {})
+	if got := b.starts(); got[3]+got[4] != 2 {
+		t.Errorf("starts %v, want none on the slow target of the other service", got)
+	}
+}
+
 // BenchmarkPlace measures one call of place for a task that finds no room at 60 gates.
 func BenchmarkPlace(b *testing.B) {
 	for _, bySpeed := range []bool{false, true} {
@@ -359,6 +475,7 @@
 			h.owner.options.Decisions.PlaceBySpeed = bySpeed
 			for i := range slowness {
 				h.use(i, 0)
+				h.change(i, func(r *gate.Report) { r.Slowness = slowness[i] })
 			}
 			h.run(1, 1, 800)
 			b.ReportAllocs()
