Placement by speed: targets as fast as estimated are fast enough; samples from progress

Change: the median target counts as fast unless it takes longer than estimated; a task waits only if it is expected late otherwise. A run's measured progress is a sample, one for each run, so that a target that turns slow is noticed before its runs have ended.

--- a/gate/lists.go
+++ b/gate/lists.go
@@ -74,7 +74,7 @@
 		if x.Checkpoint != "" {
 			r.checkpoint = x.Checkpoint
 		}
-		g.updateProgress(r, x.Percent)
+		g.updateProgress(now, r, x.Percent)
 		if r.ofFormerIncarnation {
 			r.ofFormerIncarnation = false
 			r.startedMS = g.listedMS
--- a/gate/progress.go
+++ b/gate/progress.go
@@ -41,12 +41,14 @@
 	behind   bool
 	// reported is set once the owner was told that the run should move to another target.
 	reported bool
+	// recorded is set once the progress was recorded as a sample of the target's speed.
+	recorded bool
 	listing  listing
 }
 
 // updateProgress records the progress of a run from the target's newest list. It uses the
 // target's clock, since the list may have been delayed.
-func (g *Gate) updateProgress(r *run, percent int) {
+func (g *Gate) updateProgress(at Time, r *run, percent int) {
 	if percent == PercentUnknown {
 		return
 	}
@@ -63,6 +65,7 @@
 	expected := min(100*float64(watched)/float64(r.estimate), float64(100-p.percent))
 	stalled := percent <= p.percent
 	p.measured = true
+	g.recordProgress(at, r, watched, percent-p.percent)
 	p.behind = float64(percent-p.percent) < behindFactor*expected
 	p.since, p.percent = now, percent
 	if stalled {
--- a/gate/speed.go
+++ b/gate/speed.go
@@ -1,15 +1,28 @@
 package gate
 
+import "time"
+
 // This file measures the speed of the target; see package speed.
 
 // recordSpeed adds a run that has ended to the window. Ends that were heard late have no run time
-// and don't count, nor do runs that were started in the cold time and ended after it.
+// and don't count, nor do runs that were started in the cold time and ended after it. Runs whose
+// progress was recorded are in the window already.
 func (g *Gate) recordSpeed(now Time, r *run) {
-	if r.end == EndDone && r.startedMS >= g.lifetime.warmMS {
+	if r.end == EndDone && r.startedMS >= g.lifetime.warmMS && !r.progress.recorded {
 		g.speed.Add(now, r.ran, r.estimate)
 	}
 }
 
+// recordProgress adds the progress of a run, in percent of its work, over a time on the target's
+// clock. A target that turns slow is noticed before the runs that it slows down have ended. A run
+// that stands still tells nothing about the target's speed.
+func (g *Gate) recordProgress(now Time, r *run, watched time.Duration, percent int) {
+	if percent > 0 && r.progress.since.Milliseconds() >= g.lifetime.warmMS {
+		g.speed.AddProgress(now, r.order, watched, r.estimate*time.Duration(percent)/100)
+		r.progress.recorded = true
+	}
+}
+
 // MedianSlowness returns the median ratio of run time to estimate, 0 if it is unknown.
 func (g *Gate) MedianSlowness(now Time) float64 { return g.speed.Slowness(now) }
 
--- a/gate/speed_test.go
+++ b/gate/speed_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"rackspur/job"
 	"rackspur/speed"
 )
 
@@ -123,3 +124,30 @@
 		t.Errorf("slowness %v, want that of the runs after the cold time, 1", got)
 	}
 }
+
+// A target that turns slow must be noticed by the progress of its runs: before the first of the
+// runs that it slows down has ended, tasks would go there for the length of a run.
+func TestSpeedByProgress(t *testing.T) {
+	b := newBench(t)
+	for i := range speed.MinSamples {
+		b.endRun(i, 100*time.Millisecond, EndDone)
+	}
+	var names []job.RunName
+	for i := range 2 * speed.MinSamples {
+		name := testRun("bb", i, 1)
+		b.started(b.order(false, name))
+		names = append(names, name)
+	}
+	list := func(percent int) (lists HoldAnswer) {
+		for _, name := range names {
+			lists.Running = append(lists.Running, Running{Name: name, Percent: percent})
+		}
+		return lists
+	}
+	b.hold(list(10))
+	b.now += 50 * time.Millisecond
+	b.hold(list(30))
+	if got := b.medianSlowness(); got < 2.3 || got > 2.7 {
+		t.Errorf("slowness %v after 20%% of the work in 50 ms, half of the estimate; want 2.5", got)
+	}
+}
--- a/speed/fleet.go
+++ b/speed/fleet.go
@@ -16,9 +16,12 @@
 	// coldFactor is how many times slower than the median a cold target counts whose slowness
 	// is unknown.
 	coldFactor = 2
-	// fastShare is the share of the targets, by slowness, whose slowest gives the slowness of
-	// the fast ones. The fastest target alone may only seem fast by chance.
+	// fastShare is the share of the targets, by slowness, whose slowest counts as fast in any
+	// case. The fastest target alone may only seem fast by chance.
 	fastShare = 0.2
+	// asEstimated is the slowness of a target that runs tasks in their estimated time.
+	// Objectives are derived from estimates, so such a target is fast enough.
+	asEstimated = 1
 )
 
 // Target is what an owner knows of the speed of a target.
@@ -35,7 +38,8 @@
 	Reference float64
 	// Differ is set if a target is faster or slower than the median by more than the tolerance.
 	Differ bool
-	// Fast is the slowness of the fast targets.
+	// Fast is the slowness up to which targets are fast: the median, or less if the median
+	// target takes longer than estimated.
 	Fast float64
 }
 
@@ -57,7 +61,8 @@
 	}
 	f := Fleet{Reference: known[len(known)/2], Differ: cold}
 	f.Differ = f.Differ || f.deviates(known[0]) || f.deviates(known[len(known)-1])
-	f.Fast = f.adjust(known[int(fastShare*float64(len(known)))])
+	fastest := f.adjust(known[int(fastShare*float64(len(known)))])
+	f.Fast = min(f.Reference, max(fastest, asEstimated))
 	return f
 }
 
--- a/speed/place.go
+++ b/speed/place.go
@@ -84,8 +84,9 @@
 }
 
 // WorthWaiting reports whether a task waits for a faster target: now is what to expect of the
-// best target with room, then of a target without room after the expected wait. The task never
-// waits if it couldn't end in time any more after that.
+// best target with room, then of a target without room after the expected wait. A task that is
+// expected to end in time doesn't wait: the fastest targets would become a bottleneck. Nor does
+// one that couldn't end in time any more after the wait.
 func WorthWaiting(now, then End) bool {
-	return then.InTime && now.Late-then.Late > holdGain
+	return !now.InTime && then.InTime && now.Late-then.Late > holdGain
 }
--- a/speed/window.go
+++ b/speed/window.go
@@ -12,7 +12,7 @@
 
 // Limits of a Window.
 const (
-	// MinSamples is how many runs must have ended for the slowness to be known. With fewer, one
+	// MinSamples is how many runs must have been recorded for the slowness to be known. With fewer, one
 	// task that takes seven times as long moves the median too far.
 	MinSamples = 5
 	// maxSamples is how many of the newest runs count. Estimates are off by 40%, so the median
@@ -33,14 +33,37 @@
 type sample struct {
 	at    time.Duration
 	ratio float64
+	// run identifies a run that was at work when its progress was recorded; 0 for one that has
+	// ended.
+	run uint64
 }
 
 // Add records a run that has ended. Runs of unknown run time or estimate don't count.
 func (w *Window) Add(now, ran, estimate time.Duration) {
-	if ran <= 0 || estimate <= 0 {
+	if ran > 0 && estimate > 0 {
+		w.add(sample{at: now, ratio: float64(ran) / float64(estimate)})
+	}
+}
+
+// AddProgress records that a run has taken a time for a part of its work, given as the estimate
+// of that part. It replaces what was recorded of the run before: otherwise a few long tasks would
+// fill the window of a target with little work.
+func (w *Window) AddProgress(now time.Duration, run uint64, took, estimate time.Duration) {
+	if took <= 0 || estimate <= 0 {
 		return
 	}
-	w.samples[w.next] = sample{at: now, ratio: float64(ran) / float64(estimate)}
+	s := sample{at: now, ratio: float64(took) / float64(estimate), run: run}
+	for i := range w.count {
+		if w.samples[i].run == run {
+			w.samples[i] = s
+			return
+		}
+	}
+	w.add(s)
+}
+
+func (w *Window) add(s sample) {
+	w.samples[w.next] = s
 	w.next = (w.next + 1) % maxSamples
 	w.count = min(w.count+1, maxSamples)
 }
@@ -48,7 +71,7 @@
 // Reset drops all samples.
 func (w *Window) Reset() { w.count, w.next = 0, 0 }
 
-// Slowness returns the median ratio, or 0 if too few runs have ended lately.
+// Slowness returns the median ratio, or 0 if too few runs were recorded lately.
 func (w *Window) Slowness(now time.Duration) float64 {
 	var ratios [maxSamples]float64
 	n := 0
