Reasons and figures behind constants and rules back in the comments

Change: 44 comments state them again in today's names: gate 19, peer 7, member 6, owner 5, rowstore 4, node 2, platform 1. No tests were run.

--- a/gate/event.go
+++ b/gate/event.go
@@ -167,7 +167,8 @@
 	g.events = append(g.events, Event{Kind: EventLost, Run: r.RunName, Owner: r.owner, Cause: cause, LeaseLeft: g.leaseLeft(now)})
 }
 
-// maxEvents bounds the events kept between two calls of TakeEvents.
+// maxEvents bounds the events kept between two calls of TakeEvents. A gate has some tens of
+// runs.
 const maxEvents = 200
 
 // record records an event about a run.
--- a/gate/health.go
+++ b/gate/health.go
@@ -20,7 +20,9 @@
 	// slownessWeight is the weight of a new sample in the smoothed ratio.
 	slownessWeight = 0.15
 	// slownessMaxAge is how long the smoothed ratio counts after the newest sample. Owners
-	// avoid slow targets, so without new runs an outdated ratio would never change.
+	// avoid slow targets, so without new runs an outdated ratio would never change: a target
+	// that had been silent for 0.85 s got no runs for 30 s. Most slow targets are slow for less
+	// than 10 s.
 	slownessMaxAge = 10 * time.Second
 )
 
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -45,7 +45,7 @@
 
 // ackWindow is how long after the target's newest answer ends may be acknowledged. A target
 // that restarts while a hold waits numbers its ends anew, and an acknowledgement sent beside
-// that hold would make it drop an unreported end.
+// that hold would make it drop an unreported end, and the task would run again.
 const ackWindow = 20 * time.Millisecond
 
 // mayAcknowledge reports whether the current incarnation is known to be running. A newer one
@@ -61,7 +61,8 @@
 }
 
 // holdsPerLease limits the wait of a hold to a fraction of the lease, so that a short lease
-// does not expire before the next hold arrives.
+// does not expire before the next hold arrives: with a lease of 200 ms, a hold that waits
+// 150 ms leaves too little time.
 const holdsPerLease = 4
 
 // holdsUnanswered reports whether holds have gone unanswered for so long that the lease is no
--- a/gate/holdloop.go
+++ b/gate/holdloop.go
@@ -99,7 +99,8 @@
 func (l *holdLoop) newest() *holdCall { return l.underWay[len(l.underWay)-1] }
 
 // onHoldRequest sends a hold immediately. After a restart of the target, the holds in flight
-// are abandoned first: they may hang, and the new incarnation would stay unnoticed meanwhile.
+// are abandoned first: they may hang, and the new incarnation would stay unnoticed for up to
+// 250 ms, in which it carried out orders meant for the previous one.
 func (l *holdLoop) onHoldRequest(ctx context.Context) {
 	if l.driver.replaceHolds.Swap(false) {
 		l.abandonAll()
@@ -169,7 +170,8 @@
 
 // hasRoom reports whether another hold may be sent. If late holds take up the limit, it cancels
 // them; a cancelled call occupies the target a moment longer, so the next hold is sent only
-// once it has returned.
+// once it has returned. Without counting late holds, the target had four at once while half of
+// the calls hung.
 func (l *holdLoop) hasRoom() bool {
 	if len(l.late) == 0 || len(l.underWay)+len(l.late) < maxHolds-1 {
 		return len(l.underWay) < maxHolds
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -132,8 +132,8 @@
 
 // endIncarnation records that the current incarnation has ended for good: a call that named it
 // was rejected, or it has deregistered. A heartbeat of another incarnation is no proof, since
-// it may have been delayed. sameID says whether the target may return under its id; see
-// replaceIncarnation.
+// it may have been delayed, and the current one would no longer be trusted. sameID says whether
+// the target may return under its id; see replaceIncarnation.
 func (g *Gate) endIncarnation(now Time, sameID bool) {
 	over := g.current
 	g.replaceIncarnation(now, Incarnation{}, sameID)
@@ -156,7 +156,7 @@
 // onTurnedAway handles the rejection of a call that named the current id; id is the target that
 // rejected it, or empty if it is unknown. An incarnation that has answered under that id has
 // ended. One that has not was given a wrong id, by the store or a delayed heartbeat, and its
-// runs may still be active.
+// runs may still be active: counting them as lost left two runs of a task active for 48 ms.
 func (g *Gate) onTurnedAway(now Time, id string) Actions {
 	if g.idConfirmed {
 		g.endIncarnation(now, false)
--- a/gate/lateorder.go
+++ b/gate/lateorder.go
@@ -15,10 +15,12 @@
 	// waiting for its answer does not shorten the wait: under load there nearly always is one.
 	lateOrderWait = 20 * time.Millisecond
 	// minLateOrderPause is the shortest time between a failed hold and the next one. A longer
-	// pause lets a newer incarnation carry out late starts before it sees a higher token.
+	// pause lets a newer incarnation carry out late starts before it sees a higher token: with
+	// failurePause, 61 of 62 starts that came 10 ms after its beginning were carried out.
 	minLateOrderPause = 5 * time.Millisecond
 	// minLateOrderTimeout is the shortest time allowed for a parallel hold in addition to its
-	// wait.
+	// wait. Its end makes room for the next hold, which may be the first to reach a newer
+	// incarnation.
 	minLateOrderTimeout = 60 * time.Millisecond
 	// Pause and timeout grow with the time since the target's last answer, divided by these, up
 	// to their usual values: each poll costs a connection, and the target may never come back.
--- a/gate/lease.go
+++ b/gate/lease.go
@@ -5,6 +5,8 @@
 // Lease parameters. A target has a single lease for all its runs. If the gate fails, only the
 // expiry of the lease ends them, so it must not extend beyond the time by which any run has to
 // have ended: mustEndBy returns that time for a run, leaseBound the earliest over all runs.
+// When every hold granted a full lease of 1 s, an agent that failed 0.85 s after an owner left
+// a run active for 0.53 s beside its replacement (TestAgentLostAfterOwner).
 const (
 	// bestEffortGrace is how long after BestEffortContactTimeout a best-effort run may still be
 	// active if its stop is not carried out or the gate fails.
@@ -13,8 +15,9 @@
 	// retried for orderTimeout.
 	minStartLease = 100 * time.Millisecond
 	// unclaimedWait is how long runs of an earlier process wait to be claimed before they are
-	// stopped. The lease is not extended meanwhile, so it must be shorter than what is usually
-	// left of the lease when a killed process has been replaced.
+	// stopped. Owners are linked again within 150 ms. The lease is not extended meanwhile, and
+	// 350 ms are left of it if the process was killed 0.5 s ago. Extending it left a run of a
+	// lost owner active for 1.35 s beside its replacement (TestAgentRestartedAfterOwner).
 	unclaimedWait = 250 * time.Millisecond
 )
 
@@ -79,7 +82,8 @@
 }
 
 // leaseEndMS returns the latest end of the lease that the target may hold, on its clock. This
-// includes leases requested from the previous incarnation, whose clock may have been ahead.
+// includes leases requested from the previous incarnation, whose clock may have been ahead:
+// without them, runs were considered ended 2 s before a lease granted that way expired.
 func (g *Gate) leaseEndMS() int64 { return max(g.grantedMS, g.inheritedMS) }
 
 // leaseOver reports whether the granted lease has certainly expired.
--- a/gate/progress.go
+++ b/gate/progress.go
@@ -16,7 +16,8 @@
 	// little progress remains to be observed.
 	nearlyDone      = 90
 	nearlyDoneShare = 0.5
-	// behindFactor is the fraction of the expected progress below which a run is behind.
+	// behindFactor is the fraction of the expected progress below which a run is behind. One
+	// run in a thousand is below it only because of its estimate.
 	behindFactor = 0.3
 	// watchWait is how long a hold may wait while progress is measured.
 	watchWait = 50 * time.Millisecond
--- a/gate/retry.go
+++ b/gate/retry.go
@@ -8,10 +8,11 @@
 
 // Parameters for retrying an order.
 const (
-	// maxTries is how often an order is sent at most. Even if half of all calls go unanswered,
-	// few orders remain unresolved.
+	// maxTries is how often an order is sent at most. If half of all calls go unanswered, one
+	// order in 256 remains unresolved.
 	maxTries = 8
-	// maxUnansweredTries is the limit while the target answers no call at all.
+	// maxUnansweredTries is the limit while the target answers no call at all. Three tries in a
+	// row are lost by chance only if most calls are.
 	maxUnansweredTries = 3
 	// newConnectionTry is the try that uses a new connection: the connections of the earlier
 	// ones may be dead.
@@ -20,7 +21,8 @@
 	// what became of it.
 	orderTimeout = 60 * time.Millisecond
 	// lateAnswerWait is how long the other tries of a resolved order, and abandoned holds, may
-	// continue. Cancelling a call closes its connection, and most are answered shortly after.
+	// continue. Cancelling a call closes its connection, and most are answered shortly after:
+	// cancelling overdue holds at once caused 11 of 13 new connections per target and minute.
 	lateAnswerWait = maxRTO
 )
 
--- a/gate/room.go
+++ b/gate/room.go
@@ -4,7 +4,8 @@
 
 // QueueShare is how much of a target's capacity, in thousandths, may be queued at its gate
 // beyond what is free, so that a run starts without a round trip when another ends. Longer
-// queues bind runs that could start earlier on another target.
+// queues bind runs that could start earlier on another target. A tenth is about one task of
+// three cores on a target with 32.
 const QueueShare = 100
 
 // trimQueue returns the last runs of the queue to their owners while it exceeds its limit,
--- a/gate/rto.go
+++ b/gate/rto.go
@@ -7,8 +7,8 @@
 
 // Parameters of the retransmission timeout.
 const (
-	// minRTO and maxRTO bound the timeout. The target is on the gate's own box and usually
-	// answers within a few milliseconds.
+	// minRTO and maxRTO bound the timeout. The target is on the gate's own box: it answers half
+	// of the starts within 2 ms and 99 of 100 within 17 ms.
 	minRTO = 8 * time.Millisecond
 	maxRTO = 30 * time.Millisecond
 	// latencyWeight and deviationWeight are the weights of a new sample in the smoothed latency
--- a/member/member.go
+++ b/member/member.go
@@ -51,10 +51,12 @@
 	retryPause    = 100 * time.Millisecond
 	maxRetryPause = time.Second
 	// followWait is how long the store holds a call for changes of the membership. Broken
-	// links reveal a lost box sooner.
+	// links reveal a lost box sooner. A new box becomes known up to 2.5 s late if the
+	// connection of the call has died.
 	followWait = 2 * time.Second
-	// followGather is how long changes of the membership are batched, to bound the number of
-	// calls when all boxes start at once.
+	// followGather is how long changes of the membership are batched. When all boxes start at
+	// once, each change would otherwise cost a call of each entry box: 16,000 calls with 55
+	// entry boxes and 240 agents.
 	followGather = 250 * time.Millisecond
 )
 
--- a/member/refresh.go
+++ b/member/refresh.go
@@ -16,6 +16,8 @@
 
 // Times of refreshes.
 const (
+	// refreshInterval is the time between two refreshes of a box: 984 boxes together make
+	// 3.3 writes a second.
 	refreshInterval = 5 * time.Minute
 	// refreshRetryDelay is the time between a failed refresh and the next.
 	refreshRetryDelay = 10 * time.Second
--- a/member/ring.go
+++ b/member/ring.go
@@ -9,7 +9,8 @@
 )
 
 // ring orders lives by a hash of their nodes. It is divided into parts of the store, since
-// the renewals of a large deployment exceed what a single part can take.
+// the renewals of a large deployment exceed what a single part can take: 184 entry boxes make
+// 526 a second and a part takes 300, so that leases would expire.
 type ring struct {
 	// parts is the number of parts that the ring is divided into.
 	parts int
--- a/member/rows.go
+++ b/member/rows.go
@@ -17,7 +17,8 @@
 
 // The rows of the boxes are spread over several parts of the store by a hash of the node,
 // since a part takes only 300 transactions a second and all boxes write at once after a power
-// loss.
+// loss, agents two rows each. With 184 entry boxes and 800 agents that is about 200 rows per
+// part, which takes less than a second; with twice as many it takes 1.3 s.
 const (
 	entryParts = 2
 	agentParts = 8
--- a/member/watch.go
+++ b/member/watch.go
@@ -49,6 +49,7 @@
 
 // watchedLives is how many live lives of other boxes a box watches: the next ones on the
 // ring. Ended lives in between are watched too, so that every life has that many watchers.
+// With three, one is left on average if two thirds of the boxes are lost.
 const watchedLives = 3
 
 // renewalLateAfter is how long a life may go without a renewal before further lives on the
--- a/node/contact.go
+++ b/node/contact.go
@@ -13,7 +13,8 @@
 
 // longestLease is the longest lease that gates request from their targets. A restarted
 // gate, a restarted target and an owner that replaces runs of a lost gate all wait for it
-// to expire. Gates renew it about every 0.15 s, so five renewals in a row may be lost.
+// to expire: with leases of 15 s, a fleet served only a tenth of its requests in quiet hours.
+// Gates renew it about every 0.15 s, so five renewals in a row may be lost.
 const longestLease = time.Second
 
 // lease returns the lease to request: longestLease or the limit of the platform.
--- a/node/pending.go
+++ b/node/pending.go
@@ -14,7 +14,8 @@
 
 // pendingElsewhere caches the number of jobs per queue that wait at other entry boxes. It
 // is read from their rows in the store at most once per pendingAge; asking all other boxes
-// for each caller would overload small ones.
+// for each caller would overload small ones: 183 connections for it blocked a box with a
+// fifth of a core for 1.6 s.
 type pendingElsewhere struct {
 	mu sync.Mutex
 	// read is when the counts were read.
--- a/owner/admission.go
+++ b/owner/admission.go
@@ -11,7 +11,8 @@
 const (
 	// unplacedShare is the share of its objective that a best-effort job may wait with
 	// no task placed. It is then refused, while its caller can still submit it
-	// elsewhere.
+	// elsewhere. Shares from 0.16 to 0.24 gave the same results; from 0.36 on they were
+	// worse in overload.
 	unplacedShare = 0.2
 	// nearlyDoneShare is the largest share of a late job's tasks that may be left for
 	// the job to keep its place in the queue: most of the work done would be lost
@@ -22,7 +23,7 @@
 	// linkGrace is how long jobs are admitted while no gate is open.
 	linkGrace = time.Second
 	// priorityStep is how much later a job counts as due for each step down in
-	// priority: about the slack of a short job.
+	// priority: about the slack of a short job. 200 ms gave no better results.
 	priorityStep = 100 * time.Millisecond
 )
 
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -243,7 +243,8 @@
 }
 
 // minFullPause and maxFullPause bound how long a task that a full gate has rejected is
-// sent to no full gate. The pause doubles each time.
+// sent to no full gate. The pause doubles each time. Without it a waiting task was sent
+// with every frame and had 1471 runs, all rejected.
 const (
 	minFullPause = 4 * time.Millisecond
 	maxFullPause = 64 * time.Millisecond
--- a/owner/isolation.go
+++ b/owner/isolation.go
@@ -15,7 +15,7 @@
 
 // checkIsolation closes the best-effort jobs if the owner has had no contact for longer
 // than gates let its runs go on. It must be called before anything that could start a
-// task.
+// task, so that a process that resumes after a suspension starts none of theirs.
 func (o *Owner) checkIsolation(now Time) {
 	if now-o.lastContact <= o.options.BestEffortContactTimeout {
 		return
--- a/owner/log.go
+++ b/owner/log.go
@@ -40,8 +40,9 @@
 
 // Limits on logging slow jobs.
 const (
-	// slowAfter is the age from which a best-effort job counts as slow: less than the
-	// 1.3 s after which callers without an answer submit it again.
+	// slowAfter is the age from which a best-effort job counts as slow: more than most
+	// jobs take, and less than the 1.3 s after which callers without an answer submit it
+	// again.
 	slowAfter = time.Second
 	// maxSlowLines is the number of slow jobs that one call of logSlow logs at most.
 	maxSlowLines = 20
--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -238,7 +238,8 @@
 
 // belowHalf reports whether less than half of the share has been reached for longer than
 // shareTimeout. Gates that refuse links count as reached: after a start a gate accepts none
-// until its target has listed its runs or the longest lease has expired.
+// until its target has listed its runs or the longest lease has expired. Otherwise each of
+// 184 entry boxes made 32 links beyond its share whenever all boxes started.
 func (f *Fleet) belowHalf(now time.Time) bool {
 	if 2*f.links.Reached() >= len(f.share.own) {
 		f.belowHalfSince = time.Time{}
--- a/peer/links.go
+++ b/peer/links.go
@@ -29,7 +29,8 @@
 	minBackoff        = 50 * time.Millisecond
 	maxBackoff        = 500 * time.Millisecond
 	// quickBackoff bounds the backoff for quickBackoffFor after a link was lost: a restarted
-	// gate extends no leases of its runs before their owners are linked again.
+	// gate extends no leases of its runs before their owners are linked again. A killed
+	// process is back after 0.5 s, and the lease of its runs expires 0.3 s later.
 	quickBackoff    = 100 * time.Millisecond
 	quickBackoffFor = time.Second
 	// relayedLinkLifetime is how long a link through a peer is kept before a direct one
--- a/peer/openlink.go
+++ b/peer/openlink.go
@@ -36,7 +36,8 @@
 			return worked, err
 		}
 		l.owner.OnFrame(o.node, o.number, fromGateFrame(f))
-		// A gate without runs reports seldom, so its silence is no reason to probe the link.
+		// A gate without runs reports seldom, so its silence is no reason to probe the link:
+		// with 184 entry boxes, such probes ended 310 working links a second.
 		o.watch.frameReceived(l.owner.HasRuns(o.node))
 		if !worked {
 			worked = true
--- a/peer/ranking.go
+++ b/peer/ranking.go
@@ -8,7 +8,8 @@
 // ranking holds the rank of this entry box at each gate: how many other entry boxes come
 // before it by rendezvous hashing. It is updated incrementally: adding or removing an entry
 // box costs one hash per gate, adding a gate one hash per entry box, and a new process of
-// a known box none.
+// a known box none. Computing all ranks for each batch of changes took 12 ms of a core with
+// 184 entry boxes and 800 gates, and 42 ms with twice as many.
 type ranking struct {
 	self    string
 	entries map[string]bool
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -28,7 +28,8 @@
 	relayMargin = 50 * time.Millisecond
 	// relayPeers is the largest number of peers that are tried.
 	relayPeers = 2
-	// maxDirectRead is the timeout of a direct read if as much time is left for peers.
+	// maxDirectRead is the timeout of a direct read if as much time is left for peers. A
+	// slow store answers within 250 ms.
 	maxDirectRead = 500 * time.Millisecond
 	// defaultRelayTimeout applies to calls through a peer without a deadline.
 	defaultRelayTimeout = 2 * time.Second
--- a/peer/server.go
+++ b/peer/server.go
@@ -57,7 +57,8 @@
 	frameTimeout = 900 * time.Millisecond
 	// busyFrameTimeout is how long a link with runs at its gate may go without a frame
 	// before the connection is probed. It allows for two intervals of reportHeartbeat,
-	// the second exceeded by half, and 40 ms of latency.
+	// the second exceeded by half, and 40 ms of latency. A dead connection holds up
+	// everything that is sent over it.
 	busyFrameTimeout = 350 * time.Millisecond
 )
 
--- a/peer/shared.go
+++ b/peer/shared.go
@@ -15,7 +15,9 @@
 
 // SharedStore deduplicates calls: equal calls for changes, and equal reads that may be old,
 // share one call to the store. It serves this process and the peers that use it as a hub.
-// Transactions that allow it are merged; see rowstore.Merger.
+// Transactions that allow it are merged; see rowstore.Merger. Without shared
+// calls, 184 entry boxes made 460 calls a second to the store, and each got every
+// configuration (60 kB) and all boxes (250 kB) from there.
 type SharedStore struct {
 	rowstore.Store
 	mu      sync.Mutex
--- a/rowstore/follow.go
+++ b/rowstore/follow.go
@@ -15,7 +15,7 @@
 // and one through a peer may time out in turn.
 const (
 	// changesWait is how long the store waits for changes by default. It bounds the age of
-	// the follower's knowledge when nothing changes.
+	// the follower's knowledge when nothing changes, at two calls a second for each table.
 	changesWait = 500 * time.Millisecond
 	// changesMargin is added to the timeout of a call for the round trip; a slow store takes
 	// up to 250 ms.
--- a/rowstore/merger.go
+++ b/rowstore/merger.go
@@ -12,13 +12,14 @@
 	maxMergedEntries = 100
 	maxMergedBytes   = 900 << 10
 	// maxCommitTime is the timeout of a merged transaction, and so how long an unanswered one
-	// delays others.
+	// delays others. A slow store answers within 250 ms.
 	maxCommitTime = 500 * time.Millisecond
 )
 
 // Merger is a store that merges transactions of several callers if they allow it. It makes
 // one merged transaction per part at a time; calls that arrive meanwhile go into the next.
-// Without it callers wait for each other, since a part makes its transactions one by one.
+// Without it callers wait for each other, since a part makes its transactions one by one,
+// 300 a second: with 55 owners each accept and each end waited 183 ms, with 184 it would be 613 ms.
 type Merger struct {
 	Store
 	mu    sync.Mutex
--- a/rowstore/scan.go
+++ b/rowstore/scan.go
@@ -11,7 +11,8 @@
 const pageTimeout = 700 * time.Millisecond
 
 // Scan reads parts of a table page by page. Each page has its own timeout, and a failed page
-// does not discard those before it.
+// does not discard those before it. With one timeout of 0.7 s for a table of four pages, no
+// reader got to the end of it from a slow store, and all started over at the same time.
 type Scan struct {
 	// MayBeOld is how much older than the call a page may be; see Query.MayBeOld.
 	MayBeOld time.Duration
