share: jobs without slack, behind closed gates or of evicted queues are no losses

Three kinds of jobs counted as lost though no order of the waiting tasks would have saved them, so their class was lifted at the expense of others: - a job without slack (stretch 1, no fixed latency) that was late without any wait; - a job that was admitted and whose gates were then closed or evacuated; - a job of a queue that was evicted from the accounts: its loss created the queue again, evicted another one, and gave the class a loss without a request and the largest step.

A job is only lost if it has waited and the gates that are open by then could run it; only arrivals create a queue. Each case has a test that fails without its change.

--- a/owner/share.go
+++ b/owner/share.go
@@ -131,7 +131,8 @@
 			wait = max(wait, now-t.since)
 		}
 	}
-	if 2*wait >= j.startBy-j.arrived {
+	// A job without slack is late without any wait.
+	if wait > 0 && 2*wait >= j.startBy-j.arrived {
 		o.loseShare(now, j)
 		return
 	}
@@ -149,9 +150,15 @@
 	}
 }
 
-// loseShare accounts for a job that was not served in time for want of capacity.
+// loseShare accounts for a job that was not served in time for want of capacity. It doesn't
+// count if the gates that are open by now could not run it at once: an earlier place in the
+// order would not have helped.
 func (o *Owner) loseShare(now Time, j *liveJob) {
-	if j.share.counted {
+	switch {
+	case !j.share.counted:
+	case !o.countsForShare(j):
+		o.withdrawShare(now, j)
+	default:
 		j.share.counted = false
 		o.shares.Lost(now, j.share.job)
 	}
--- a/owner/share_test.go
+++ b/owner/share_test.go
@@ -543,6 +543,19 @@
 			l.slow[j.record.ID] = 3
 			l.run(400 * ms)
 		}},
+		{name: "late without waiting or slack", change: func(s *job.Submission) { s.Queue.Stretch, s.Queue.TargetLatencyMS = 1, 0 }, play: func(l *shareLoad, j *liveJob) {
+			l.slow[j.record.ID] = 3
+			l.run(400 * ms)
+		}},
+		{name: "refused after its gates were closed", full: true, play: func(l *shareLoad, _ *liveJob) {
+			l.report(func(r *gate.Report) { r.Open, r.Evacuated = false, true })
+			l.pass(60 * ms)
+		}},
+		{name: "late after its gates were closed", full: true, play: func(l *shareLoad, j *liveJob) {
+			j.placed = true
+			l.report(func(r *gate.Report) { r.Open, r.Evacuated = false, true })
+			l.pass(230 * ms)
+		}},
 		{name: "caller leaves in time", full: true, play: func(l *shareLoad, j *liveJob) { l.owner.RemoveCaller(j.record.ID, j.callers[0].ticket) }},
 		{name: "caller leaves late", full: true, requested: true, lost: true, play: func(l *shareLoad, j *liveJob) {
 			j.placed = true
@@ -599,6 +612,15 @@
 	}
 }
 
+// report sends a changed report of each gate.
+func (l *shareLoad) report(change func(*gate.Report)) {
+	for _, g := range l.gates {
+		r := testReport()
+		change(&r)
+		l.owner.OnFrame(g.name, g.link, gate.Frame{Clock: l.now, Report: r})
+	}
+}
+
 // A refusal by an operator's policy or by an owner that has stopped says nothing about
 // shares.
 func TestRefusalsThatDontCount(t *testing.T) {
--- a/share/share.go
+++ b/share/share.go
@@ -118,7 +118,7 @@
 	q := a.use(j.Class)
 	q.jobs = min(q.jobs+1, meanJobs)
 	q.meanNeed += (float64(need) - q.meanNeed) / q.jobs
-	a.add(now, j.Class, j.Work, 0)
+	a.add(now, j, j.Work, 0)
 }
 
 // Refused accounts for a job that is refused at its arrival.
@@ -131,19 +131,23 @@
 // dated back to its arrival: losses of jobs with long tasks become known late and would
 // hardly count otherwise.
 func (a *Accounts) Lost(now time.Duration, j Job) {
-	a.add(now, j.Class, 0, j.Work)
+	a.add(now, j, 0, j.Work)
 }
 
 // Withdrawn removes a job, admitted the given time ago, of which it will not be known
 // whether it would have been served in time.
 func (a *Accounts) Withdrawn(now time.Duration, j Job, age time.Duration) {
-	a.add(now, j.Class, -j.Work*remaining(age), 0)
+	a.add(now, j, -j.Work*remaining(age), 0)
 }
 
-// add adds the work of a job to a class and to the classes of its service together.
-func (a *Accounts) add(now time.Duration, c Class, requested, lost float64) {
-	q := a.use(c)
-	for _, account := range [...]*account{&q.classes[c.index()], a.services[c.Service]} {
+// add adds work of a job to its class and to the classes of its service together. If the class
+// was evicted while the job was under way, the job no longer counts.
+func (a *Accounts) add(now time.Duration, j Job, requested, lost float64) {
+	q := a.queues[queueKey{j.Class.Service, j.Class.Queue}]
+	if q == nil {
+		return
+	}
+	for _, account := range [...]*account{&q.classes[j.Class.index()], a.services[j.Class.Service]} {
 		account.decayTo(now)
 		account.requested = max(0, account.requested+requested)
 		account.lost += lost
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -119,6 +119,30 @@
 	}
 }
 
+// The end of a job of an evicted queue must neither evict another queue nor leave a loss
+// without its request, by which the queue would be lifted when it is used again.
+func TestLossAfterEviction(t *testing.T) {
+	a := New(maxStep)
+	gone := testJob("gone", 10)
+	for range 10 {
+		a.Arrived(0, gone, testNeed)
+	}
+	for i := range maxQueues {
+		play(a, 0, time.Second, fmt.Sprint("queue ", i), 100, 0, 10)
+	}
+	for range 10 {
+		a.Lost(time.Second, gone)
+		a.Withdrawn(time.Second, gone, time.Second)
+	}
+	if a.queues[queueKey{testService, "queue 0"}] == nil {
+		t.Error("a queue was evicted for one that has no new job")
+	}
+	a.Arrived(time.Second, gone, testNeed)
+	if step := a.Step(time.Second, gone.Class); step != 0 {
+		t.Errorf("step %v after one job that was not lost", step)
+	}
+}
+
 func TestClassOf(t *testing.T) {
 	a := New(maxStep)
 	if a.ClassOf(testService, "queue", 1<<30).Wide {
