owner: compute the figures of a refusal once

For each refused job the capacity of its gates was computed up to four times and the work ahead of it up to four times: for the decision, the delay that the caller is told, and the log line. They are now computed when first needed and kept for that moment; decisions, delays and log lines are as before.

--- a/owner/admission.go
+++ b/owner/admission.go
@@ -27,8 +27,9 @@
 )
 
 // admits reports whether a new job can start in time, or what the policy decides.
-func (o *Owner) admits(now Time, j *liveJob) bool {
-	capacity, room := o.roomFor(now, j)
+func (o *Owner) admits(f *figures) bool {
+	now, j := f.now, f.job
+	capacity, room := f.capacity()
 	if capacity == 0 && o.allEvacuated(j.record.Queue.Service) {
 		// An evacuation lasts until an operator ends it, so waiting would not help.
 		return false
@@ -39,29 +40,62 @@
 	}
 	o.lastOpen = now
 	if o.options.Policy != nil {
-		return o.admitsByPolicy(now, j, capacity)
+		return o.admitsByPolicy(f)
 	}
 	if room >= j.need() {
 		return true
 	}
-	return o.startsBy(now, o.estimateWait(j, capacity), min(j.startBy, j.refuseAt())+admitSlack)
+	return o.startsBy(now, f.wait(), min(j.startBy, j.refuseAt())+admitSlack)
 }
 
-// expectedWait estimates how long a job waits for the queued work ahead of it. The
-// capacity is in thousandths of a core and shared with other owners.
-func (o *Owner) expectedWait(j *liveJob, capacity int) time.Duration {
-	return o.estimateWait(j, capacity).wait
+// figures are the figures that the admission or the refusal of a job at one moment is based
+// on. Each is computed when it is first needed and kept, because a refusal needs it several
+// times: for the decision, the delay that the caller is told and the log line.
+type figures struct {
+	owner  *Owner
+	now    Time
+	job    *liveJob
+	usable []*gateView
+
+	capacityKnown, waitKnown bool
+	total, room              int
+	estimate                 waitEstimate
+}
+
+func (o *Owner) figuresOf(now Time, j *liveJob) *figures {
+	return &figures{owner: o, now: now, job: j}
 }
 
-// roomFor returns the total and the free CPU of the gates that a job may use, in
+// capacity returns the total and the free CPU of the gates that the job may use, in
 // thousandths of a core. If tasks are placed by speed and speeds differ, the capacity is
 // weighted by speed, and only room where the job is expected to end in time counts.
-func (o *Owner) roomFor(now Time, j *liveJob) (capacity, room int) {
-	usable := o.usableGates()
-	return roomAt(now, usable, o.compareSpeeds(usable, j.record.Queue.Service), j)
+func (f *figures) capacity() (total, room int) {
+	if !f.capacityKnown {
+		f.capacityKnown = true
+		f.usable = f.owner.usableGates()
+		f.total, f.room = roomAt(f.now, f.usable, f.owner.compareSpeeds(f.usable, f.job.record.Queue.Service), f.job)
+	}
+	return f.total, f.room
+}
+
+// plainCapacity returns the same without regard to speed.
+func (f *figures) plainCapacity() (total, room int) {
+	f.capacity()
+	return roomAt(f.now, f.usable, nil, f.job)
+}
+
+// wait returns how long the job is expected to wait. The capacity must not be 0.
+func (f *figures) wait() waitEstimate {
+	if !f.waitKnown {
+		f.waitKnown = true
+		capacity, _ := f.capacity()
+		f.estimate = f.owner.estimateWait(f.now, f.job, capacity)
+	}
+	return f.estimate
 }
 
-// roomAt is roomFor with a comparison of these gates; it is not weighted if s is nil.
+// roomAt returns the total and the free CPU of the gates that a job may use, weighted by a
+// comparison of their speeds unless that is nil.
 func roomAt(now Time, usable []*gateView, s *speeds, j *liveJob) (capacity, room int) {
 	var longest speed.Task
 	if s != nil {
@@ -130,7 +164,7 @@
 	j := newLiveJob(job.Record{Submission: *s}, now)
 	o.setShare(now, j)
 	j.setUrgency()
-	admitted := o.admits(now, j)
+	admitted := o.admits(o.figuresOf(now, j))
 	if !admitted {
 		o.countShareRefused(now, j)
 	}
--- a/owner/besteffort.go
+++ b/owner/besteffort.go
@@ -44,9 +44,10 @@
 	o.setShare(now, j)
 	j.setUrgency()
 	o.noteArrival(now, j)
-	if o.stopped || !o.admits(now, j) {
+	f := o.figuresOf(now, j)
+	if o.stopped || !o.admits(f) {
 		o.countShareRefused(now, j)
-		o.logRefused(now, j, "no hope at arrival")
+		o.logRefused(f, "no hope at arrival")
 		result(o.refusedResult(now, j))
 		return c.ticket
 	}
--- a/owner/loadview.go
+++ b/owner/loadview.go
@@ -103,6 +103,8 @@
 // waitEstimate is how long a job is expected to wait.
 type waitEstimate struct {
 	wait time.Duration
+	// ahead is the work ahead of the job at this owner, in core-milliseconds.
+	ahead float64
 	// own is the estimate without the shared view.
 	own time.Duration
 	// shared says that the shared view was used, and oldest is the age of its oldest report.
@@ -112,17 +114,16 @@
 
 // estimateWait estimates how long a job waits for the queued work ahead of it. The capacity
 // is in thousandths of a core and shared with other owners.
-func (o *Owner) estimateWait(j *liveJob, capacity int) waitEstimate {
+func (o *Owner) estimateWait(now Time, j *liveJob, capacity int) waitEstimate {
 	ahead := o.workAhead(j)
 	wait := func(work float64) time.Duration {
 		return time.Duration(work / float64(capacity) * float64(time.Second))
 	}
-	e := waitEstimate{own: wait(ahead * o.ownersPerGate())}
+	e := waitEstimate{ahead: ahead, own: wait(ahead * o.ownersPerGate())}
 	e.wait = e.own
 	if !o.options.Decisions.SharedLoad {
 		return e
 	}
-	now := o.options.Now()
 	if view := o.loadView(now, j.record.Queue.Service); view.Usable() {
 		e.shared = true
 		e.oldest = view.Oldest()
@@ -160,13 +161,13 @@
 	}
 }
 
-// waitFields returns the fields of a log line about a job's expected wait; -1 means that it
+// waitFields returns the fields of a log line about the job's expected wait; -1 means that it
 // is unknown.
-func (o *Owner) waitFields(j *liveJob, capacity int) []any {
-	if capacity == 0 {
+func (f *figures) waitFields() []any {
+	if capacity, _ := f.capacity(); capacity == 0 {
 		return []any{"expectedWaitMS", int64(-1), "loadView", loadViewOwn, "viewAgeMS", int64(-1)}
 	}
-	e := o.estimateWait(j, capacity)
+	e := f.wait()
 	if !e.shared {
 		return []any{"expectedWaitMS", e.wait.Milliseconds(), "loadView", loadViewOwn, "viewAgeMS", int64(-1)}
 	}
--- a/owner/loadview_test.go
+++ b/owner/loadview_test.go
@@ -177,8 +177,7 @@
 	s := testSubmission("ffffffffffffffff", 8)
 	j := newLiveJob(job.Record{Submission: s}, f.now)
 	j.setUrgency()
-	capacity, _ := f.owners[o].roomFor(f.now, j)
-	return f.owners[o].estimateWait(j, capacity)
+	return f.owners[o].figuresOf(f.now, j).wait()
 }
 
 func (f *loadFleet) wantWait(o int, want time.Duration, shared bool) {
@@ -554,6 +553,26 @@
 	}
 }
 
+// The figures of a refusal are computed once: their cost counts under overload.
+func TestFiguresAreComputedOnce(t *testing.T) {
+	f := newLoadFleet(t, 1, 2, sharedLoad)
+	f.submit(0)
+	o := f.owners[0]
+	j := newLiveJob(job.Record{Submission: testSubmission("ffffffffffffffff", 8)}, f.now)
+	j.setUrgency()
+	figures := o.figuresOf(f.now, j)
+	capacity, _ := figures.capacity()
+	wait := figures.wait()
+	if wait.wait == 0 || wait.ahead != 1280 {
+		t.Fatalf("%+v, want the work of a job ahead", wait)
+	}
+	f.leave(0)
+	f.unlink(0, 0)
+	if again, _ := figures.capacity(); again != capacity || figures.wait() != wait {
+		t.Errorf("capacity %d and %+v, at first %d and %+v", again, figures.wait(), capacity, wait)
+	}
+}
+
 // The line about a refused job has the expected wait and says where it comes from.
 func TestRefusalIsLogged(t *testing.T) {
 	for _, c := range []struct {
@@ -595,8 +614,27 @@
 		})
 		b.Run(fmt.Sprintf("estimate, shared %v", d.SharedLoad), func(b *testing.B) {
 			for range b.N {
-				f.owners[0].estimateWait(j, 1000)
+				f.owners[0].estimateWait(f.now, j, 1000)
 			}
 		})
 	}
 }
+
+// BenchmarkRefusal measures what the refusal of a job costs an owner with 35 gates and 1,000
+// waiting tasks.
+func BenchmarkRefusal(b *testing.B) {
+	f := newLoadFleet(&testing.T{}, 1, 35, Decisions{SharedLoad: true, PlaceBySpeed: true, FairShares: true, MaxRetryAfter: time.Minute})
+	waiting := testSubmission("ffffffffffffffff", 1000)
+	waiting.BestEffort = false
+	j := newLiveJob(job.Record{Submission: waiting}, f.now)
+	j.setUrgency()
+	f.owners[0].makeReady(f.now, j)
+	b.ReportAllocs()
+	for i := range b.N {
+		refused := false
+		f.owners[0].RunBestEffort(testSubmission(job.ID(fmt.Sprintf("%016x", i)), 8), time.Minute, func(r BestEffortResult) { refused = r.Refused })
+		if !refused {
+			b.Fatal("admitted")
+		}
+	}
+}
--- a/owner/log.go
+++ b/owner/log.go
@@ -18,14 +18,15 @@
 }
 
 // logRefused counts and logs a refused job, with the figures behind the decision.
-func (o *Owner) logRefused(now Time, j *liveJob, why string) {
+func (o *Owner) logRefused(f *figures, why string) {
 	o.stats.Refused++
-	capacity, room := roomAt(now, o.usableGates(), nil, j)
-	weighted, inTime := o.roomFor(now, j)
+	now, j := f.now, f.job
+	capacity, room := f.plainCapacity()
+	weighted, inTime := f.capacity()
 	fields := []any{"job", j.record.ID, "queue", j.record.Queue.Name, "why", why, "ageMS", (now - j.arrived).Milliseconds(),
 		"capacityCPU", capacity, "weightedCapacityCPU", weighted, "freeCPU", room, "inTimeFreeCPU", inTime, "needCPU", j.need(), "waitingTasks", o.waiting.len(), "slackMS", (j.startBy - now).Milliseconds(),
-		"retryAfterMS", o.refusal(now, j).RetryAfter.Milliseconds()}
-	fields = append(fields, o.waitFields(j, weighted)...)
+		"retryAfterMS", o.refusal(f).RetryAfter.Milliseconds()}
+	fields = append(fields, f.waitFields()...)
 	o.log.Info("Job refused.", append(fields, o.shareFields(now, j)...)...)
 }
 
--- a/owner/policy.go
+++ b/owner/policy.go
@@ -20,11 +20,12 @@
 }
 
 // admitsByPolicy asks the policy whether a new job is admitted.
-func (o *Owner) admitsByPolicy(now Time, j *liveJob, capacity int) bool {
+func (o *Owner) admitsByPolicy(f *figures) bool {
+	now, j := f.now, f.job
 	v := o.jobView(now, j, &j.record.Steps[0])
 	v.Tasks = len(j.tasks)
-	v.ExpectedWaitMS = milliseconds(o.expectedWait(j, capacity))
-	for _, g := range o.usableGates() {
+	v.ExpectedWaitMS = milliseconds(f.wait().wait)
+	for _, g := range f.usable {
 		if g.report.Service != j.record.Queue.Service {
 			continue
 		}
--- a/owner/retryafter.go
+++ b/owner/retryafter.go
@@ -74,11 +74,12 @@
 }
 
 // refusal decides what the caller of a refused job is told, once for each job.
-func (o *Owner) refusal(now Time, j *liveJob) Refusal {
+func (o *Owner) refusal(f *figures) Refusal {
+	now, j := f.now, f.job
 	if j.refusal.RetryAfter > 0 {
 		return j.refusal
 	}
-	j.refusal.RetryAfter = o.chooseDelay(now, j)
+	j.refusal.RetryAfter = o.chooseDelay(f)
 	if o.returns != nil {
 		o.returns.refused.Add(now, string(j.record.ID), retryafter.Refused{Order: j.firstOrder, Delay: j.refusal.RetryAfter})
 	}
@@ -90,23 +91,25 @@
 
 // refusedResult returns the answer to the callers of a refused best-effort job.
 func (o *Owner) refusedResult(now Time, j *liveJob) BestEffortResult {
-	return BestEffortResult{Refused: true, RetryAfter: o.refusal(now, j).RetryAfter}
+	return BestEffortResult{Refused: true, RetryAfter: o.refusal(o.figuresOf(now, j)).RetryAfter}
 }
 
-func (o *Owner) chooseDelay(now Time, j *liveJob) time.Duration {
+func (o *Owner) chooseDelay(f *figures) time.Duration {
 	if o.returns == nil {
 		return time.Second
 	}
+	now, j := f.now, f.job
 	s, work := o.returns.scheduler, j.work()
-	capacity, _ := o.roomFor(now, j)
+	capacity, _ := f.capacity()
 	switch {
 	case capacity == 0 && o.allEvacuated(j.record.Queue.Service):
 		return s.Longest(now, work)
 	case capacity == 0 || o.stopped || o.storeFailed(now, j):
 		return s.Unknown(now, work)
 	}
+	e := f.wait()
 	return s.Delay(now, retryafter.Load{
-		Work: work, Ahead: o.workAhead(j), Wait: o.expectedWait(j, capacity),
+		Work: work, Ahead: e.ahead, Wait: e.wait,
 		Capacity: float64(capacity), Share: float64(capacity) / o.ownersPerGate(),
 	})
 }
--- a/owner/speed_test.go
+++ b/owner/speed_test.go
@@ -377,7 +377,7 @@
 		s := testSubmission("00000000000000aa", 1)
 		s.Steps[0].EstimateMS = test.estimateMS
 		j := newLiveJob(job.Record{Submission: s}, now)
-		if _, room := b.owner.roomFor(now, j); room >= j.need() != test.want {
+		if _, room := b.owner.figuresOf(now, j).capacity(); room >= j.need() != test.want {
 			t.Errorf("tasks of %d ms: room %d", test.estimateMS, room)
 		}
 	}
@@ -394,7 +394,7 @@
 	b.owner.log = logr.New(funcr.New(func(_, args string) { line = args }, funcr.Options{}).GetSink())
 	s := testSubmission("00000000000000aa", 1)
 	s.Steps[0].EstimateMS = 800
-	b.owner.logRefused(b.now, newLiveJob(job.Record{Submission: s}, b.now), "test")
+	b.owner.logRefused(b.owner.figuresOf(b.now, newLiveJob(job.Record{Submission: s}, b.now)), "test")
 	if want := `"freeCPU"=16000 "inTimeFreeCPU"=0`; !strings.Contains(line, want) {
 		t.Errorf("log line %s, want %s", line, want)
 	}
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -81,7 +81,7 @@
 	j := newLiveJob(job.Record{Submission: *s}, now)
 	j.setUrgency()
 	o.noteArrival(now, j)
-	o.refusal(now, j)
+	o.refusal(o.figuresOf(now, j))
 }
 
 // insert writes the row of a new job, provided that it does not exist.
@@ -127,7 +127,7 @@
 		j.answerSubmitters(SubmitAccepted)
 	default:
 		o.stats.Refused++
-		o.refusal(now, j)
+		o.refusal(o.figuresOf(now, j))
 		j.answerSubmitters(SubmitRefused)
 	}
 }
@@ -155,7 +155,7 @@
 		o.withdrawShare(o.options.Now(), j)
 		delete(o.jobs, id)
 		o.stats.Refused++
-		o.refusal(o.options.Now(), j)
+		o.refusal(o.figuresOf(o.options.Now(), j))
 		return SubmitRefused
 	}
 	return SubmitUnknown
--- a/owner/waiting.go
+++ b/owner/waiting.go
@@ -22,7 +22,7 @@
 	}
 	for _, j := range refused {
 		o.loseShare(now, j)
-		o.logRefused(now, j, "no task placed in time")
+		o.logRefused(o.figuresOf(now, j), "no task placed in time")
 		o.drop(j)
 	}
 	for _, j := range changed {
