Metrics: compute waiting work and served ratios only for their own gauges

Each of the 25 to 28 gauges of an entry box read Owner.Stats, which also summed up the waiting work (up to once in 10 ms) and the reports of all gates, and decayed the accounts of up to 256 classes, under the owner's lock. Stats has only counters now; LoadStats and ShareStats are computed for the four gauges that show them. Metric names and values are as before. TestOneBoxWithAllClients notices if reading the counters sums up waiting work again.

--- a/node/metrics.go
+++ b/node/metrics.go
@@ -14,15 +14,18 @@
 // gauges registers the counters of the current owner, the version and age of the
 // configuration, the evacuated failure domains and the linked gates.
 func (e *Entry) gauges() {
-	register := func(name string, read func(owner.Stats) int64) {
+	registerOwner := func(name string, read func(*owner.Owner) int64) {
 		e.options.Metrics.Gauge(name, func() int64 {
 			t := e.current.Load()
 			if t == nil {
 				return 0
 			}
-			return read(t.owner.Stats())
+			return read(t.owner)
 		})
 	}
+	register := func(name string, read func(owner.Stats) int64) {
+		registerOwner(name, func(o *owner.Owner) int64 { return read(o.Stats()) })
+	}
 	register("jobs.accepted", func(s owner.Stats) int64 { return s.Accepted })
 	register("jobs.refused", func(s owner.Stats) int64 { return s.Refused })
 	register("jobs.returned", func(s owner.Stats) int64 { return s.Returned })
@@ -45,13 +48,13 @@
 
 	register("jobs.admitted_by_view", func(s owner.Stats) int64 { return s.AdmittedByView })
 	register("jobs.refused_by_view", func(s owner.Stats) int64 { return s.RefusedByView })
-	register("load.own_core_ms", func(s owner.Stats) int64 { return s.OwnWaiting })
-	register("load.others_core_ms", func(s owner.Stats) int64 { return s.OthersWaiting })
+	registerOwner("load.own_core_ms", func(o *owner.Owner) int64 { return o.LoadStats().Own })
+	registerOwner("load.others_core_ms", func(o *owner.Owner) int64 { return o.LoadStats().Others })
 	register("tasks.stalled", func(s owner.Stats) int64 { return s.Stalled })
 	if e.options.Decisions.FairShares {
 		register("jobs.share_lifted", func(s owner.Stats) int64 { return s.ShareLifted })
-		register("share.worst_served", func(s owner.Stats) int64 { return s.ShareWorst })
-		register("share.served", func(s owner.Stats) int64 { return s.ShareServed })
+		registerOwner("share.worst_served", func(o *owner.Owner) int64 { return o.ShareStats().Worst })
+		registerOwner("share.served", func(o *owner.Owner) int64 { return o.ShareStats().Served })
 	}
 	e.options.Metrics.Gauge("config.version", func() int64 {
 		if t := e.routes.Current(); t != nil {
--- a/owner/loadview.go
+++ b/owner/loadview.go
@@ -145,20 +145,27 @@
 	return in
 }
 
-// addLoad adds the waiting work of this owner and of the others to its counters.
-func (o *Owner) addLoad(s *Stats) {
+// LoadStats is the waiting work of an owner and, as far as it is known, that of the others at
+// its gates, in core-milliseconds.
+type LoadStats struct{ Own, Others int64 }
+
+// LoadStats returns the waiting work; zero without the shared view.
+func (o *Owner) LoadStats() (s LoadStats) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	if !o.options.Decisions.SharedLoad {
-		return
+		return s
 	}
 	now := o.options.Now()
-	s.OwnWaiting = int64(o.ownWork(now).total)
+	s.Own = int64(o.ownWork(now).total)
 	services := map[string]bool{}
 	for _, v := range o.activeGates {
 		if service := v.report.Service; v.linked && !services[service] {
 			services[service] = true
-			s.OthersWaiting += int64(o.loadView(now, service).OthersTotal())
+			s.Others += int64(o.loadView(now, service).OthersTotal())
 		}
 	}
+	return s
 }
 
 // waitFields returns the fields of a log line about the job's expected wait; -1 means that it
--- a/owner/loadview_test.go
+++ b/owner/loadview_test.go
@@ -203,24 +203,28 @@
 // An entry box that has all the clients refuses jobs as if every other box had as many,
 // unless it knows better.
 func TestOneBoxWithAllClients(t *testing.T) {
-	admitted := func(d Decisions) (int, Stats) {
+	admitted := func(d Decisions) (int, Stats, LoadStats) {
 		f := newLoadFleet(t, testOwners, testGates, d)
 		n := f.submitUntilRefused(0)
-		return n, f.owners[0].Stats()
+		stats := f.owners[0].Stats()
+		if f.owners[0].ownWaiting.known {
+			t.Error("reading the counters sums up the waiting work")
+		}
+		return n, stats, f.owners[0].LoadStats()
 	}
-	own, ownStats := admitted(ownLoad)
-	shared, stats := admitted(sharedLoad)
+	own, ownStats, ownLoadStats := admitted(ownLoad)
+	shared, stats, loadStats := admitted(sharedLoad)
 	if own != 1 || shared != 5 {
 		t.Errorf("%d jobs admitted by the own view and %d by the shared one, want 1 and 5", own, shared)
 	}
 	if stats.AdmittedByView != 4 || stats.RefusedByView != 0 {
 		t.Errorf("%d decisions counted as admitted and %d as refused by the view, want 4 and 0", stats.AdmittedByView, stats.RefusedByView)
 	}
-	if stats.OwnWaiting != 5*1280 || stats.OthersWaiting != 0 {
-		t.Errorf("%d core-ms of own work and %d of others', want 6400 and 0", stats.OwnWaiting, stats.OthersWaiting)
+	if loadStats != (LoadStats{Own: 5 * 1280}) {
+		t.Errorf("waiting work %+v, want 6400 core-ms of the own", loadStats)
 	}
-	if ownStats.AdmittedByView+ownStats.RefusedByView+ownStats.OwnWaiting+ownStats.OthersWaiting != 0 {
-		t.Errorf("counters of the shared view without it: %+v", ownStats)
+	if ownStats.AdmittedByView+ownStats.RefusedByView != 0 || ownLoadStats != (LoadStats{}) {
+		t.Errorf("counters of the shared view without it: %+v, %+v", ownStats, ownLoadStats)
 	}
 }
 
@@ -240,8 +244,9 @@
 		if got := f.submit(9); got != c.admitted {
 			t.Errorf("%+v: admitted %v, want %v", c.decisions, got, c.admitted)
 		}
-		if s := f.owners[9].Stats(); c.decisions.SharedLoad && (s.RefusedByView != 1 || s.OthersWaiting < 5*1280 || s.OthersWaiting > 5*1280+testGates*5) {
-			t.Errorf("%d decisions counted as refused by the view, %d core-ms of others; want 1 and 6400", s.RefusedByView, s.OthersWaiting)
+		refused, others := f.owners[9].Stats().RefusedByView, f.owners[9].LoadStats().Others
+		if c.decisions.SharedLoad && (refused != 1 || others < 5*1280 || others > 5*1280+testGates*5) {
+			t.Errorf("%d decisions counted as refused by the view, %d core-ms of others; want 1 and 6400", refused, others)
 		}
 	}
 }
@@ -346,7 +351,7 @@
 	f.pass(waitingMaxAge)
 	f.exchange()
 	f.wantWait(1, 0, true)
-	if n := f.owners[1].Stats().OthersWaiting; n != 0 {
+	if n := f.owners[1].LoadStats().Others; n != 0 {
 		t.Errorf("%d core-ms of late jobs are reported, which no job waits for", n)
 	}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -169,15 +169,9 @@
 	// ShareLifted counts the jobs that were scheduled earlier because their class was
 	// below its share.
 	ShareLifted int64
-	// ShareWorst and ShareServed are the served ratios of the class that is served worst
-	// and of all, in thousandths; 0 without fair shares.
-	ShareWorst, ShareServed int64
 
 	// AdmittedByView and RefusedByView count the decisions that the shared view has changed.
 	AdmittedByView, RefusedByView int64
-	// OwnWaiting and OthersWaiting are the waiting work of this owner, and that of others at
-	// its gates as far as it is known, in core-milliseconds; 0 without the shared view.
-	OwnWaiting, OthersWaiting int64
 }
 
 // New returns an owner without jobs.
@@ -258,13 +252,11 @@
 	return len(o.jobs)
 }
 
-// Stats returns the counters.
+// Stats returns the counters. They cost nothing to read; LoadStats and ShareStats are computed.
 func (o *Owner) Stats() Stats {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := o.withShareStats(o.stats)
-	o.addLoad(&s)
-	return s
+	return o.stats
 }
 
 // Tick does the work that depends on time.
--- a/owner/share.go
+++ b/owner/share.go
@@ -207,15 +207,19 @@
 	return []any{"wide", c.Wide, "servedRatio", thousandths(o.shares.Served(now, c).Ratio), "shareStepMS", j.share.step.Milliseconds()}
 }
 
-// withShareStats adds the served ratios to the counters.
-func (o *Owner) withShareStats(s Stats) Stats {
+// ShareStats is the served ratio of all classes together and that of the class that is served
+// worst, in thousandths.
+type ShareStats struct{ Served, Worst int64 }
+
+// ShareStats returns the served ratios; zero without fair shares.
+func (o *Owner) ShareStats() ShareStats {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	if o.shares == nil {
-		return s
+		return ShareStats{}
 	}
 	all, worst := o.shares.Summary(o.options.Now())
-	s.ShareServed = int64(math.Round(all * 1000))
-	s.ShareWorst = int64(math.Round(worst * 1000))
-	return s
+	return ShareStats{Served: int64(math.Round(all * 1000)), Worst: int64(math.Round(worst * 1000))}
 }
 
 // thousandths rounds a ratio for a log line.
--- a/owner/share_test.go
+++ b/owner/share_test.go
@@ -627,7 +627,7 @@
 	l := newShareLoad(t, true, 1)
 	l.owner.Stop()
 	l.add(stream{queue: "queue", tasks: 1, estimate: 100 * time.Millisecond})
-	if all := l.owner.Stats().ShareServed; all != 1000 {
+	if all := l.owner.ShareStats().Served; all != 1000 {
 		t.Errorf("served %d after a refusal by a stopped owner", all)
 	}
 	b := newPolicyHarness(t, config.Policies{Admit: fewTasks})
@@ -636,7 +636,7 @@
 	if r := b.submit(1, 5); r == nil || !r.Refused {
 		t.Fatal("not refused")
 	}
-	if all := b.owner.Stats().ShareServed; all != 1000 {
+	if all := b.owner.ShareStats().Served; all != 1000 {
 		t.Errorf("served %d after a refusal by a policy", all)
 	}
 }
@@ -656,19 +656,19 @@
 	if j := after.add(lifted); j.share.step != 0 {
 		t.Errorf("step %v", j.share.step)
 	}
-	if st := after.owner.Stats(); st.ShareWorst != 1000 || st.ShareServed != 1000 {
-		t.Errorf("served %d, worst %d", st.ShareServed, st.ShareWorst)
+	if st := after.owner.ShareStats(); st.Worst != 1000 || st.Served != 1000 {
+		t.Errorf("served %d, worst %d", st.Served, st.Worst)
 	}
 }
 
 // The losses of a queue that a configuration removes are forgotten.
 func TestSharesOfRemovedQueue(t *testing.T) {
 	l := underserved(t, "removed")
-	if worst := l.owner.Stats().ShareWorst; worst > 100 {
+	if worst := l.owner.ShareStats().Worst; worst > 100 {
 		t.Fatalf("worst %d", worst)
 	}
 	l.run(20*time.Second, stream{queue: "other", tasks: 2, estimate: 100 * time.Millisecond, perSecond: 20})
-	if worst := l.owner.Stats().ShareWorst; worst < 900 {
+	if worst := l.owner.ShareStats().Worst; worst < 900 {
 		t.Errorf("worst %d, 20 s after the last job of the queue", worst)
 	}
 }
@@ -683,8 +683,8 @@
 	if n := l.owner.waiting.len(); n > 0 || len(l.owner.jobs) > 0 {
 		t.Errorf("%d waiting tasks, %d jobs left", n, len(l.owner.jobs))
 	}
-	if st := l.owner.Stats(); st.ShareServed < 0 || st.ShareServed > 1000 || st.ShareWorst > 1000 {
-		t.Errorf("served %d, worst %d", st.ShareServed, st.ShareWorst)
+	if st := l.owner.ShareStats(); st.Served < 0 || st.Served > 1000 || st.Worst > 1000 {
+		t.Errorf("served %d, worst %d", st.Served, st.Worst)
 	}
 }
 
