share: a chain of narrow steps doesn't make a job wide

A job was wide if all its tasks together needed more than twice the mean of its queue, also if they never run at one time. Wide jobs are a class of their own because they need much capacity at once, so jobs with steps one after the other blurred that class. The width is now the largest sum over steps of the same depth. Jobs of a single step are judged as before. TestWideBySteps fails without the change.

--- a/owner/share.go
+++ b/owner/share.go
@@ -17,6 +17,8 @@
 // that doesn't count.
 type jobShare struct {
 	job share.Job
+	// width is the CPU that the job can use at one time, in thousandths of a core.
+	width int
 	// step is by how much earlier the job counts as due. It is fixed at the arrival, so
 	// that the order of waiting tasks and the ranks of runs at gates stay consistent.
 	step time.Duration
@@ -47,7 +49,8 @@
 		return
 	}
 	queue := j.record.Queue
-	j.share.job = share.Job{Class: o.shares.ClassOf(queue.Service, queue.Name, j.need()), Work: j.work()}
+	j.share.width = j.width()
+	j.share.job = share.Job{Class: o.shares.ClassOf(queue.Service, queue.Name, j.share.width), Work: j.work()}
 	if o.waiting.len() > 0 {
 		j.share.step = o.shares.Step(now, j.share.job.Class)
 	}
@@ -62,6 +65,24 @@
 	return total
 }
 
+// width returns the CPU that a job can use at one time, in thousandths of a core: that of the
+// steps with the same number of steps before them, where it is the largest. A long chain of
+// narrow steps doesn't make a job wide.
+func (j *liveJob) width() int {
+	depth := make([]int, len(j.record.Steps))
+	needs := make([]int, len(j.record.Steps))
+	widest := 0
+	for i := range j.record.Steps {
+		s := &j.record.Steps[i]
+		for _, a := range s.After {
+			depth[i] = max(depth[i], depth[a]+1)
+		}
+		needs[depth[i]] += s.Count * s.Need.CPU
+		widest = max(widest, needs[depth[i]])
+	}
+	return widest
+}
+
 // countShareArrived accounts for a job that was admitted.
 func (o *Owner) countShareArrived(now Time, j *liveJob) {
 	if j.share.step > 0 {
@@ -71,7 +92,7 @@
 		return
 	}
 	j.share.counted = true
-	o.shares.Arrived(now, j.share.job, j.need())
+	o.shares.Arrived(now, j.share.job, j.share.width)
 }
 
 // countShareRefused accounts for a job that was refused at its arrival. A refusal by an
@@ -80,7 +101,7 @@
 	if o.stopped || o.options.Policy != nil || !o.countsForShare(j) {
 		return
 	}
-	o.shares.Refused(now, j.share.job, j.need())
+	o.shares.Refused(now, j.share.job, j.share.width)
 }
 
 // countsForShare reports whether a job counts in the shares: it requests CPU, and it
--- a/owner/share_test.go
+++ b/owner/share_test.go
@@ -513,6 +513,36 @@
 	}
 }
 
+// A job whose steps run one after the other is as wide as its widest step: it needs no more
+// capacity at one time. Steps that may run beside each other add up.
+func TestWideBySteps(t *testing.T) {
+	l := newShareLoad(t, true, 1)
+	s := stream{queue: "queue", tasks: 1, estimate: 100 * time.Millisecond}
+	for range 4 {
+		l.add(s)
+	}
+	for _, c := range []struct {
+		name  string
+		after []int
+		wide  bool
+	}{{"in sequence", []int{0}, false}, {"in parallel", nil, true}} {
+		submission := s.submission(0)
+		step := submission.Steps[0]
+		for i := range 2 {
+			step.After = nil
+			for _, a := range c.after {
+				step.After = []int{a + i}
+			}
+			submission.Steps = append(submission.Steps, step)
+		}
+		j := newLiveJob(job.Record{Submission: submission}, l.now)
+		l.owner.setShare(l.now, j)
+		if got := j.share.job.Class.Wide; got != c.wide {
+			t.Errorf("steps %s: wide %v", c.name, got)
+		}
+	}
+}
+
 // What counts in the accounts, by how a job goes.
 func TestWhatCounts(t *testing.T) {
 	const ms = time.Millisecond
--- a/share/share.go
+++ b/share/share.go
@@ -42,7 +42,8 @@
 	// Service is the service whose targets the queue uses. Classes compete only with
 	// others of the same service.
 	Service, Queue string
-	// Wide jobs need more than twice the mean capacity of their queue's jobs.
+	// Wide jobs can use more than twice as much capacity at one time as the mean of their
+	// queue's jobs.
 	Wide bool
 }
 
@@ -102,7 +103,7 @@
 	return &Accounts{maxStep: maxStep, queues: map[queueKey]*queueAccount{}, services: map[string]*account{}}
 }
 
-// ClassOf returns the class of a job that needs this capacity for all its tasks together.
+// ClassOf returns the class of a job that can use this much capacity at one time.
 func (a *Accounts) ClassOf(service, queue string, need int) Class {
 	c := Class{Service: service, Queue: queue}
 	if q := a.queues[queueKey{service, queue}]; q != nil && q.jobs > 0 {
