Load view, shares: comments and notes for a first reading

Both files of the owner begin with what their functions do for each other, the fields are named by the messages that they are part of, and the notes say how the parts work together with placement by speed. No code changes.

--- a/loadview/table.go
+++ b/loadview/table.go
@@ -29,7 +29,7 @@
 // Drop removes an owner whose link is closed or that has ended.
 func (t *Table) Drop(owner string) { delete(t.entries, owner) }
 
-// Report records the field of an owner's frame. An empty field clears earlier work.
+// Report records the waiting work in a frame of an owner. An empty field clears earlier work.
 func (t *Table) Report(now time.Duration, owner string, field []int) {
 	e := t.entries[owner]
 	if e == nil {
--- a/loadview/view.go
+++ b/loadview/view.go
@@ -19,7 +19,7 @@
 	Age time.Duration
 	// Capacity is the CPU of the target.
 	Capacity int
-	// Others is the field of the gate's frame.
+	// Others is what the gate has reported, as encoded by Table.Others.
 	Others []int
 }
 
--- a/owner/loadview.go
+++ b/owner/loadview.go
@@ -6,24 +6,28 @@
 	"rackspur/loadview"
 )
 
+// The shared view of the waiting work: each frame to a gate carries this owner's part of the
+// waiting work there (waitingFor), each frame of a gate what its other owners have reported
+// (loadView). Admission control adds the others' work to its own to estimate how long a job
+// waits (estimateWait). See docs/design/load-view.md.
+
 // waitingMaxAge is how long the sums over the waiting tasks are used: a tick. Frames go out
-// to many gates at the same moment, and need no sums of their own.
+// to many gates at the same moment, and summing up for each would cost too much.
 const waitingMaxAge = 10 * time.Millisecond
 
 // ownWaiting is the owner's waiting work as it is reported to gates.
 type ownWaiting struct {
-	// at is when the sums were made; known is set once they were.
+	// at is when the sums were computed; known is set once they were.
 	at    Time
 	known bool
 	// total is the sum over all services, in core-milliseconds.
 	total int
-	// fields has, for each service, the field of a frame to one of its gates.
+	// fields has, for each service, OwnerFrame.Waiting of a frame to one of its gates.
 	fields map[string][]int
 }
 
-// waitingFor returns the field of the next frame to a gate that reports the owner's waiting
-// work. The first frame of a link has it in any case, which tells the gate that the owner
-// takes part.
+// waitingFor returns OwnerFrame.Waiting for the next frame to a gate. It is never empty in the
+// first frame of a link, which tells the gate that the owner takes part.
 func (o *Owner) waitingFor(v *gateView) []int {
 	if !o.options.Decisions.SharedLoad {
 		return nil
@@ -35,7 +39,7 @@
 	return field
 }
 
-// ownWork returns the sums over the tasks that wait now, or did so within waitingMaxAge.
+// ownWork returns the sums over the waiting tasks, at most waitingMaxAge old.
 func (o *Owner) ownWork(now Time) *ownWaiting {
 	w := &o.ownWaiting
 	if o.waiting.len() == 0 {
@@ -105,15 +109,16 @@
 	wait time.Duration
 	// ahead is the work ahead of the job at this owner, in core-milliseconds.
 	ahead float64
-	// own is the estimate without the shared view.
+	// own is the estimate by this owner's work alone, as without the shared view.
 	own time.Duration
 	// shared says that the shared view was used, and oldest is the age of its oldest report.
 	shared bool
 	oldest time.Duration
 }
 
-// estimateWait estimates how long a job waits for the queued work ahead of it. The capacity
-// is in thousandths of a core and shared with other owners.
+// estimateWait estimates how long a job waits for the queued work ahead of it, of this owner
+// and the others. The capacity, in thousandths of a core and not 0, is shared with them. While
+// the shared view isn't usable, each of the others is assumed to have as much work as this one.
 func (o *Owner) estimateWait(now Time, j *liveJob, capacity int) waitEstimate {
 	ahead := o.workAhead(j)
 	wait := func(work float64) time.Duration {
--- a/owner/share.go
+++ b/owner/share.go
@@ -11,6 +11,9 @@
 
 // Fair shares: a job whose class is served worse than the others counts as due earlier,
 // in the order of the waiting tasks, in admission control and in the rank at the gates.
+// setShare decides that at the arrival of a job. The other functions report to the accounts
+// (package share) what becomes of it: countShareArrived or countShareRefused first; then, for
+// an admitted job that doesn't end in time, loseShare or withdrawShare, once.
 // See docs/design/fair-shares.md.
 
 // jobShare is a job's part in the shares of the capacity. The zero value is that of a job
@@ -141,7 +144,7 @@
 // caller leaves. It is lost if its tasks waited for more than half of its slack.
 // Otherwise its run time is the cause, which an earlier start would not have changed, and
 // the job doesn't count: a queue whose jobs can't end in time at all would be lifted for
-// ever.
+// as long as it has jobs.
 func (o *Owner) settleShare(now Time, j *liveJob) {
 	if !j.share.counted {
 		return
@@ -186,7 +189,7 @@
 }
 
 // withdrawShare removes a job from the accounts unless it is known as lost: its caller
-// has left, or it is not this owner's any more.
+// has left, it is not this owner's any more, or its lateness has another cause than the order.
 func (o *Owner) withdrawShare(now Time, j *liveJob) {
 	if j.share.counted {
 		j.share.counted = false
