--- a/owner/loadview.go
+++ b/owner/loadview.go
@@ -6,24 +6,28 @@
 	"rackspur/loadview"
 )
 
+// The shared view of the waiting work: each frame to a gate carries this owner's part of the
+// waiting work there (waitingFor), each frame of a gate what its other owners have reported
+// (loadView). Admission control adds the others' work to its own to estimate how long a job
+// waits (estimateWait). See docs/design/load-view.md.
+
 // waitingMaxAge is how long the sums over the waiting tasks are used: a tick. Frames go out
-// to many gates at the same moment, and need no sums of their own.
+// to many gates at the same moment, and summing up for each would cost too much.
 const waitingMaxAge = 10 * time.Millisecond
 
 // ownWaiting is the owner's waiting work as it is reported to gates.
 type ownWaiting struct {
-	// at is when the sums were made; known is set once they were.
+	// at is when the sums were computed; known is set once they were.
 	at    Time
 	known bool
 	// total is the sum over all services, in core-milliseconds.
 	total int
-	// fields has, for each service, the field of a frame to one of its gates.
+	// fields has, for each service, OwnerFrame.Waiting of a frame to one of its gates.
 	fields map[string][]int
 }
 
-// waitingFor returns the field of the next frame to a gate that reports the owner's waiting
-// work. The first frame of a link has it in any case, which tells the gate that the owner
-// takes part.
+// waitingFor returns OwnerFrame.Waiting for the next frame to a gate. It is never empty in the
+// first frame of a link, which tells the gate that the owner takes part.
 func (o *Owner) waitingFor(v *gateView) []int {
 	if !o.options.Decisions.SharedLoad {
 		return nil
@@ -35,7 +39,7 @@
 	return field
 }
 
-// ownWork returns the sums over the tasks that wait now, or did so within waitingMaxAge.
+// ownWork returns the sums over the waiting tasks, at most waitingMaxAge old.
 func (o *Owner) ownWork(now Time) *ownWaiting {
 	w := &o.ownWaiting
 	if o.waiting.len() == 0 {
@@ -103,26 +107,28 @@
 // waitEstimate is how long a job is expected to wait.
 type waitEstimate struct {
 	wait time.Duration
-	// own is the estimate without the shared view.
+	// ahead is the work ahead of the job at this owner, in core-milliseconds.
+	ahead float64
+	// own is the estimate by this owner's work alone, as without the shared view.
 	own time.Duration
 	// shared says that the shared view was used, and oldest is the age of its oldest report.
 	shared bool
 	oldest time.Duration
 }
 
-// estimateWait estimates how long a job waits for the queued work ahead of it. The capacity
-// is in thousandths of a core and shared with other owners.
-func (o *Owner) estimateWait(j *liveJob, capacity int) waitEstimate {
+// estimateWait estimates how long a job waits for the queued work ahead of it, of this owner
+// and the others. The capacity, in thousandths of a core and not 0, is shared with them. While
+// the shared view isn't usable, each of the others is assumed to have as much work as this one.
+func (o *Owner) estimateWait(now Time, j *liveJob, capacity int) waitEstimate {
 	ahead := o.workAhead(j)
 	wait := func(work float64) time.Duration {
 		return time.Duration(work / float64(capacity) * float64(time.Second))
 	}
-	e := waitEstimate{own: wait(ahead * o.ownersPerGate())}
+	e := waitEstimate{ahead: ahead, own: wait(ahead * o.ownersPerGate())}
 	e.wait = e.own
 	if !o.options.Decisions.SharedLoad {
 		return e
 	}
-	now := o.options.Now()
 	if view := o.loadView(now, j.record.Queue.Service); view.Usable() {
 		e.shared = true
 		e.oldest = view.Oldest()
@@ -144,29 +150,36 @@
 	return in
 }
 
-// addLoad adds the waiting work of this owner and of the others to its counters.
-func (o *Owner) addLoad(s *Stats) {
+// LoadStats is the waiting work of an owner and, as far as it is known, that of the others at
+// its gates, in core-milliseconds.
+type LoadStats struct{ Own, Others int64 }
+
+// LoadStats returns the waiting work; zero without the shared view.
+func (o *Owner) LoadStats() (s LoadStats) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	if !o.options.Decisions.SharedLoad {
-		return
+		return s
 	}
 	now := o.options.Now()
-	s.OwnWaiting = int64(o.ownWork(now).total)
+	s.Own = int64(o.ownWork(now).total)
 	services := map[string]bool{}
 	for _, v := range o.activeGates {
 		if service := v.report.Service; v.linked && !services[service] {
 			services[service] = true
-			s.OthersWaiting += int64(o.loadView(now, service).OthersTotal())
+			s.Others += int64(o.loadView(now, service).OthersTotal())
 		}
 	}
+	return s
 }
 
-// waitFields returns the fields of a log line about a job's expected wait; -1 means that it
+// waitFields returns the fields of a log line about the job's expected wait; -1 means that it
 // is unknown.
-func (o *Owner) waitFields(j *liveJob, capacity int) []any {
-	if capacity == 0 {
+func (f *figures) waitFields() []any {
+	if capacity, _ := f.capacity(); capacity == 0 {
 		return []any{"expectedWaitMS", int64(-1), "loadView", loadViewOwn, "viewAgeMS", int64(-1)}
 	}
-	e := o.estimateWait(j, capacity)
+	e := f.wait()
 	if !e.shared {
 		return []any{"expectedWaitMS", e.wait.Milliseconds(), "loadView", loadViewOwn, "viewAgeMS", int64(-1)}
 	}
--- a/owner/share.go
+++ b/owner/share.go
@@ -11,12 +11,17 @@
 
 // Fair shares: a job whose class is served worse than the others counts as due earlier,
 // in the order of the waiting tasks, in admission control and in the rank at the gates.
+// setShare decides that at the arrival of a job. The other functions report to the accounts
+// (package share) what becomes of it: countShareArrived or countShareRefused first; then, for
+// an admitted job that doesn't end in time, loseShare or withdrawShare, once.
 // See docs/design/fair-shares.md.
 
 // jobShare is a job's part in the shares of the capacity. The zero value is that of a job
 // that doesn't count.
 type jobShare struct {
 	job share.Job
+	// width is the CPU that the job can use at one time, in thousandths of a core.
+	width int
 	// step is by how much earlier the job counts as due. It is fixed at the arrival, so
 	// that the order of waiting tasks and the ranks of runs at gates stay consistent.
 	step time.Duration
@@ -47,7 +52,8 @@
 		return
 	}
 	queue := j.record.Queue
-	j.share.job = share.Job{Class: o.shares.ClassOf(queue.Service, queue.Name, j.need()), Work: j.work()}
+	j.share.width = j.width()
+	j.share.job = share.Job{Class: o.shares.ClassOf(queue.Service, queue.Name, j.share.width), Work: j.work()}
 	if o.waiting.len() > 0 {
 		j.share.step = o.shares.Step(now, j.share.job.Class)
 	}
@@ -62,6 +68,24 @@
 	return total
 }
 
+// width returns the CPU that a job can use at one time, in thousandths of a core: that of the
+// steps with the same number of steps before them, where it is the largest. A long chain of
+// narrow steps doesn't make a job wide.
+func (j *liveJob) width() int {
+	depth := make([]int, len(j.record.Steps))
+	needs := make([]int, len(j.record.Steps))
+	widest := 0
+	for i := range j.record.Steps {
+		s := &j.record.Steps[i]
+		for _, a := range s.After {
+			depth[i] = max(depth[i], depth[a]+1)
+		}
+		needs[depth[i]] += s.Count * s.Need.CPU
+		widest = max(widest, needs[depth[i]])
+	}
+	return widest
+}
+
 // countShareArrived accounts for a job that was admitted.
 func (o *Owner) countShareArrived(now Time, j *liveJob) {
 	if j.share.step > 0 {
@@ -71,7 +95,7 @@
 		return
 	}
 	j.share.counted = true
-	o.shares.Arrived(now, j.share.job, j.need())
+	o.shares.Arrived(now, j.share.job, j.share.width)
 }
 
 // countShareRefused accounts for a job that was refused at its arrival. A refusal by an
@@ -80,7 +104,7 @@
 	if o.stopped || o.options.Policy != nil || !o.countsForShare(j) {
 		return
 	}
-	o.shares.Refused(now, j.share.job, j.need())
+	o.shares.Refused(now, j.share.job, j.share.width)
 }
 
 // countsForShare reports whether a job counts in the shares: it requests CPU, and it
@@ -120,7 +144,7 @@
 // caller leaves. It is lost if its tasks waited for more than half of its slack.
 // Otherwise its run time is the cause, which an earlier start would not have changed, and
 // the job doesn't count: a queue whose jobs can't end in time at all would be lifted for
-// ever.
+// as long as it has jobs.
 func (o *Owner) settleShare(now Time, j *liveJob) {
 	if !j.share.counted {
 		return
@@ -131,7 +155,8 @@
 			wait = max(wait, now-t.since)
 		}
 	}
-	if 2*wait >= j.startBy-j.arrived {
+	// A job without slack is late without any wait.
+	if wait > 0 && 2*wait >= j.startBy-j.arrived {
 		o.loseShare(now, j)
 		return
 	}
@@ -149,16 +174,22 @@
 	}
 }
 
-// loseShare accounts for a job that was not served in time for want of capacity.
+// loseShare accounts for a job that was not served in time for want of capacity. It doesn't
+// count if the gates that are open by now could not run it at once: an earlier place in the
+// order would not have helped.
 func (o *Owner) loseShare(now Time, j *liveJob) {
-	if j.share.counted {
+	switch {
+	case !j.share.counted:
+	case !o.countsForShare(j):
+		o.withdrawShare(now, j)
+	default:
 		j.share.counted = false
 		o.shares.Lost(now, j.share.job)
 	}
 }
 
 // withdrawShare removes a job from the accounts unless it is known as lost: its caller
-// has left, or it is not this owner's any more.
+// has left, it is not this owner's any more, or its lateness has another cause than the order.
 func (o *Owner) withdrawShare(now Time, j *liveJob) {
 	if j.share.counted {
 		j.share.counted = false
@@ -200,15 +231,19 @@
 	return []any{"wide", c.Wide, "servedRatio", thousandths(o.shares.Served(now, c).Ratio), "shareStepMS", j.share.step.Milliseconds()}
 }
 
-// withShareStats adds the served ratios to the counters.
-func (o *Owner) withShareStats(s Stats) Stats {
+// ShareStats is the served ratio of all classes together and that of the class that is served
+// worst, in thousandths.
+type ShareStats struct{ Served, Worst int64 }
+
+// ShareStats returns the served ratios; zero without fair shares.
+func (o *Owner) ShareStats() ShareStats {
+	o.mu.Lock()
+	defer o.mu.Unlock()
 	if o.shares == nil {
-		return s
+		return ShareStats{}
 	}
 	all, worst := o.shares.Summary(o.options.Now())
-	s.ShareServed = int64(math.Round(all * 1000))
-	s.ShareWorst = int64(math.Round(worst * 1000))
-	return s
+	return ShareStats{Served: int64(math.Round(all * 1000)), Worst: int64(math.Round(worst * 1000))}
 }
 
 // thousandths rounds a ratio for a log line.
