standin: targets have a speed and announce their end

The decisions under load depend on targets that differ in speed and on targets that leave with notice; the stand-in could do neither.

Executor.SetSpeed changes the speed of new runs and of those in progress. ExecutorPort.Leave makes a target drain, send remainingMs in its heartbeats and end its process then, by its own clock.

--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -32,9 +32,13 @@
 
 	mu      sync.Mutex
 	started time.Time
-	// heartbeats counts the heartbeats made; draining is the state they report.
+	// speed is how much faster than Work says runs proceed.
+	speed float64
+	// heartbeats counts the heartbeats made; draining is the state they report, endsMS the
+	// clock at which the process ends, or 0 if it isn't announced.
 	heartbeats   int64
 	draining     bool
+	endsMS       int64
 	fence        uint64
 	leaseUntilMS int64
 	acked        int64
@@ -50,14 +54,27 @@
 }
 
 type executorRun struct {
-	name         job.RunName
-	need         job.Resources
-	started      time.Time
-	duration     time.Duration
+	name job.RunName
+	need job.Resources
+	// work is the run time at speed 1. done is the part of it that was completed at since, from
+	// when on the run proceeds at speed.
+	work, done   time.Duration
+	since        time.Time
+	speed        float64
 	end          gate.EndKind
 	journalIndex int
 }
 
+// doneAt returns the work that is completed at a time.
+func (r *executorRun) doneAt(now time.Time) time.Duration {
+	return r.done + time.Duration(float64(now.Sub(r.since))*r.speed)
+}
+
+// due returns the time at which the work is completed.
+func (r *executorRun) due() time.Time {
+	return r.since.Add(time.Duration(float64(r.work-r.done) / r.speed))
+}
+
 // Span is the executor's record of a run; End is zero while it runs.
 type Span struct {
 	Name job.RunName
@@ -80,7 +97,7 @@
 func NewExecutor(life string, capacity job.Resources, work func(job.RunName) (time.Duration, gate.EndKind)) *Executor {
 	started := time.Now()
 	return &Executor{
-		Life: life, Born: started.UnixMilli(), Capacity: capacity, MaxHold: time.Second, Work: work, StartClockMS: defaultFirstClock, started: started,
+		Life: life, Born: started.UnixMilli(), Capacity: capacity, MaxHold: time.Second, Work: work, StartClockMS: defaultFirstClock, started: started, speed: 1,
 		running: map[job.RunName]*executorRun{}, highestRun: map[job.TaskName]int{}, changed: make(chan struct{}),
 	}
 }
@@ -105,11 +122,34 @@
 	next := NewExecutor(e.Life, e.Capacity, e.Work)
 	next.MaxHold = e.MaxHold
 	next.ClockDrift = e.ClockDrift
+	next.speed = e.Speed()
 	// Incarnations must differ even if they start within the same millisecond.
 	next.Born = max(next.Born, e.Born+1)
 	return next
 }
 
+// Speed returns how much faster than Work says runs proceed.
+func (e *Executor) Speed() float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.speed
+}
+
+// SetSpeed sets the speed of all runs, also of those in progress, which keep what they have done.
+// A run takes the time returned by Work divided by the speed.
+func (e *Executor) SetSpeed(speed float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.advance(now)
+	e.speed = speed
+	for _, r := range e.running {
+		r.done, r.since, r.speed = r.doneAt(now), now, speed
+	}
+	// Wakes the holds that wait for the next end, which comes at another time now.
+	e.notifyChange()
+}
+
 // Clock returns the executor's clock in milliseconds.
 func (e *Executor) Clock() int64 {
 	e.mu.Lock()
@@ -160,7 +200,7 @@
 	sort.Slice(due, func(i, j int) bool { return due[i].endTime(lapse).Before(due[j].endTime(lapse)) })
 	for _, r := range due {
 		kind := r.end
-		if r.started.Add(r.duration).After(lapse) {
+		if r.due().After(lapse) {
 			kind = gate.EndLapsed
 		}
 		e.finish(r.endTime(lapse), r, kind)
@@ -180,7 +220,7 @@
 
 // endTime returns the time at which a run ends if the lease expires at lapse.
 func (r *executorRun) endTime(lapse time.Time) time.Time {
-	if end := r.started.Add(r.duration); end.Before(lapse) {
+	if end := r.due(); end.Before(lapse) {
 		return end
 	}
 	return lapse
@@ -194,6 +234,11 @@
 	e.journal[r.journalIndex].End = kind
 	e.journal[r.journalIndex].Ended = now
 	e.journal[r.journalIndex].Number = number
+	e.notifyChange()
+}
+
+// notifyChange wakes the holds that wait for an end. The lock must be held.
+func (e *Executor) notifyChange() {
 	close(e.changed)
 	e.changed = make(chan struct{})
 }
@@ -239,9 +284,9 @@
 	case !e.free().Fits(c.Need):
 		return a, gate.ErrNoRoom
 	}
-	duration, end := e.Work(c.Name)
+	work, end := e.Work(c.Name)
 	e.journal = append(e.journal, Span{Name: c.Name, Life: e.Life, Born: e.Born, Started: now})
-	e.running[c.Name] = &executorRun{name: c.Name, need: c.Need, started: now, duration: duration, end: end, journalIndex: len(e.journal) - 1}
+	e.running[c.Name] = &executorRun{name: c.Name, need: c.Need, work: work, since: now, speed: e.speed, end: end, journalIndex: len(e.journal) - 1}
 	return a, nil
 }
 
@@ -331,7 +376,7 @@
 
 // percent returns the progress of a run.
 func (r *executorRun) percent(now time.Time) int {
-	return min(99, int(100*now.Sub(r.started)/max(r.duration, 1)))
+	return min(99, int(100*r.doneAt(now)/max(r.work, 1)))
 }
 
 // awaitEnd waits until an end is listed, at most for d.
@@ -365,7 +410,7 @@
 func (e *Executor) nextEnd() time.Duration {
 	next := time.Second
 	for _, r := range e.running {
-		next = min(next, max(time.Millisecond, r.duration-time.Since(r.started)))
+		next = min(next, max(time.Millisecond, time.Until(r.due())))
 	}
 	return next
 }
--- a/internal/standin/executorwire.go
+++ b/internal/standin/executorwire.go
@@ -78,6 +78,20 @@
 	p.closeConnections()
 }
 
+// Leave makes the current incarnation drain and announce that its process ends after a time of its
+// clock. It then crashes, and ended is closed.
+func (p *ExecutorPort) Leave(after time.Duration) (ended <-chan struct{}) {
+	e, done := p.Executor(), make(chan struct{})
+	time.AfterFunc(e.Leave(after), func() {
+		e.Crash()
+		if p.Executor() == e {
+			p.closeConnections()
+		}
+		close(done)
+	})
+	return done
+}
+
 func (p *ExecutorPort) closeConnections() {
 	if !p.KeepConnections {
 		p.connections.closeAll()
@@ -278,6 +292,8 @@
 	ClockMS  int64          `json:"clockMs"`
 	Born     int64          `json:"born"`
 	Sequence int64          `json:"seq"`
+	// RemainingMS is omitted unless the executor has announced its end.
+	RemainingMS int64 `json:"remainingMs,omitempty"`
 }
 
 type capacityOnWire struct {
@@ -340,6 +356,7 @@
 	}
 	return heartbeatOnWire{
 		Service: p.Service, State: state, Sequence: b.Sequence, ClockMS: b.ClockMS, Born: b.Born,
-		Capacity: capacityOnWire{CPU: b.Capacity.CPU, Memory: b.Capacity.Memory, GPU: b.Capacity.GPU},
+		Capacity:    capacityOnWire{CPU: b.Capacity.CPU, Memory: b.Capacity.Memory, GPU: b.Capacity.GPU},
+		RemainingMS: b.RemainingMS,
 	}
 }
--- a/internal/standin/heartbeat.go
+++ b/internal/standin/heartbeat.go
@@ -13,6 +13,17 @@
 	e.draining = true
 }
 
+// Leave makes the executor drain and announce that its process ends after a time of its clock. It
+// returns how long that takes. The caller crashes it then; see ExecutorPort.Leave.
+func (e *Executor) Leave(after time.Duration) time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.draining = true
+	e.endsMS = e.clock(now) + after.Milliseconds()
+	return e.timeAtClock(e.endsMS).Sub(now)
+}
+
 // Draining reports whether the executor is draining.
 func (e *Executor) Draining() bool {
 	e.mu.Lock()
@@ -28,7 +39,11 @@
 		return Heartbeat{}, false
 	}
 	e.heartbeats++
-	return Heartbeat{Life: e.Life, Born: e.Born, Capacity: e.Capacity, ClockMS: e.clock(time.Now()), Sequence: e.heartbeats, Draining: e.draining}, true
+	b = Heartbeat{Life: e.Life, Born: e.Born, Capacity: e.Capacity, ClockMS: e.clock(time.Now()), Sequence: e.heartbeats, Draining: e.draining}
+	if e.endsMS > 0 {
+		b.RemainingMS = max(0, e.endsMS-b.ClockMS)
+	}
+	return b, true
 }
 
 // Heartbeat is the content of a heartbeat.
@@ -40,4 +55,6 @@
 	// Sequence numbers the heartbeats of this incarnation from 1.
 	Sequence int64
 	Draining bool
+	// RemainingMS is the time until the process of a draining executor ends; 0 if unknown.
+	RemainingMS int64
 }
