soak: some processes run with the settings of the decisions under load

The soaks ran all processes with the defaults, so that placement by speed, the shared load view, fair shares, retry times and moves off leaving targets met no faults, and no mix of old and new settings.

The seed decides which entries and agents have the settings; one at least of each role has them and one has not. Targets change their speed for a while or leave with notice. The draws come from streams of their own.

--- a/test/deployment_test.go
+++ b/test/deployment_test.go
@@ -9,9 +9,11 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +62,10 @@
 	domains int
 	// bounds are the bounds in the settings files.
 	bounds platformBounds
+	// decisions names the processes with the settings of the decisions under load.
+	decisions decisionSettings
+	// replaced counts the lives that replaceLeft started.
+	replaced int
 }
 
 // box is an entry or an agent with its proxies and, for an agent, its target.
@@ -77,6 +83,10 @@
 	busy sync.Mutex
 	// work decides how long a run takes and how it ends.
 	work func(job.RunName) (time.Duration, gate.EndKind)
+	// longestRetryAfter is the longest Retry-After value that an entry may answer, in seconds; 0
+	// means usualRetryAfter. refusals counts its refusals, retryAfter is the longest value seen.
+	longestRetryAfter    int
+	refusals, retryAfter atomic.Int64
 }
 
 // platformWork derives the duration and the end of a run from its name; one in thirty fails.
@@ -166,7 +176,10 @@
 	m := &box{ip: boxIP(0, i), domain: d.domainOf(i)}
 	m.storeProxy = newProxy(d.t, m.ip+":"+platformStoreProxy, d.storeURL)
 	m.process = startWith(d.t, fmt.Sprintf("entry-%d", i), []string{"RACKSPUR_SETTINGS=" + d.settings(m, fmt.Sprintf("entry-%d", i), "edge")},
-		append([]string{"platform", "entry"}, d.entryArgs...)...)
+		slices.Concat([]string{"platform", "entry"}, d.entryArgs, d.decisions.entryArgs(i))...)
+	if slices.Contains(d.decisions.entries, i) {
+		m.longestRetryAfter = longestRetryAfter
+	}
 	m.inbound = newProxy(d.t, m.ip+":"+platformProxyPort, m.ip+":"+platformFrontPort)
 	return m
 }
@@ -180,7 +193,7 @@
 	m.targetProxy = newProxy(d.t, m.ip+":"+platformTargetProxy, app)
 	m.inbound = newProxy(d.t, m.ip+":"+platformProxyPort, fmt.Sprintf("%s:%d", m.ip, platformInternalPort))
 	m.process = startWith(d.t, fmt.Sprintf("agent-%d", i), []string{"RACKSPUR_SETTINGS=" + d.settings(m, fmt.Sprintf("agent-%d", i), "side")},
-		"platform", "agent", "--advertise", m.inbound.address)
+		append([]string{"platform", "agent", "--advertise", m.inbound.address}, d.decisions.agentArgs(i)...)...)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.t.Cleanup(cancel)
 	go m.port.SendHeartbeats(ctx, m.ip+":"+platformControlPort, 300*time.Millisecond)
@@ -194,13 +207,22 @@
 	defer d.mu.Unlock()
 	if old := m.port.Executor(); old != nil {
 		m.port.Crash()
-		m.former = append(m.former, old)
 	}
 	d.lives++
-	e := standin.NewExecutor(fmt.Sprintf("i-%d", d.lives), job.Resources{CPU: 16000, Memory: 32768}, m.work)
-	e.MaxHold = d.bounds.maxHold
+	drift := 0.0
 	if d.slowClocks && d.lives%2 == 0 {
-		e.ClockDrift = standin.MaxClockDrift
+		drift = standin.MaxClockDrift
+	}
+	d.startLife(m, fmt.Sprintf("i-%d", d.lives), drift)
+}
+
+// startLife starts a life of a box's target, with the speed of the former one. d.mu must be held.
+func (d *deployment) startLife(m *box, id string, drift float64) {
+	e := standin.NewExecutor(id, job.Resources{CPU: 16000, Memory: 32768}, m.work)
+	e.MaxHold, e.ClockDrift = d.bounds.maxHold, drift
+	if old := m.port.Executor(); old != nil {
+		m.former = append(m.former, old)
+		e.SetSpeed(old.Speed())
 	}
 	m.port.SetExecutor(e)
 }
@@ -303,6 +325,7 @@
 		return 0, ""
 	}
 	defer res.Body.Close()
+	m.checkRetryAfter(res)
 	var answer struct {
 		State string `json:"state"`
 	}
--- a/test/soak_check_test.go
+++ b/test/soak_check_test.go
@@ -51,7 +51,9 @@
 		}
 		id := fmt.Sprintf("%s%02x%013x", workPrefix, r.rounds, number)
 		e := r.entries[number%len(r.entries)]
-		e.ask(http.MethodPost, id, platformJob(workTasks, true))
+		if status, _ := e.ask(http.MethodPost, id, platformJob(workTasks, true)); status == http.StatusServiceUnavailable {
+			r.noteRefusedOnce(id)
+		}
 	}
 }
 
@@ -152,6 +154,8 @@
 		r.t.Error("no job was accepted")
 	}
 	r.checkOrders()
+	r.checkRefusedOnce(byJob)
+	r.checkMoves()
 }
 
 // longestLease is the longest lease that a call may ask for: a second of the target's clock,
--- a/test/soak_evacuate_test.go
+++ b/test/soak_evacuate_test.go
@@ -152,6 +152,9 @@
 		go func() {
 			defer callers.Done()
 			status, _ := e.ask(http.MethodPost, id, platformJob(2, true))
+			if status == http.StatusServiceUnavailable {
+				r.noteRefusedOnce(id)
+			}
 			mu.Lock()
 			defer mu.Unlock()
 			served = served || status == http.StatusOK
--- a/test/soak_long_test.go
+++ b/test/soak_long_test.go
@@ -59,6 +59,9 @@
 	evacuationsPart
 	restartsPart
 	boundsPart
+	decisionsPart
+	speedsPart
+	leavingPart
 )
 
 // longPrefix starts the id of a job with long tasks; longDigits hexadecimal digits with
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -39,6 +39,8 @@
 	soakCancelTimeout = 3 * time.Second
 	soakTries         = 12
 	soakCallers       = 24
+	soakEntries       = 3
+	soakAgents        = 4
 	soakJobPause      = 15 * time.Millisecond
 	// soakChangeInterval is the time between two changes of the configuration.
 	soakChangeInterval = time.Second
@@ -108,8 +110,10 @@
 
 // soakJob is a job as its caller saw it.
 type soakJob struct {
-	id         string
-	tasks      int
+	id    string
+	tasks int
+	// first is the entry that it is submitted to first; further submissions go to the next ones.
+	first      int
 	bestEffort bool
 	// long marks a job whose tasks take seconds.
 	long bool
@@ -148,13 +152,16 @@
 	rounds int
 	// evacuationJobs numbers the jobs of sendUntil.
 	evacuationJobs atomic.Int64
+	// refusedOnce are the ids of jobs that were submitted once and refused; see noteRefusedOnce.
+	refusedOnce []string
 }
 
 func soak(t *testing.T, plan soakPlan, seed uint64, length time.Duration, rounds int) {
 	t.Logf("seed %d; to repeat, set %s=%d", seed, soakSeedVariable, seed)
 	d := &deployment{t: t, slowClocks: plan.slowClocks, domains: plan.domains, bounds: soakBounds(seed)}
-	t.Logf("bounds %+v", d.bounds)
-	d.begin(3, 4)
+	d.decisions = soakDecisions(seed, soakEntries, soakAgents)
+	t.Logf("bounds %+v, decisions %+v", d.bounds, d.decisions)
+	d.begin(soakEntries, soakAgents)
 	r := &soakRun{deployment: d, plan: plan, seed: seed, random: rand.New(rand.NewPCG(seed, seed)), began: time.Now(), version: 1}
 	t.Cleanup(func() {
 		if t.Failed() {
@@ -179,6 +186,8 @@
 	slots := make(chan struct{}, soakCallers)
 	end := time.Now().Add(length)
 	r.plan.background(r, end, &callers)
+	r.faults.Go(func() { r.changeSpeeds(end) })
+	r.faults.Go(func() { r.leaveInTurn(end) })
 	for time.Now().Before(end) {
 		j := &soakJob{id: fmt.Sprintf("%016x", len(r.jobs)+1), tasks: 1 + r.random.IntN(8), bestEffort: r.random.IntN(2) == 0}
 		r.jobs = append(r.jobs, j)
@@ -248,7 +257,7 @@
 
 // call submits a job, and again at the next entry while its outcome is unknown.
 func (r *soakRun) call(j *soakJob, first int) {
-	j.refused = true
+	j.refused, j.first = true, first
 	for try := range soakTries {
 		j.tries++
 		status, state := r.submit(j, r.entries[(first+try)%len(r.entries)])
