test: a task is moved off leaving targets once

The soak's check reads the owners' log; a changed line would have made it pass unseen, and two leaving targets seldom meet the same task there.

The test makes both targets of a deployment leave in turn under one task.

--- a/test/soak_decisions_test.go
+++ b/test/soak_decisions_test.go
@@ -8,10 +8,10 @@
 	"regexp"
 	"slices"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
+	"rackspur/gate"
 	"rackspur/internal/standin"
 	"rackspur/job"
 )
@@ -183,6 +183,22 @@
 // movedLine matches the line that an owner logs when it moves a run off a leaving target.
 var movedLine = regexp.MustCompile(`"Run can't end before its target leaves and is moved\." .*"job"="([^"]*)" "task"=(\d+) "run"=(\d+) "gate"="([^"]*)"`)
 
+// loggedMove is a move as an owner has logged it.
+type loggedMove struct {
+	leavingMove
+	agent, line string
+}
+
+// leavingMoves returns the moves off leaving targets that an entry has logged.
+func leavingMoves(e *box) (moves []loggedMove) {
+	for _, found := range movedLine.FindAllStringSubmatch(e.log.String(), -1) {
+		run, _ := strconv.Atoi(found[3])
+		generation := (run - job.FirstRun(0)) / (job.FirstRun(1) - job.FirstRun(0))
+		moves = append(moves, loggedMove{leavingMove{entry: e.name, job: found[1], task: found[2], generation: generation}, found[4], found[0]})
+	}
+	return moves
+}
+
 // checkMoves checks that no owner has moved a task more than once because its target leaves, and
 // only on the report of an agent with the setting. A best-effort job that was submitted to an entry
 // again is another job there.
@@ -197,19 +213,14 @@
 	}
 	moves := map[leavingMove]int{}
 	for _, e := range r.entries {
-		for _, line := range strings.Split(e.log.String(), "\n") {
-			found := movedLine.FindStringSubmatch(line)
-			if found == nil {
-				continue
-			}
-			if i := slices.IndexFunc(r.agents, func(m *box) bool { return m.name == found[4] }); !slices.Contains(r.decisions.agents, i) {
-				r.t.Errorf("seed %d: %s moves a run off %s, which doesn't have %v: %s", r.seed, e.name, found[4], moveArgs, line)
+		for _, logged := range leavingMoves(e) {
+			if i := slices.IndexFunc(r.agents, func(m *box) bool { return m.name == logged.agent }); !slices.Contains(r.decisions.agents, i) {
+				r.t.Errorf("seed %d: %s moves a run off %s, which doesn't have %v: %s", r.seed, e.name, logged.agent, moveArgs, logged.line)
 			}
-			run, _ := strconv.Atoi(found[3])
-			move := leavingMove{entry: e.name, job: found[1], task: found[2], generation: (run - job.FirstRun(0)) / (job.FirstRun(1) - job.FirstRun(0))}
+			move := logged.leavingMove
 			moves[move]++
 			if moves[move] > max(1, submitted[move.entry+move.job]) {
-				r.t.Errorf("seed %d: a task was moved off leaving targets %d times: %s", r.seed, moves[move], line)
+				r.t.Errorf("seed %d: a task was moved off leaving targets %d times: %s", r.seed, moves[move], logged.line)
 			}
 		}
 	}
@@ -219,6 +230,59 @@
 	r.t.Logf("%d tasks moved off leaving targets", len(moves))
 }
 
+// Guards against a task that is moved off each leaving target in turn, and so makes no progress,
+// and against a log line that checkMoves no longer recognises.
+func TestTaskMovesOffLeavingTargetOnce(t *testing.T) {
+	const lasts, notice = 2500 * time.Millisecond, 800 * time.Millisecond
+	d := &deployment{t: t, bounds: usualBounds, decisions: decisionSettings{agents: []int{0, 1}}}
+	d.begin(1, 2)
+	e, id := d.entries[0], longID(1, lasts)
+	waitFor(t, "the job is accepted", func() bool {
+		status, _ := e.ask(http.MethodPost, id, platformJobOf(1, false, lasts))
+		return status == http.StatusOK
+	})
+	for leaving := 1; leaving <= 2; leaving++ {
+		var m *box
+		waitFor(t, fmt.Sprintf("run %d is in progress", leaving), func() bool {
+			m = d.runsAt(job.ID(id))
+			return m != nil
+		})
+		left := m.port.Executor()
+		ended := m.port.Leave(notice)
+		if leaving == 1 {
+			waitFor(t, "the task is moved", func() bool { return len(leavingMoves(e)) == 1 })
+		}
+		<-ended
+		d.replaceLeft(m, left)
+	}
+	waitFor(t, "the job is completed", func() bool {
+		_, state := e.ask(http.MethodGet, id, nil)
+		return job.State(state) == job.StateCompleted
+	})
+	if moves := leavingMoves(e); len(moves) != 1 {
+		t.Errorf("the task was moved %d times, want once: %+v", len(moves), moves)
+	}
+	ends := map[gate.EndKind]int{}
+	for _, s := range d.spans()[job.TaskName{Job: job.ID(id)}] {
+		ends[s.End]++
+	}
+	if ends[gate.EndStopped] != 1 || ends[gate.EndLost] != 1 || ends[gate.EndDone] != 1 {
+		t.Errorf("ends by kind %v, want one each of stopped, lost and done", ends)
+	}
+}
+
+// runsAt returns the agent at whose target a run of a job with one task is in progress, or nil.
+func (d *deployment) runsAt(id job.ID) *box {
+	for _, m := range d.agents {
+		for _, s := range m.port.Executor().Journal() {
+			if s.Name.Job == id && s.End == 0 {
+				return m
+			}
+		}
+	}
+	return nil
+}
+
 // Guards against seeds with which all processes of a role run with the settings, or none.
 func TestSoakDecisions(t *testing.T) {
 	for seed := range uint64(200) {
