soak: log when each target has work again

Nothing showed which check had waited.

checkWork logs how long after the faults the last target got work, and which one.

--- a/test/soak_check_test.go
+++ b/test/soak_check_test.go
@@ -38,11 +38,17 @@
 		return
 	}
 	limit := faultsEnded.Add(soakWorkTimeout)
+	var last []string
 	for number := 0; ; number++ {
 		idle := r.idleSince(faultsEnded)
 		if len(idle) == 0 {
+			r.t.Logf("each target has work %v after the faults have ended, the last ones %v", time.Since(faultsEnded).Round(time.Millisecond), last)
 			return
 		}
+		last = last[:0]
+		for _, m := range idle {
+			last = append(last, m.name)
+		}
 		if time.Now().After(limit) {
 			for _, m := range idle {
 				r.t.Errorf("the target of %s has started no run %v after the faults have ended", m.name, soakWorkTimeout)
