peer: the count test reads the load through LoadStats

Cause: the test that was put back didn't compile with the review's split of Stats. Change: one call. Result: go vet of the packages and go test ./peer -run LoadView pass.

--- a/peer/loadviewcount_test.go
+++ b/peer/loadviewcount_test.go
@@ -159,7 +159,7 @@
 			}
 			waiting := 0
 			for _, o := range f.owners {
-				if o.Stats().OwnWaiting > 0 {
+				if o.LoadStats().Own > 0 {
 					waiting++
 				}
 			}
