Placement by speed acts only where a target is certainly slow; samples count for 5 s

In a soak a target that had been slow waited up to 7.9 s for work, at a load of 67. Change: the part is on where a target is over 30% slower than the fast ones, in place of 15% off the median in either direction. Samples count for 5 s in place of 10.

--- a/gate/speed_test.go
+++ b/gate/speed_test.go
@@ -102,7 +102,7 @@
 }
 
 // Runs that began in the cold time are slow too if they end after it. Were they counted, a target
-// full of runs at the end of its cold time would seem slow for 10 s.
+// full of runs at the end of its cold time would seem slow for seconds.
 func TestRunsBegunColdGiveNoSpeedSample(t *testing.T) {
 	b := newBench(t)
 	b.gate.lifetime.cold.update(b.now, 0, 100*time.Millisecond)
--- a/speed/fleet.go
+++ b/speed/fleet.go
@@ -36,7 +36,8 @@
 type Fleet struct {
 	// Reference is the median slowness, 0 if none is known.
 	Reference float64
-	// Differ is set if a target is faster or slower than the median by more than the tolerance.
+	// Differ is set if a target is certainly slower than the fast ones. Objectives are derived
+	// from estimates, so targets that are faster than that call for nothing.
 	Differ bool
 	// Fast is the slowness up to which targets are fast: the median, or less if the median
 	// target takes longer than estimated.
@@ -59,17 +60,13 @@
 		}
 		return Fleet{}
 	}
-	f := Fleet{Reference: known[len(known)/2], Differ: cold}
-	f.Differ = f.Differ || f.deviates(known[0]) || f.deviates(known[len(known)-1])
+	f := Fleet{Reference: known[len(known)/2]}
 	fastest := f.adjust(known[int(fastShare*float64(len(known)))])
 	f.Fast = min(f.Reference, max(fastest, asEstimated))
+	f.Differ = cold || known[len(known)-1] > f.Fast*(1+certain)
 	return f
 }
 
-func (f Fleet) deviates(slowness float64) bool {
-	return slowness > f.Reference*(1+tolerance) || slowness < f.Reference*(1-tolerance)
-}
-
 // adjust returns the slowness that a measured one counts as: the median within the tolerance.
 func (f Fleet) adjust(slowness float64) float64 {
 	deviation := slowness/f.Reference - 1
--- a/speed/window.go
+++ b/speed/window.go
@@ -18,9 +18,10 @@
 	// maxSamples is how many of the newest runs count. Estimates are off by 40%, so the median
 	// of 31 of them is within about 8% of the true ratio.
 	maxSamples = 31
-	// maxAge is how long a run counts. Most slow targets are slow for less than 10 s, and a
-	// target without new runs has to be tried again.
-	maxAge = 10 * time.Second
+	// maxAge is how long a run counts. A slow target gets few new runs, so this bounds for how
+	// long it is avoided once it runs at its usual speed again. Trying a target that is still
+	// slow costs a few short tasks.
+	maxAge = 5 * time.Second
 )
 
 // Window holds the newest ratios of run time to estimate of a target. Its zero value is empty.
