owner: a comparison of speeds in which no target is slow is kept for 50 ms

Cause: each call of place and each admission compared all gates of a service, which costs as much as placing a task (BenchmarkPlace, 60 gates: 4.4 us by room, 8.2 us by speed here), also where no target is slow. Change: such a comparison is kept for 50 ms, until a gate reports a slow or cold target. Result: TestSlowTargetEndsKeptComparison; go test of owner and speed passes; vet and staticcheck clean.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -136,6 +136,8 @@
 	evacuations evacuation.News
 	// measured is the buffer of compareGates.
 	measured []float64
+	// comparisons holds the newest comparison of the speeds of each service's gates.
+	comparisons map[string]comparison
 	// means has the mean estimate of the tasks of each service; empty unless tasks are placed
 	// by speed.
 	means map[string]*meanEstimate
--- a/owner/speed.go
+++ b/owner/speed.go
@@ -2,7 +2,9 @@
 
 import (
 	"slices"
+	"time"
 
+	"rackspur/gate"
 	"rackspur/job"
 	"rackspur/speed"
 )
@@ -52,6 +54,40 @@
 	return nil
 }
 
+// compareInterval is how long a comparison holds in which no target was slow, unless a gate
+// reports one meanwhile. Comparing 60 gates costs as much as placing a task among them.
+const compareInterval = 50 * time.Millisecond
+
+// maxComparisons bounds the services whose newest comparisons are kept.
+const maxComparisons = 64
+
+// comparison is the newest comparison of a service's gates.
+type comparison struct {
+	at    Time
+	fleet speed.Fleet
+}
+
+// comparedLately returns the newest comparison of a service's gates if it still holds.
+func (o *Owner) comparedLately(now Time, service string) (speed.Fleet, bool) {
+	c, ok := o.comparisons[service]
+	return c.fleet, ok && !c.fleet.Differ && now-c.at < compareInterval
+}
+
+// keepComparison keeps the newest comparison of a service's gates.
+func (o *Owner) keepComparison(now Time, service string, f speed.Fleet) {
+	if o.comparisons == nil || len(o.comparisons) >= maxComparisons {
+		o.comparisons = map[string]comparison{}
+	}
+	o.comparisons[service] = comparison{at: now, fleet: f}
+}
+
+// noteSpeed discards the newest comparison if a report contradicts that no target is slow.
+func (o *Owner) noteSpeed(r *gate.Report) {
+	if c, ok := o.comparisons[r.Service]; ok && (r.Cold > 0 || c.fleet.CertainlySlow(r.MedianSlowness)) {
+		delete(o.comparisons, r.Service)
+	}
+}
+
 // compareSpeeds compares the gates of a service. It returns nil unless tasks are placed by speed
 // and the speeds differ.
 func (o *Owner) compareSpeeds(usable []*gateView, service string) *speeds {
@@ -62,6 +98,10 @@
 // compareGates compares the gates of a service and sets their expected slowness. Services are not
 // compared with each other, since the estimates of each may be off by another factor.
 func (o *Owner) compareGates(usable []*gateView, service string) speeds {
+	now := o.options.Now()
+	if f, ok := o.comparedLately(now, service); ok {
+		return speeds{service: service, fleet: f, mean: o.meanOf(service)}
+	}
 	o.measured = o.measured[:0]
 	cold := false
 	for _, v := range usable {
@@ -71,6 +111,7 @@
 		}
 	}
 	s := speeds{service: service, fleet: speed.Compare(o.measured, cold), mean: o.meanOf(service)}
+	o.keepComparison(now, service, s.fleet)
 	total, used := 0.0, 0.0
 	for _, v := range usable {
 		if v.report.Service != service {
--- a/owner/speed_test.go
+++ b/owner/speed_test.go
@@ -485,3 +485,27 @@
 		})
 	}
 }
+
+// A comparison without a slow target is kept for a while; a target that turns slow meanwhile must
+// be noticed with its report.
+func TestSlowTargetEndsKeptComparison(t *testing.T) {
+	b := newSpeedHarness(t, 1, 1, 1)
+	if b.owner.compareSpeeds(b.owner.usableGates(), testService) != nil {
+		t.Fatal("speeds differ though all targets are alike")
+	}
+	if _, kept := b.owner.comparedLately(b.now, testService); !kept {
+		t.Error("the comparison is not kept")
+	}
+	b.owner.noteSpeed(&gate.Report{Service: testService, MedianSlowness: 1.1})
+	if _, kept := b.owner.comparedLately(b.now, testService); !kept {
+		t.Error("a report of a usual target ends the comparison")
+	}
+	b.owner.noteSpeed(&gate.Report{Service: testService, MedianSlowness: 2.2})
+	if _, kept := b.owner.comparedLately(b.now, testService); kept {
+		t.Error("the comparison is kept beside a slow target")
+	}
+	b.owner.compareSpeeds(b.owner.usableGates(), testService)
+	if _, kept := b.owner.comparedLately(b.now+compareInterval, testService); kept {
+		t.Errorf("the comparison is kept for %v", compareInterval)
+	}
+}
--- a/owner/view.go
+++ b/owner/view.go
@@ -206,6 +206,7 @@
 	v.heard = now
 	v.presumed = false
 	v.report = f.Report
+	o.noteSpeed(&v.report)
 	v.sharesLoad = v.sharesLoad || len(f.Report.OthersWaiting) > 0
 	for len(v.inFlight) > 0 && v.inFlight[0].sequence <= f.Received {
 		v.inFlight = v.inFlight[1:]
--- a/speed/fleet.go
+++ b/speed/fleet.go
@@ -63,7 +63,7 @@
 	f := Fleet{Reference: known[len(known)/2]}
 	fastest := f.adjust(known[int(fastShare*float64(len(known)))])
 	f.Fast = min(f.Reference, max(fastest, asEstimated))
-	f.Differ = cold || known[len(known)-1] > f.Fast*(1+certain)
+	f.Differ = cold || f.CertainlySlow(known[len(known)-1])
 	return f
 }
 
@@ -90,6 +90,10 @@
 	return f.Reference, false
 }
 
+// CertainlySlow reports whether a slowness is worse than that of the fast targets by more than any
+// error of the measurement.
+func (f Fleet) CertainlySlow(slowness float64) bool { return slowness > f.Fast*(1+certain) }
+
 // IsSlow reports whether a slowness is worse than the median's by more than the tolerance.
 func (f Fleet) IsSlow(slowness float64) bool { return slowness > f.Reference*(1+tolerance) }
 
