gate: runs with an estimate below 100 ms are no samples of the target's speed

Cause: the time of such a run includes up to 10 ms of delivery where the agent is short of processor time, so targets with many short tasks seemed slow under high load. Change: their whole time doesn't count; measured progress, which is on the target's clock alone, does.

--- a/gate/speed.go
+++ b/gate/speed.go
@@ -8,11 +8,16 @@
 // and don't count, nor do runs that were started in the cold time and ended after it. Runs whose
 // progress was recorded are in the window already.
 func (g *Gate) recordSpeed(now Time, r *run) {
-	if r.end == EndDone && r.startedMS >= g.lifetime.warmMS && !r.progress.recorded {
+	if r.end == EndDone && r.startedMS >= g.lifetime.warmMS && !r.progress.recorded && r.estimate >= minTimedEstimate {
 		g.speed.Add(now, r.ran, r.estimate)
 	}
 }
 
+// minTimedEstimate is the least estimate of a run whose whole time is a sample. It includes the
+// delivery of the start and the end, up to 10 ms where the agent is short of processor time, so
+// that a target with many short tasks would seem slow.
+const minTimedEstimate = 100 * time.Millisecond
+
 // recordProgress adds the progress of a run, in percent of its work, over a time on the target's
 // clock. A target that turns slow is noticed before the runs that it slows down have ended. A run
 // that stands still tells nothing about the target's speed.
--- a/gate/speed_test.go
+++ b/gate/speed_test.go
@@ -151,3 +151,24 @@
 		t.Errorf("slowness %v after 20%% of the work in 50 ms, half of the estimate; want 2.5", got)
 	}
 }
+
+// The time of a short run is mostly that of its delivery where the agent is short of processor
+// time: a target with many short tasks must not seem slow.
+func TestShortRunsGiveNoSpeedSample(t *testing.T) {
+	b := newBench(t)
+	for i := range 2 * speed.MinSamples {
+		b.endRun(i, 100*time.Millisecond, EndDone)
+	}
+	for i := range 40 {
+		name := testRun("bb", i, 1)
+		a, _ := b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, DurableEcho: b.now, Sequence: 1, Starts: []Order{
+			{Name: name, Spec: "s", Need: job.Resources{CPU: 1600, Memory: 64}, Estimate: minTimedEstimate / 2, BestEffort: true},
+		}})
+		b.started(a)
+		b.runFor(100*time.Millisecond, name)
+		b.hold(HoldAnswer{Finished: []Ended{{Number: int64(2*speed.MinSamples + 1 + i), Name: name, Kind: EndDone}}})
+	}
+	if got := b.medianSlowness(); got > 1.2 {
+		t.Errorf("slowness %v after runs of 50 ms that took 50 ms longer; want that of the runs before, 1", got)
+	}
+}
