speed: each run gives one sample, and short runs none by their progress

Cause: a run's newest progress replaced its former sample and came back after it had left the window, so that long runs filled the windows of targets with little work; of short runs only those that take longer than estimated lasted until their progress was measured. In a trial without slow targets 19 of 58 counted as 2 to 2.9 times slower, and stayed so. Change: only the first measurement of a run counts, from an estimate of 200 ms on.

--- a/gate/speed.go
+++ b/gate/speed.go
@@ -18,16 +18,23 @@
 // that a target with many short tasks would seem slow.
 const minTimedEstimate = 100 * time.Millisecond
 
-// recordProgress adds the progress of a run, in percent of its work, over a time on the target's
-// clock. A target that turns slow is noticed before the runs that it slows down have ended. A run
-// that stands still tells nothing about the target's speed.
+// recordProgress adds the first measured progress of a run, in percent of its work, over a time on
+// the target's clock. A target that turns slow is noticed before the runs that it slows down have
+// ended. Each run gives one sample: more of them would let a few long runs fill the window of a
+// target with little work. A run that stands still tells nothing about the target's speed.
 func (g *Gate) recordProgress(now Time, r *run, watched time.Duration, percent int) {
-	if percent > 0 && r.progress.since.Milliseconds() >= g.lifetime.warmMS {
-		g.speed.AddProgress(now, r.order, watched, r.estimate*time.Duration(percent)/100)
-		r.progress.recorded = true
+	if percent <= 0 || r.progress.recorded || r.estimate < minWatchedEstimate || r.progress.since.Milliseconds() < g.lifetime.warmMS {
+		return
 	}
+	g.speed.Add(now, watched, r.estimate*time.Duration(percent)/100)
+	r.progress.recorded = true
 }
 
+// minWatchedEstimate is the least estimate of a run whose progress is a sample. Of shorter ones
+// only those that take longer than estimated last until their progress is measured, some 90 ms
+// after their start.
+const minWatchedEstimate = 200 * time.Millisecond
+
 // MedianSlowness returns the median ratio of run time to estimate, 0 if it is unknown.
 func (g *Gate) MedianSlowness(now Time) float64 { return g.speed.Slowness(now) }
 
--- a/speed/window.go
+++ b/speed/window.go
@@ -34,37 +34,15 @@
 type sample struct {
 	at    time.Duration
 	ratio float64
-	// run identifies a run that was at work when its progress was recorded; 0 for one that has
-	// ended.
-	run uint64
 }
 
-// Add records a run that has ended. Runs of unknown run time or estimate don't count.
-func (w *Window) Add(now, ran, estimate time.Duration) {
-	if ran > 0 && estimate > 0 {
-		w.add(sample{at: now, ratio: float64(ran) / float64(estimate)})
-	}
-}
-
-// AddProgress records that a run has taken a time for a part of its work, given as the estimate
-// of that part. It replaces what was recorded of the run before: otherwise a few long tasks would
-// fill the window of a target with little work.
-func (w *Window) AddProgress(now time.Duration, run uint64, took, estimate time.Duration) {
+// Add records that a run has taken a time for work of this estimate. Unknown times and estimates
+// don't count.
+func (w *Window) Add(now, took, estimate time.Duration) {
 	if took <= 0 || estimate <= 0 {
 		return
 	}
-	s := sample{at: now, ratio: float64(took) / float64(estimate), run: run}
-	for i := range w.count {
-		if w.samples[i].run == run {
-			w.samples[i] = s
-			return
-		}
-	}
-	w.add(s)
-}
-
-func (w *Window) add(s sample) {
-	w.samples[w.next] = s
+	w.samples[w.next] = sample{at: now, ratio: float64(took) / float64(estimate)}
 	w.next = (w.next + 1) % maxSamples
 	w.count = min(w.count+1, maxSamples)
 }
