speed: targets differ only where tasks end late on the slow ones

Cause: a third of the targets of a deployment is 1.3 times slower, measured at up to 1.8. Change: the part acts where a target is over 1.8 times slower than the fast ones.

--- a/owner/speed.go
+++ b/owner/speed.go
@@ -83,7 +83,7 @@
 
 // noteSpeed discards the newest comparison if a report contradicts that no target is slow.
 func (o *Owner) noteSpeed(r *gate.Report) {
-	if c, ok := o.comparisons[r.Service]; ok && (r.Cold > 0 || c.fleet.CertainlySlow(r.MedianSlowness)) {
+	if c, ok := o.comparisons[r.Service]; ok && (r.Cold > 0 || c.fleet.Harmful(r.MedianSlowness)) {
 		delete(o.comparisons, r.Service)
 	}
 }
--- a/speed/fleet.go
+++ b/speed/fleet.go
@@ -13,6 +13,10 @@
 	// certain is the deviation from which a slowness counts as it was measured. Between the
 	// two it counts partly, so that a target that has deviated by chance is hardly avoided.
 	certain = 0.30
+	// harmful is how many times slower than the fast targets a target is on which tasks end late:
+	// objectives allow a task about 1.6 times its run time, and the measurement errs by up to the
+	// tolerance.
+	harmful = 1.8
 	// coldFactor is how many times slower than the median a cold target counts whose slowness
 	// is unknown.
 	coldFactor = 2
@@ -36,8 +40,8 @@
 type Fleet struct {
 	// Reference is the median slowness, 0 if none is known.
 	Reference float64
-	// Differ is set if a target is certainly slower than the fast ones. Objectives are derived
-	// from estimates, so targets that are faster than that call for nothing.
+	// Differ is set if a target is so slow that tasks end late there. Faster targets, and those
+	// that are somewhat slower, call for nothing.
 	Differ bool
 	// Fast is the slowness up to which targets are fast: the median, or less if most targets
 	// are slow.
@@ -67,7 +71,7 @@
 		// Most targets are slow.
 		f.Fast = max(fastest, asEstimated)
 	}
-	f.Differ = cold || f.CertainlySlow(known[len(known)-1])
+	f.Differ = cold || f.Harmful(known[len(known)-1])
 	return f
 }
 
@@ -94,9 +98,9 @@
 	return f.Reference, false
 }
 
-// CertainlySlow reports whether a slowness is worse than that of the fast targets by more than any
-// error of the measurement.
-func (f Fleet) CertainlySlow(slowness float64) bool { return slowness > f.Fast*(1+certain) }
+// Harmful reports whether tasks end late on a target of this slowness that would be in time on a
+// fast one.
+func (f Fleet) Harmful(slowness float64) bool { return slowness > f.Fast*harmful }
 
 // IsSlow reports whether a slowness is worse than the median's by more than the tolerance.
 func (f Fleet) IsSlow(slowness float64) bool { return slowness > f.Reference*(1+tolerance) }
