--- a/speed/fleet.go
+++ b/speed/fleet.go
@@ -20,8 +20,8 @@
 	// coldFactor is how many times slower than the median a cold target counts whose slowness
 	// is unknown.
 	coldFactor = 2
-	// fastShare is the share of the targets, by slowness, whose slowest counts as fast in any
-	// case. The fastest target alone may only seem fast by chance.
+	// fastShare is the share of the targets, by slowness, whose slowest counts as fast where most
+	// targets are slow. The fastest target alone may only seem fast by chance.
 	fastShare = 0.2
 	// asEstimated is the slowness of a target that runs tasks in their estimated time.
 	// Objectives are derived from estimates, so such a target is fast enough.
