Agents notice connections that outlive their target's incarnation

What callers could see: behind something that keeps connections to a target open over its restart, calls for the former incarnation reach the newer one: a task runs again after its end, or the newer incarnation drops ends that nobody has heard of. No log line told of it, and it went on for as long as the connections stayed open.

Change: an answer from another incarnation than the one that accepted the connection is logged and counted (target.connections_outlived).

--- a/cli/platform.go
+++ b/cli/platform.go
@@ -217,7 +217,7 @@
 func runPlatformAgent(ctx context.Context, s *platform.Settings, o node.Options) error {
 	runCtx, end := context.WithCancel(context.Background())
 	defer end()
-	a, err := node.NewAgent(runCtx, o, platform.NewExecutor(s, o.Unreadable))
+	a, err := node.NewAgent(runCtx, o, platform.NewExecutor(s, o.Log, o.Metrics, o.Unreadable))
 	if err != nil {
 		return err
 	}
