Test: a target that answers slowly gets no work

An order has 60 ms (orderTimeout) and its tries follow after at most 30 ms (maxRTO), whatever the target's answers take of late. Hypotheses, before any change:

Answers after 60 ms: every start is given up before its answer, so each run costs several starts, a hold, a stop and a new placing. 2. A call that is given up closes its connection. The next one pays for a new connection and its first hold, so it takes twice as long as the target needs, and the state keeps itself up. 3. The timeout can't adapt: an answer that comes after its call was given up is no sample, and maxRTO cuts off what holds show. 4. A stop has the same limit and is sent again every 150 ms. 5. While late starts are expected, a hold beside another has 60 ms, so holds lose their connections too.

The new test plays jobs of short tasks in virtual time while the targets carry out each call late, with connections as in package platform. Seen without a change, 3 s of jobs of two tasks, per target:

5 ms: 60 of 60 jobs completed, one start a run, no stops 50 ms: 56 of 60; 95 starts of 43 runs, 12 stops, 126 connections 100 ms: 0 of 60; 38 starts of 16 runs, 275 stops, 429 connections 300 ms: 0 of 60, all refused; 63 holds, 63 connections

At 100 ms no target starts anything for 4 s. Once answers are fast, each target starts a run within 0.2 s. The cases of 50 and 100 ms fail.

--- a/node/virtualagent_test.go
+++ b/node/virtualagent_test.go
@@ -15,6 +15,8 @@
 	site   *virtualSite
 	name   string
 	target *virtualTarget
+	// slow carries the calls to the target.
+	slow *slowConnections
 	// awake is shut while the agent's process is frozen.
 	awake valve
 	// operator evacuates failure domains; nil in most tests.
@@ -41,6 +43,7 @@
 func newAgentBox(s *virtualSite, i int) *agentBox {
 	name := fmt.Sprintf("agent-%d", i)
 	b := &agentBox{site: s, name: name, target: newVirtualTarget(name, s.bounds.maxHold)}
+	b.slow = newSlowConnections(&agentCalls{box: b})
 	b.start()
 	return b
 }
@@ -55,7 +58,7 @@
 	o := b.site.bounds.options(b.name)
 	o.Domain = b.domain()
 	g := gate.New(gateOptions(o, fmt.Sprintf("%s~%d", b.name, b.count)))
-	p.driver = gate.NewDriver(p.ctx, g, &agentCalls{box: b}, b.site.log.WithName(b.name))
+	p.driver = gate.NewDriver(p.ctx, g, b.slow, b.site.log.WithName(b.name))
 	p.driver.OnReport(p.wakeLinks)
 	b.process = p
 	if b.operator != nil {
