gate: no pause of 250 ms after the limit of holds was reached

Cause: when a hold was due beside maxHolds others in flight, the hold loop noted that it waited for late holds, also if there were none. Once those in flight had been answered, it sent nothing for 250 ms: no end was received and the lease was not extended. Four holds in flight come about when three are requested while their target takes some milliseconds to answer.

Change: the loop waits for late holds only if there are any.

--- a/gate/holdload_test.go
+++ b/gate/holdload_test.go
@@ -160,3 +160,33 @@
 	}
 	t.Logf("ending %v: %d holds, %d at once, %d cancelled, longest gap %v", ending, x.holds, x.maxOpen, x.cancelled, x.longestGap)
 }
+
+// Guards against a gate that waits for late holds though there are none: after the limit was
+// reached by holds that were all answered in time, no hold was sent for 250 ms. Time is virtual.
+func TestNoPauseAfterFullHolds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const answerTime = 5 * time.Millisecond
+		ctx, cancel := context.WithCancel(t.Context())
+		x := &loadedTarget{delay: func(int) time.Duration { return answerTime }}
+		g := New(Options{Node: "gate-1", Lease: time.Second, ContactTimeout: time.Minute, BestEffortContactTimeout: time.Minute})
+		d := NewDriver(ctx, g, x, logr.Discard())
+		go d.Run(ctx)
+		d.Heartbeat(Heartbeat{Incarnation: testIncarnation, Service: "engine", Sequence: 1})
+		wait.For(ctx, time.Second)
+		for range maxHolds {
+			d.requestHold()
+			wait.For(ctx, answerTime/(maxHolds+1))
+		}
+		wait.For(ctx, time.Second)
+		cancel()
+		synctest.Wait()
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if x.maxOpen != maxHolds {
+			t.Errorf("%d holds at once, want %d for the test", x.maxOpen, maxHolds)
+		}
+		if x.longestGap > 2*holdWait {
+			t.Errorf("%v without an answer, want %v at most", x.longestGap, 2*holdWait)
+		}
+	})
+}
--- a/gate/holdloop.go
+++ b/gate/holdloop.go
@@ -146,9 +146,11 @@
 
 // send sends a hold if the limit allows it; only one without others in flight waits long.
 func (l *holdLoop) send(ctx context.Context) {
-	if l.waitingForLate = !l.hasRoom(); l.waitingForLate {
+	if !l.hasRoom() {
+		l.waitingForLate = len(l.late) > 0
 		return
 	}
+	l.waitingForLate = false
 	if l.newConnection {
 		ctx = OnNewConnection(ctx)
 		l.newConnection = false
