gate: orders wait as long as the target's answers take

Cause: an order had 60 ms and its tries followed after at most 30 ms, whatever the target's answers took. Once they took longer, every start was given up before its answer. Giving up closes the connection, so the next call paid for a new one and its first hold, twice the target's time, and was given up as well. The gate did not learn of it: answers after a call was given up were no samples, and the timeout had a bound of 30 ms. Stops went the same way, three calls each 150 ms.

Change: - While the smoothed latency exceeds 30 ms, the retransmission timeout may follow it, up to 150 ms, and an order has two timeouts, up to 300 ms, when its gate closes anyway. A start is not waited for beyond its lease. - The tries of an order that was given up continue, for up to 300 ms, until a call sent later is answered: only then are they lost rather than slow. Their answers are the samples that the estimator lacked. - A hold beside others has the time of an order. - A hold whose answer may have come early, since a run has ended, is no sample; it made a slow target seem fast. - Samples count as 300 ms at most (the process may have been suspended), and after 300 ms without any answer the bound is 30 ms again, so that a newer incarnation is found as soon as before. - No try is sent at the moment its order is given up. - "Start failed." tells the time that the order had.

TestRTO asked for 30 ms also where all answers take a second. That bound was the fault, so it asks for the new one now, and for both kinds of timeout with answers in 100 ms, after silence and with quick answers again. TestOrdersLearnHowSlowTheTargetIs, TestOvertakenTriesAreGivenUp, TestStartIsWaitedForWithinItsLease, TestEarlyHoldIsNoSample and TestLostCallsAreNotSlowOnes each fail with their part of the change taken out. go test -race ./gate ./node ./platform passes at a load of 30 to 90.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -87,9 +87,10 @@
 
 func (d *Driver) start(incarnation Incarnation, c StartCall) {
 	call := newRetriedCall(&d.rto, func(ctx context.Context) (Answer, error) { return d.target.Start(ctx, incarnation, c) })
+	call.timeout = min(call.timeout, max(d.leaseLeft(c), orderTimeout))
 	ans, err := call.run(d.ctx)
 	if err != nil {
-		d.log.Info("Start failed.", "job", c.Name.Job, "step", c.Name.Step, "index", c.Name.Index, "run", c.Name.Run, "tries", call.tries, "error", err.Error())
+		d.log.Info("Start failed.", "job", c.Name.Job, "step", c.Name.Step, "index", c.Name.Index, "run", c.Name.Run, "tries", call.tries, "timeout", call.timeout.String(), "error", err.Error())
 	}
 	d.do(func(now Time, g *Gate) Actions {
 		if call.mayComeLate() {
@@ -99,6 +100,14 @@
 	})
 }
 
+// leaseLeft returns how long the lease that a start carries still lasts. The target does not carry
+// the start out after that.
+func (d *Driver) leaseLeft(c StartCall) time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return time.Duration(c.UntilMS-d.gate.targetClock(d.now())) * time.Millisecond
+}
+
 func (d *Driver) stop(incarnation Incarnation, c StopCall) {
 	call := newRetriedCall(&d.rto, func(ctx context.Context) (Answer, error) { return d.target.Stop(ctx, incarnation, c) })
 	ans, err := call.run(d.ctx)
@@ -131,11 +140,12 @@
 	d.gate.SuspectRestart(d.now())
 }
 
-// hold sends a hold and processes its answer unless it was abandoned meanwhile.
-func (d *Driver) hold(ctx context.Context, h Hold, abandoned func() bool) error {
+// hold sends a hold and processes its answer unless it was abandoned meanwhile. early reports
+// whether the answer may have come before the end of its wait, because a run has ended.
+func (d *Driver) hold(ctx context.Context, h Hold, abandoned func() bool) (early bool, err error) {
 	ans, lists, err := d.target.Hold(ctx, h.Incarnation, h.Call)
 	if abandoned() {
-		return ErrUnanswered
+		return false, ErrUnanswered
 	}
 	if ctx.Err() != nil && errors.Is(err, ErrUnreachable) {
 		// The call was cancelled; the connection was not refused.
@@ -148,15 +158,15 @@
 		}
 		return g.OnHold(now, h, ans, lists, err)
 	})
-	return err
+	return len(lists.Finished) > 0, err
 }
 
 // holdTimeout returns the time allowed for a hold in addition to its wait; see
-// Gate.holdTimeout.
+// Gate.holdTimeout. It leaves a target that answers slowly as much time as for an order.
 func (d *Driver) holdTimeout(beside bool) time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.gate.holdTimeout(d.now(), beside)
+	return max(d.gate.holdTimeout(d.now(), beside), min(d.rto.orderTimeout(), holdTimeout))
 }
 
 // holdPause returns how long to wait before the next hold, after one that returned err.
--- a/gate/holdloop.go
+++ b/gate/holdloop.go
@@ -33,7 +33,9 @@
 	overdue bool
 	// abandoned is set once the answer is no longer waited for.
 	abandoned atomic.Bool
-	err       error
+	// early is set if the answer may have come before the end of the wait.
+	early bool
+	err   error
 }
 
 // wait returns how long the target may delay its answer.
@@ -162,7 +164,7 @@
 	l.underWay = append(l.underWay, c)
 	go func() {
 		defer cancel()
-		c.err = l.driver.hold(callCtx, c.hold, c.abandoned.Load)
+		c.early, c.err = l.driver.hold(callCtx, c.hold, c.abandoned.Load)
 		select {
 		case l.returned <- c:
 		case <-ctx.Done():
@@ -195,6 +197,7 @@
 	}
 	l.underWay = without(l.underWay, c)
 	if answered(c.err) {
+		l.driver.rto.answeredCall(c.sent)
 		l.updateRTO(c)
 		l.abandonOlder(c)
 	}
@@ -209,10 +212,10 @@
 }
 
 // updateRTO updates the retransmission timeout with the time that the target took beyond the
-// wait. An answer before the end of the wait yields no sample.
+// wait. An answer that may have come before the end of the wait yields no sample.
 func (l *holdLoop) updateRTO(c *holdCall) {
 	took := time.Since(c.sent) - c.wait()
-	if took < 0 {
+	if took < 0 || c.early && c.wait() > 0 {
 		l.driver.rto.answeredUntimed()
 		return
 	}
@@ -220,15 +223,15 @@
 }
 
 // abandonOlder abandons the overdue holds that were sent before c, whose lists are outdated
-// now. They are cancelled only after lateAnswerWait: most are answered shortly after, and
-// cancelling a call closes its connection.
+// now. They are cancelled only later, since most are answered shortly after and cancelling a call
+// closes its connection; see rtoEstimator.lateAnswerWait.
 func (l *holdLoop) abandonOlder(c *holdCall) {
 	l.underWay = slices.DeleteFunc(l.underWay, func(other *holdCall) bool {
 		if !other.overdue || other.sent.After(c.sent) {
 			return false
 		}
 		l.abandon(other)
-		time.AfterFunc(lateAnswerWait, other.cancel)
+		time.AfterFunc(l.driver.rto.lateAnswerWait(), other.cancel)
 		return true
 	})
 }
--- a/gate/retry.go
+++ b/gate/retry.go
@@ -17,12 +17,11 @@
 	// newConnectionTry is the try that uses a new connection: the connections of the earlier
 	// ones may be dead.
 	newConnectionTry = 3
-	// orderTimeout is how long an order may go unanswered before the gate checks with a hold
-	// what became of it.
+	// orderTimeout is how long an order may go unanswered at least before the gate checks with a
+	// hold what became of it; see rtoEstimator.orderTimeout.
 	orderTimeout = 60 * time.Millisecond
 	// lateAnswerWait is how long the other tries of a resolved order, and abandoned holds, may
-	// continue. Cancelling a call closes its connection, and most are answered shortly after:
-	// cancelling overdue holds at once caused 11 of 13 new connections per target and minute.
+	// continue at least; see rtoEstimator.lateAnswerWait.
 	lateAnswerWait = maxRTO
 )
 
@@ -30,8 +29,10 @@
 // target treats a second start of the same run as a duplicate, and a start that is carried out
 // late has an expired lease.
 type retriedCall struct {
-	call    func(ctx context.Context) (Answer, error)
-	rto     *rtoEstimator
+	call func(ctx context.Context) (Answer, error)
+	rto  *rtoEstimator
+	// timeout is how long the call may go unanswered.
+	timeout time.Duration
 	began   time.Time
 	answers chan try
 	tries   int
@@ -47,7 +48,7 @@
 
 // newRetriedCall returns a call that has not been sent yet.
 func newRetriedCall(e *rtoEstimator, call func(ctx context.Context) (Answer, error)) *retriedCall {
-	return &retriedCall{call: call, rto: e, began: time.Now(), answers: make(chan try, maxTries)}
+	return &retriedCall{call: call, rto: e, timeout: e.orderTimeout(), began: time.Now(), answers: make(chan try, maxTries)}
 }
 
 // run sends the call until it is resolved. ErrUnanswered means that it may have been carried
@@ -55,7 +56,7 @@
 func (c *retriedCall) run(ctx context.Context) (Answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer c.cancelOpen(cancel)
-	timeout := time.NewTimer(orderTimeout)
+	timeout := time.NewTimer(c.timeout)
 	defer timeout.Stop()
 	for {
 		c.send(ctx)
@@ -73,7 +74,18 @@
 		cancel()
 		return
 	}
-	time.AfterFunc(lateAnswerWait, cancel)
+	time.AfterFunc(c.rto.lateAnswerWait(), func() { c.cancelLost(cancel) })
+}
+
+// cancelLost cancels the tries in flight once they are lost rather than slow. Until then their
+// answers show how slow the target is.
+func (c *retriedCall) cancelLost(cancel context.CancelFunc) {
+	left := silentAfter - time.Since(c.began)
+	if left <= 0 || c.rto.overtaken(c.began) {
+		cancel()
+		return
+	}
+	time.AfterFunc(min(left, lateAnswerWait), func() { c.cancelLost(cancel) })
 }
 
 func (c *retriedCall) send(ctx context.Context) {
@@ -87,6 +99,7 @@
 		answer, err := c.call(ctx)
 		if answered(err) {
 			c.rto.answered(time.Since(sent))
+			c.rto.answeredCall(sent)
 		}
 		c.answers <- try{answer: answer, err: err}
 	}()
@@ -121,7 +134,7 @@
 				return false, try{err: ErrUnanswered}
 			}
 		case <-due.C:
-			if c.mayResend() {
+			if c.mayResend() && time.Since(c.began) < c.timeout {
 				return true, try{}
 			}
 			due.Reset(c.rto.timeout())
--- a/gate/retry_test.go
+++ b/gate/retry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -82,8 +83,10 @@
 	})
 }
 
-// The timeout follows the observed latencies within its bounds.
-func TestRTO(t *testing.T) {
+// The timeout follows the observed latencies within its bounds. Time is virtual.
+func TestRTO(t *testing.T) { synctest.Test(t, testRTO) }
+
+func testRTO(t *testing.T) {
 	e := &rtoEstimator{}
 	if e.timeout() != maxRTO {
 		t.Errorf("%v before the first answer", e.timeout())
@@ -103,11 +106,135 @@
 	for range 50 {
 		e.answered(time.Second)
 	}
-	if e.timeout() != maxRTO {
-		t.Errorf("%v for slow answers", e.timeout())
+	if e.timeout() != maxSlowRTO || e.orderTimeout() != silentAfter {
+		t.Errorf("%v, %v for an order, for answers later than a target may be silent", e.timeout(), e.orderTimeout())
+	}
+	for range 50 {
+		e.answered(100 * time.Millisecond)
+	}
+	if w := e.timeout(); w < 100*time.Millisecond || w > maxSlowRTO || e.orderTimeout() != triesPerOrder*w {
+		t.Errorf("%v, %v for an order, for answers in 100 ms", w, e.orderTimeout())
+	}
+	wait.For(t.Context(), silentAfter+time.Millisecond)
+	if e.timeout() != maxRTO || e.orderTimeout() != orderTimeout {
+		t.Errorf("%v, %v for an order, after silence", e.timeout(), e.orderTimeout())
+	}
+	for range 50 {
+		e.answered(time.Millisecond)
+	}
+	if e.timeout() != minRTO || e.orderTimeout() != orderTimeout {
+		t.Errorf("%v, %v for an order, for answers that are quick again", e.timeout(), e.orderTimeout())
 	}
 }
 
+// Guards against lost calls and single slow answers that delay the tries of all orders. Half of
+// the calls are lost, one answer in ten is slow and the others are quick. Time is virtual.
+func TestLostCallsAreNotSlowOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const orders = 400
+		e := &rtoEstimator{}
+		var sent atomic.Uint64
+		var unresolved int
+		began := time.Now()
+		for range orders {
+			c := newRetriedCall(e, func(ctx context.Context) (Answer, error) {
+				random := rand.New(rand.NewPCG(sent.Add(1), 0))
+				if random.IntN(2) == 0 {
+					return hangs(ctx)
+				}
+				took := time.Millisecond
+				if random.IntN(10) == 0 {
+					took = maxRTO - time.Millisecond
+				}
+				wait.For(ctx, took)
+				return Answer{}, ctx.Err()
+			})
+			if _, err := c.run(t.Context()); err != nil {
+				unresolved++
+			}
+			if e.timeout() > maxRTO || e.orderTimeout() != orderTimeout {
+				t.Fatalf("%v until a try, %v for an order, want at most %v and %v", e.timeout(), e.orderTimeout(), maxRTO, orderTimeout)
+			}
+			wait.For(t.Context(), time.Millisecond)
+		}
+		t.Logf("%d of %d orders unresolved, %d tries, %v", unresolved, orders, sent.Load(), time.Since(began))
+	})
+}
+
+// slowStarts answers each start after a while, unless it was given up.
+type slowStarts struct {
+	hangingTarget
+	takes time.Duration
+}
+
+func (e *slowStarts) Start(ctx context.Context, _ Incarnation, _ StartCall) (Answer, error) {
+	wait.For(ctx, e.takes)
+	if ctx.Err() != nil {
+		return Answer{}, ErrUnanswered
+	}
+	return e.answer(), nil
+}
+
+// Guards against a gate that never learns how slowly its target answers, because it gives up all
+// orders before their answers. Time is virtual.
+func TestOrdersLearnHowSlowTheTargetIs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const takes, orders = 140 * time.Millisecond, 4
+		x := &slowStarts{takes: takes}
+		d := NewDriver(t.Context(), New(Options{Node: "gate-1", Lease: time.Second}), x, logr.Discard())
+		for range 50 {
+			d.rto.answered(time.Millisecond)
+		}
+		for range orders {
+			d.start(testIncarnation, StartCall{UntilMS: time.Hour.Milliseconds()})
+			wait.For(t.Context(), silentAfter)
+		}
+		d.rto.answeredUntimed()
+		if timeout := d.rto.orderTimeout(); timeout < takes {
+			t.Errorf("an order is waited for %v after %d orders with answers in %v", timeout, orders, takes)
+		}
+	})
+}
+
+// Guards against calls that occupy a target though a later one was answered, so that they are lost.
+// Time is virtual.
+func TestOvertakenTriesAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &rtoEstimator{}
+		e.answered(time.Millisecond)
+		ended := make(chan time.Time, maxTries)
+		c := newRetriedCall(e, func(ctx context.Context) (Answer, error) {
+			defer func() { ended <- time.Now() }()
+			return hangs(ctx)
+		})
+		_, _ = c.run(t.Context())
+		resolved := time.Now()
+		e.answeredCall(resolved)
+		if open := (<-ended).Sub(resolved); open != lateAnswerWait {
+			t.Errorf("the open tries went on for %v, want %v", open, lateAnswerWait)
+		}
+	})
+}
+
+// A start is not waited for beyond the lease that it carries, however slow the target is. Time is
+// virtual.
+func TestStartIsWaitedForWithinItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const lease = 120 * time.Millisecond
+		x := &slowStarts{takes: time.Hour}
+		d := NewDriver(t.Context(), New(Options{Node: "gate-1", Lease: time.Second}), x, logr.Discard())
+		for range 50 {
+			d.rto.answered(silentAfter)
+		}
+		began := time.Now()
+		d.start(testIncarnation, StartCall{UntilMS: lease.Milliseconds()})
+		if took := time.Since(began); took > lease {
+			t.Errorf("waited for a start for %v, want %v at most", took, lease)
+		}
+		wait.For(t.Context(), time.Second)
+	})
+}
+
 // lossyHolds answers only every second hold.
 type lossyHolds struct {
 	hangingTarget
@@ -235,3 +362,44 @@
 		synctest.Wait()
 	})
 }
+
+// earlyHolds answers each hold late, with an end that comes before the end of its wait.
+type earlyHolds struct {
+	hangingTarget
+	late, early time.Duration
+	ends        atomic.Int64
+}
+
+func (e *earlyHolds) Hold(ctx context.Context, _ Incarnation, c HoldCall) (Answer, HoldAnswer, error) {
+	if c.WaitMS == 0 {
+		wait.For(ctx, e.late)
+		return e.answer(), HoldAnswer{}, ctx.Err()
+	}
+	wait.For(ctx, time.Duration(c.WaitMS)*time.Millisecond-e.early+e.late)
+	if ctx.Err() != nil {
+		return Answer{}, HoldAnswer{}, ErrUnanswered
+	}
+	return e.answer(), HoldAnswer{Finished: []Ended{{Number: e.ends.Add(1)}}}, nil
+}
+
+// Guards against a target that seems to answer faster than it does, because the time since a hold
+// that was answered early is taken for the latency. Time is virtual.
+func TestEarlyHoldIsNoSample(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		x := &earlyHolds{late: 100 * time.Millisecond, early: 60 * time.Millisecond}
+		g := New(Options{Node: "gate-1", Lease: time.Second, ContactTimeout: time.Minute, BestEffortContactTimeout: time.Minute})
+		d := NewDriver(ctx, g, x, logr.Discard())
+		for range 50 {
+			d.rto.answered(x.late)
+		}
+		go d.Run(ctx)
+		d.Heartbeat(Heartbeat{Incarnation: testIncarnation, Service: "engine", Sequence: 1})
+		wait.For(ctx, 5*time.Second)
+		cancel()
+		synctest.Wait()
+		if d.rto.smoothed < x.late || x.ends.Load() == 0 {
+			t.Errorf("a latency of %v was learnt from answers in %v; %d early holds", d.rto.smoothed, x.late, x.ends.Load())
+		}
+	})
+}
