test: targets that are processes, and calls around their restart

Cause: the tests' targets are objects in the test's process, so that a line of the stand-in decides whether a call crosses a restart.

Change: the test binary, started with RACKSPUR_TEST_TARGET, serves a target and reports its runs and orders on its standard output before it answers.

--- a/test/main_test.go
+++ b/test/main_test.go
@@ -14,6 +14,9 @@
 var binary string
 
 func TestMain(m *testing.M) {
+	if settings, ok := os.LookupEnv(targetVariable); ok {
+		os.Exit(serveTarget(settings))
+	}
 	os.Exit(run(m))
 }
 
