A late write of a target's description replaces no newer one

What callers could see: an agent stored its target's description without a condition. The store may carry out an unanswered write seconds later. If that was of the former agent process, or an earlier one of the same process, it replaced the newer description: after the next restart of the agent, tasks started on a target that had said that it leaves, until its next heartbeat.

Change: the write has the version of the row as its condition. After a conflict it is tried again with the current version; a conflict with the same value counts as stored.

--- a/node/descriptions.go
+++ b/node/descriptions.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -29,6 +32,8 @@
 	store  rowstore.Store
 	node   string
 	driver *gate.Driver
+	// version is the newest known version of the stored row; 0 if it is unknown or there is none.
+	version atomic.Uint64
 	// unreadable records a description that can't be decoded.
 	unreadable *observe.UnreadableLog
 	log        logr.Logger
@@ -64,6 +69,7 @@
 	if !ok {
 		return
 	}
+	s.version.CompareAndSwap(0, row.Version)
 	var d gate.Description
 	if err := json.Unmarshal(row.Value, &d); err != nil {
 		s.unreadable.Note(tableTargets, row.Name, err.Error())
@@ -93,9 +99,45 @@
 	}
 }
 
+// write stores a description unless the row has changed since its known version: the store may
+// carry out an unanswered write late, after a newer one. If the row has changed, by an earlier
+// process or an unanswered write, a second try replaces it.
 func (s *descriptions) write(ctx context.Context, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, descriptionTimeout)
 	defer cancel()
-	_, err := s.store.Transact(ctx, rowstore.Transaction{Puts: []rowstore.Put{{Key: s.key(), Value: value}}})
+	err := s.replace(ctx, value)
+	if errors.Is(err, rowstore.ErrConflict) {
+		err = s.replace(ctx, value)
+	}
+	return err
+}
+
+// replace writes the row if it still has the known version. Otherwise it returns ErrConflict and
+// the known version is the current one.
+func (s *descriptions) replace(ctx context.Context, value []byte) error {
+	key := s.key()
+	out, err := s.store.Transact(ctx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Key: key, Version: s.version.Load()}},
+		Puts:       []rowstore.Put{{Key: key, Value: value}},
+	})
+	switch {
+	case err == nil:
+		s.version.Store(out.Version)
+	case errors.Is(err, rowstore.ErrConflict):
+		return s.noteConflict(out, value)
+	}
 	return err
 }
+
+// noteConflict takes over the current version. It returns nil if the row has the value already,
+// by a write that was not answered.
+func (s *descriptions) noteConflict(out rowstore.Outcome, value []byte) error {
+	s.version.Store(0)
+	for _, row := range out.Current {
+		s.version.Store(row.Version)
+		if bytes.Equal(row.Value, value) {
+			return nil
+		}
+	}
+	return rowstore.ErrConflict
+}
--- a/node/descriptions_test.go
+++ b/node/descriptions_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"rackspur/gate"
 	"rackspur/internal/standin"
 	"rackspur/job"
@@ -99,3 +102,71 @@
 	r.sendHeartbeat(second)
 	r.untilOpen(second)
 }
+
+// lateStore is a store that does not answer the first write of a description and carries it out
+// only when the test says so, if its conditions still hold.
+type lateStore struct {
+	rowstore.Store
+	held *rowstore.Transaction
+	// unanswered is called when the first write is held.
+	unanswered func()
+}
+
+func (s *lateStore) Transact(ctx context.Context, t rowstore.Transaction) (rowstore.Outcome, error) {
+	if s.held != nil {
+		return s.Store.Transact(ctx, t)
+	}
+	s.held = &t
+	s.unanswered()
+	return rowstore.Outcome{}, rowstore.ErrUncertain
+}
+
+// A write of a description that the store carries out late does not replace a newer
+// description, whether of the same agent process or of the next. Otherwise a restarted agent
+// would take a target for ready that had said that it leaves.
+func TestLateWriteOfDescription(t *testing.T) {
+	for name, test := range map[string]struct{ stored, restarts bool }{
+		"first description":                    {},
+		"first description, agent restarts":    {restarts: true},
+		"described before":                     {stored: true},
+		"described before, and agent restarts": {stored: true, restarts: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, kill := context.WithCancel(t.Context())
+			store := &lateStore{Store: rowstore.NewMemory(), unanswered: func() {}}
+			former := newDescriptions(t, store.Store)
+			if test.stored {
+				former.keep(ctx, gate.Description{Incarnation: gate.Incarnation{ID: "i-0"}})
+				former = newDescriptions(t, store.Store)
+			}
+			former.store = store
+			if test.restarts {
+				store.unanswered = kill
+			}
+			incarnation := gate.Incarnation{ID: "i-1"}
+			former.keep(ctx, gate.Description{Incarnation: incarnation, Service: testService})
+			kill()
+			newer := former
+			if test.restarts {
+				newer = newDescriptions(t, store.Store)
+				newer.restore(t.Context())
+			}
+			leaves := gate.Description{Incarnation: incarnation, Service: testService, Draining: true}
+			newer.keep(t.Context(), leaves)
+			if _, err := store.Store.Transact(t.Context(), *store.held); err == nil {
+				t.Error("the late write was carried out")
+			}
+			row, _, err := rowstore.ReadOne(t.Context(), store.Store, newer.key())
+			var got gate.Description
+			if err != nil || json.Unmarshal(row.Value, &got) != nil || !got.Equal(leaves) {
+				t.Errorf("stored %+v, %v, want %+v", got, err, leaves)
+			}
+		})
+	}
+}
+
+// newDescriptions returns the descriptions of an agent process that has just started.
+func newDescriptions(t *testing.T, s rowstore.Store) *descriptions {
+	g := gate.New(gate.Options{Node: "agent-1", Lease: time.Second})
+	return &descriptions{store: s, node: "agent-1", driver: gate.NewDriver(t.Context(), g, testTarget("i-1", 16000), logr.Discard()), log: logr.Discard()}
+}
