The latest of two descriptions published at once is stored

What callers could see: the gate's driver published a description after it had released the gate's lock. Of two events at the same time, as a heartbeat that says that the target leaves beside the answer that confirms another one, the earlier description could replace the later one. It was then stored, and the gate took the later one for stored: the next process of the agent recalled a target that had said otherwise.

Change: descriptions are published with the gate locked, and logged after.

--- a/gate/driver.go
+++ b/gate/driver.go
@@ -48,10 +48,13 @@
 	a := event(d.now(), d.gate)
 	events := d.gate.TakeEvents()
 	latest, described := d.gate.TakeDescription()
+	if described {
+		d.publish(latest)
+	}
 	d.mu.Unlock()
 	d.logEvents(events)
 	if described {
-		d.publish(latest)
+		d.logDescription(latest)
 	}
 	d.carryOut(a)
 }
@@ -217,9 +220,13 @@
 	return ok
 }
 
-// publish passes on a description, replacing one that was not received yet.
-func (d *Driver) publish(latest Description) {
+func (d *Driver) logDescription(latest Description) {
 	d.log.Info("Description of the target changed.", "life", latest.ID, "born", latest.Born, "service", latest.Service, "capacityCPU", latest.Capacity.CPU, "draining", latest.Draining)
+}
+
+// publish passes on a description, replacing one that was not received yet. It is called with
+// the gate locked, so that the latest description stays.
+func (d *Driver) publish(latest Description) {
 	select {
 	case <-d.described:
 	default:
--- a/gate/name_test.go
+++ b/gate/name_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -103,3 +105,42 @@
 	sendHeartbeat(newerIncarnation)
 	await(newerIncarnation)
 }
+
+// pausedSink is a log sink that waits before it returns from the first message with the given
+// text.
+type pausedSink struct {
+	logr.LogSink
+	text            string
+	paused, proceed chan struct{}
+	reached         atomic.Bool
+}
+
+func (s *pausedSink) Init(logr.RuntimeInfo) {}
+func (s *pausedSink) Enabled(int) bool      { return true }
+
+func (s *pausedSink) Info(_ int, text string, _ ...any) {
+	if text == s.text && s.reached.CompareAndSwap(false, true) {
+		close(s.paused)
+		<-s.proceed
+	}
+}
+
+// Of two descriptions that are published at the same time, the later one stays. Otherwise an
+// earlier one would be stored for the next process of the agent.
+func TestLaterDescriptionStays(t *testing.T) {
+	sink := &pausedSink{text: "Description of the target changed.", paused: make(chan struct{}), proceed: make(chan struct{})}
+	target := &renamedTarget{incarnation: make(chan Incarnation, 1)}
+	d := NewDriver(t.Context(), New(Options{Node: "gate-1", Lease: time.Second}), target, logr.New(sink))
+	heartbeat := Heartbeat{Incarnation: testIncarnation, Service: "engine", Capacity: job.Resources{CPU: 1000}, Sequence: 1}
+	var first sync.WaitGroup
+	first.Go(func() { d.Heartbeat(heartbeat) })
+	<-sink.paused
+	heartbeat.Sequence = 2
+	heartbeat.Draining = true
+	d.Heartbeat(heartbeat)
+	close(sink.proceed)
+	first.Wait()
+	if got := <-d.Described(); !got.Draining {
+		t.Errorf("published %+v, want the draining one", got)
+	}
+}
