An answer to a call before the first one is not the newer incarnation

What callers could see: a new process of an agent whose target restarted while its first calls were under way, and that knew no id yet. An answer of the former incarnation that came after the newer one's counted as the newer: the gate ended the incarnation that was there, gave its queue back and closed until the next answer.

Change: the first answer that names an incarnation sets the time at which the gate learned of it, as every other way does, so that answers to calls sent before tell nothing.

--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -107,6 +107,7 @@
 		return false
 	case g.current.Born == 0 && g.listedMS == 0:
 		g.current = answered
+		g.begun = now
 		g.idConfirmed = g.current.named()
 		g.resetClock(now, a.ClockMS)
 		return true
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -385,6 +385,33 @@
 	}
 }
 
+// The same before a heartbeat has told the id, while no call names one. Otherwise the former
+// incarnation would count as the newer one, and the gate would close to the target.
+func TestOvertakenAnswerBeforeHeartbeat(t *testing.T) {
+	clocksOfRestart(t, func(t *testing.T, clockAt int64) {
+		b := newRestartBench(t)
+		former := b.targetClock()
+		b.gate = New(b.gate.options)
+		b.now += 300 * time.Millisecond
+		early := b.gate.NextHold(b.now, 0)
+		b.now += time.Millisecond
+		b.restart(secondIncarnation, clockAt)
+		b.answer(HoldAnswer{})
+		b.answer(HoldAnswer{})
+		fence := b.gate.fence
+		b.gate.OnHold(b.now, early, Answer{ClockMS: former, Incarnation: Incarnation{Born: firstIncarnation.Born}}, HoldAnswer{}, nil)
+		if b.gate.current.Born != secondIncarnation.Born || b.gate.fence != fence {
+			t.Errorf("incarnation %v, token %d (was %d), want the new one", b.gate.current, b.gate.fence, fence)
+		}
+		if !b.sendHeartbeat(false) {
+			t.Error("a heartbeat of the new incarnation was not trusted")
+		}
+		if !b.gate.Open(b.now) {
+			t.Error("closed to the new incarnation")
+		}
+	})
+}
+
 // A message that does not identify its incarnation is not trusted if the target's incarnations
 // can be identified.
 func TestWordsThatDoNotTellTheLife(t *testing.T) {
