A late invitation of a former agent process replaces no newer one

What callers could see: an invitation that an entry reads late, as after a suspension, replaced the box that the membership had named since. The working link to the agent's newer process was ended, and where that has another address the entry looked for the former one until the next change of the membership: without links it serves nobody.

Change: an invitation replaces a box of the membership only while that is not linked, for as long as the invitation counts, and until the membership names another.

Result: TestFleetLateInvitation failed linked and not linked, and passes; TestFleetInvitedByNewProcess passes before and after; go test -race ./peer: ok.

--- a/peer/fleet.go
+++ b/peer/fleet.go
@@ -65,8 +65,8 @@
 
 	mu      sync.Mutex
 	ranking *ranking
-	// invited holds the time at which each gate last asked for a link.
-	invited map[string]time.Time
+	// invited holds the newest invitation of each gate.
+	invited map[string]invitation
 	// stale is set when the share has to be recomputed from the ranking.
 	stale bool
 	share share
@@ -82,11 +82,18 @@
 	incompleteSince time.Time
 }
 
+// invitation is a gate's request for a link.
+type invitation struct {
+	at time.Time
+	// box is the box that asked; the zero value if the membership's box is used.
+	box member.Box
+}
+
 // NewFleet returns a fleet that knows only the entry box it runs on.
 func NewFleet(self member.Box, l linkKeeper, n Needs, log logr.Logger) *Fleet {
 	return &Fleet{
 		self: self, links: l, needs: n, log: log, changed: make(chan struct{}, 1),
-		ranking: newRanking(self.Node), invited: map[string]time.Time{}, stale: true,
+		ranking: newRanking(self.Node), invited: map[string]invitation{}, stale: true,
 	}
 }
 
@@ -108,6 +115,9 @@
 			return
 		}
 		f.ranking.addGate(d)
+		if i, ok := f.invited[d.Node]; ok {
+			f.invited[d.Node] = invitation{at: i.at}
+		}
 	}
 	f.stale = true
 	notifier(f.changed)()
@@ -122,12 +132,22 @@
 	notifier(f.changed)()
 }
 
-// Invited records that a gate with too few owners asks for a link.
+// Invited records that a gate with too few owners asks for a link. The invitation may be a late
+// one of a former process: a box that the membership has named is replaced only for as long as
+// the invitation counts, and not while its link works.
 func (f *Fleet) Invited(d member.Box) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.add(d)
-	f.invited[d.Node] = time.Now()
+	i := invitation{at: time.Now()}
+	switch {
+	case f.ranking.gates[d.Node] == nil:
+		f.add(d)
+	case !f.links.Up(d.Node):
+		i.box = d
+	default:
+		i.box = f.invited[d.Node].box
+	}
+	f.invited[d.Node] = i
 	notifier(f.changed)()
 }
 
@@ -195,17 +215,22 @@
 			gates = append(gates, f.ranking.gates[node].box)
 		}
 	}
+	for i, d := range gates {
+		if asked := f.invited[d.Node].box; asked != (member.Box{}) {
+			gates[i] = asked
+		}
+	}
 	return gates
 }
 
 // isInvited reports whether a gate has asked for a link and either has it or asked
 // less than keepExtraFor ago.
 func (f *Fleet) isInvited(now time.Time, node string) bool {
-	at, ok := f.invited[node]
+	i, ok := f.invited[node]
 	if !ok {
 		return false
 	}
-	if f.links.Up(node) || now.Sub(at) < keepExtraFor {
+	if f.links.Up(node) || now.Sub(i.at) < keepExtraFor {
 		return true
 	}
 	delete(f.invited, node)
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -177,3 +177,52 @@
 		t.Error("a link that does not work is kept")
 	}
 }
+
+// A late invitation of a former process of a gate does not replace the one that is linked, and
+// no other for longer than the invitation counts.
+func TestFleetLateInvitation(t *testing.T) {
+	for name, linked := range map[string]bool{"linked": true, "not linked": false} {
+		t.Run(name, func(t *testing.T) {
+			b := newFleetFixture(t)
+			current := b.share.own[0]
+			current.Incarnation = current.Node + "~new"
+			b.AddBox(current)
+			b.advance(0)
+			former := current
+			former.Incarnation, former.Address = current.Node+"~old", "127.0.0.1:1"
+			b.links.cut = func(d member.Box) bool { return d == former || d == current && !linked }
+			b.Invited(former)
+			b.advance(0)
+			if got := b.links.kept[current.Node]; linked && got != current {
+				t.Errorf("the link to %+v was replaced by one to %+v", current, got)
+			}
+			b.advance(keepExtraFor + time.Second)
+			if got := b.links.kept[current.Node]; got != current {
+				t.Errorf("linked to %+v, want %+v", got, current)
+			}
+		})
+	}
+}
+
+// A gate that invites before the membership has named its new process is linked at once, and the
+// membership's word counts from then on.
+func TestFleetInvitedByNewProcess(t *testing.T) {
+	b := newFleetFixture(t)
+	former := b.share.own[0]
+	b.links.cut = func(d member.Box) bool { return d == former }
+	current := former
+	current.Incarnation, current.Address = former.Node+"~new", "127.0.0.1:1"
+	b.Invited(current)
+	b.advance(2 * keepExtraFor)
+	if got := b.links.kept[former.Node]; got != current {
+		t.Errorf("linked to %+v, want %+v, which has asked", got, current)
+	}
+	b.AddBox(current)
+	later := current
+	later.Incarnation = former.Node + "~later"
+	b.AddBox(later)
+	b.advance(0)
+	if got := b.links.kept[former.Node]; got != later {
+		t.Errorf("linked to %+v, want %+v, which the membership names", got, later)
+	}
+}
