A dropped job's former owner leaves its runs elsewhere alone

What callers could see: a job that an entry had dropped before it sent any of it, and that its caller had submitted again at another one. Both number its runs from 1. Once the agent beside such a run restarted, the run belonged to nobody until its owner claimed it, and the first entry stopped it, or acknowledged its end before its owner had heard of it: the work was lost, and the task ran again.

Change: an owner remembers the newest run that it placed of each task of a dropped job, and answers later ones as those of any job that it does not know. What it may have sent it stops as before.

--- a/owner/drop.go
+++ b/owner/drop.go
@@ -16,6 +16,8 @@
 	at Time
 	// unconfirmed are runs that were sent to gates and may or may not have started.
 	unconfirmed map[job.RunName]bool
+	// newest is the number of the newest run of each task that was placed.
+	newest map[job.TaskName]int
 	// callers wait until that is known; nil once they are answered.
 	callers []caller
 	// refused returns the answer if none of the runs has started; nil if no caller waits, so that
@@ -56,13 +58,16 @@
 // rememberDropped keeps the callers of a dropped job until they are answered. If the
 // same job was dropped before, the callers of that time are answered now.
 func (o *Owner) rememberDropped(now Time, j *liveJob) *droppedJob {
-	d := &droppedJob{at: now, unconfirmed: j.openRuns(), callers: j.callers}
+	d := &droppedJob{at: now, unconfirmed: j.openRuns(), newest: j.newestRuns(), callers: j.callers}
 	if len(d.callers) > 0 {
 		d.refused = func() BestEffortResult { return o.refusedResult(o.options.Now(), j) }
 	}
 	j.callers = nil
 	if earlier := o.dropped[j.record.ID]; earlier != nil {
 		earlier.answer(BestEffortResult{})
+		for name, run := range earlier.newest {
+			d.newest[name] = max(d.newest[name], run)
+		}
 	}
 	o.dropped[j.record.ID] = d
 	return d
@@ -86,6 +91,23 @@
 	return runs
 }
 
+// newestRuns returns the number of the newest run of each task that was placed.
+func (j *liveJob) newestRuns() map[job.TaskName]int {
+	newest := map[job.TaskName]int{}
+	for _, t := range j.tasks {
+		if t.run >= job.FirstRun(j.record.Generation) {
+			newest[t.name] = t.run
+		}
+	}
+	return newest
+}
+
+// mayHaveSent reports whether a run may be one that this owner has sent. A run of that name may
+// also be another owner's to which the job was submitted again.
+func (d *droppedJob) mayHaveSent(name job.RunName) bool {
+	return name.Run <= d.newest[name.TaskName]
+}
+
 // onState processes the state of a run of a dropped job.
 func (d *droppedJob) onState(s gate.RunState) {
 	if !d.unconfirmed[s.Name] || s.End == 0 {
--- a/owner/drop_test.go
+++ b/owner/drop_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -240,3 +241,38 @@
 		t.Errorf("%d starts once the gate has room, want 1", n)
 	}
 }
+
+// A run that a restarted gate has found may belong to the owner where the caller of a dropped job
+// has submitted it again, which numbers its runs from 1 too. An owner that dropped the job before
+// it sent such a run neither stops that run nor acknowledges its end.
+func TestDroppedJobRunsElsewhere(t *testing.T) {
+	for name, sent := range map[string]bool{"not sent here": false, "sent here": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			link := b.connect("gate-1")
+			if !sent {
+				b.fill("gate-1", link)
+			}
+			s := testSubmission("00000000000000aa", 2)
+			b.owner.RunBestEffort(s, 300*time.Millisecond, func(BestEffortResult) {})
+			if f := b.flush("gate-1", link); sent != (len(f.Starts) == 2) {
+				t.Fatalf("%d starts", len(f.Starts))
+			}
+			b.now += 300 * time.Millisecond
+			b.owner.Tick()
+			link++
+			b.owner.LinkUp("gate-1", link, nil)
+			running := job.RunName{TaskName: job.TaskName{Job: s.ID}, Run: 1}
+			ended := job.RunName{TaskName: job.TaskName{Job: s.ID, Index: 1}, Run: 1}
+			b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Report: testReport(), Inventory: true, States: []gate.RunState{
+				{Name: running, Running: true}, {Name: ended, End: gate.EndDone},
+			}})
+			f := b.flush("gate-1", link)
+			stops := slices.Contains(f.Stops, running)
+			acknowledges := slices.Contains(f.Verdicts, gate.Verdict{Name: ended, Kind: gate.VerdictAcknowledge})
+			if stops != sent || acknowledges != sent {
+				t.Errorf("stops the run: %v, acknowledges the end: %v, want %v", stops, acknowledges, sent)
+			}
+		})
+	}
+}
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -34,7 +34,7 @@
 func (o *Owner) onForeign(v *gateView, s gate.RunState) {
 	e := o.ended[s.Name.Job]
 	d := o.dropped[s.Name.Job]
-	dropped := d != nil
+	dropped := d != nil && d.mayHaveSent(s.Name)
 	if dropped {
 		d.onState(s)
 	}
