Tests of messages that cross a restart of a box

Cause: for several channels between boxes nothing showed that a message meant for one process is not read by the next.

Change: tests only.

--- /dev/null
+++ b/gate/process_test.go
@@ -0,0 +1,62 @@
+package gate
+
+import (
+	"testing"
+	"time"
+)
+
+// The tests in this file cover messages that were meant for an earlier process of the gate, and
+// calls of a process that does not know its target yet.
+
+// A frame over a link that the process has not accepted starts nothing, and neither does one over
+// a link that a newer one has replaced.
+func TestFrameOfOtherLink(t *testing.T) {
+	b := newBench(t)
+	order := OwnerFrame{Echo: time.Hour, DurableEcho: time.Hour, Sequence: 1, Starts: []Order{{Name: testRun("aa", 0, 1)}}}
+	b.gate.Connect(b.now, testOwner, 2, func() {})
+	if a, ok := b.gate.OnFrame(b.now, testOwner, 1, order); ok || len(a.Starts) != 0 {
+		t.Errorf("a frame over the former link was accepted (%v), %d starts", ok, len(a.Starts))
+	}
+	if b.gate.Connect(b.now, testOwner, 1, func() {}) {
+		t.Error("the former link was accepted after the newer one")
+	}
+	b.gate = New(b.gate.options)
+	b.heartbeat(testIncarnation, false)
+	b.hold(HoldAnswer{})
+	b.hold(HoldAnswer{})
+	if a, ok := b.gate.OnFrame(b.now, testOwner, 2, order); ok || len(a.Starts) != 0 {
+		t.Errorf("a frame for the former process was accepted (%v), %d starts", ok, len(a.Starts))
+	}
+	if _, ok := b.gate.Flush(b.now, testOwner, 2); ok {
+		t.Error("a frame was sent over a link of the former process")
+	}
+}
+
+// Until the target has answered, calls name no incarnation, so that any may carry them out. They
+// then extend no lease and acknowledge no end, and nothing is started before the id is known.
+func TestCallsBeforeIncarnationIsKnown(t *testing.T) {
+	for name, incarnation := range map[string]Incarnation{"start told": firstIncarnation, "start not told": testIncarnation} {
+		t.Run(name, func(t *testing.T) {
+			b := restarted(t, Description{})
+			answer := func(lists HoldAnswer) Hold {
+				h := b.gate.NextHold(b.now, holdWait)
+				b.now += time.Millisecond
+				b.gate.OnHold(b.now, h, Answer{ClockMS: b.targetClock(), Incarnation: Incarnation{Born: incarnation.Born}}, lists, nil)
+				return h
+			}
+			if h := answer(HoldAnswer{}); h.Call != (HoldCall{}) || h.Incarnation != (Incarnation{}) {
+				t.Errorf("first hold %+v", h)
+			}
+			ended := Ended{Number: 58, Name: testRun("aa", 0, 1), Kind: EndDone}
+			if h := answer(HoldAnswer{Finished: []Ended{ended}}); h.Call.UntilMS != 0 || h.Call.Seen != 0 || h.Incarnation.Born != incarnation.Born {
+				t.Errorf("second hold %+v", h)
+			}
+			if !b.gate.Connect(b.now, testOwner, 1, func() {}) {
+				t.Fatal("no link after the target has listed its runs")
+			}
+			if a := b.order(false, testRun("bb", 0, 1)); len(a.Starts) != 0 {
+				t.Errorf("%d starts before the id is known", len(a.Starts))
+			}
+		})
+	}
+}
--- a/node/ask_test.go
+++ b/node/ask_test.go
@@ -1,11 +1,14 @@
 package node
 
 import (
+	"errors"
 	"testing"
 	"time"
 
 	"rackspur/job"
+	"rackspur/member"
 	"rackspur/owner"
+	"rackspur/peer/peerpb"
 	"rackspur/rowstore"
 )
 
@@ -54,3 +57,21 @@
 	}
 	return rowstore.FaultNone
 }
+
+// An answer of a newer incarnation of a job's owner is not taken for the owner's, which would say
+// that the job is unknown.
+func TestAnswerOfOtherIncarnation(t *testing.T) {
+	c := newIdleCluster(t, 2, 1, quickWork)
+	c.until("the other entry box is known", func() bool { return c.entry(1).Incarnation() != "" && len(c.entry(0).known()) >= 2 })
+	owner := c.entry(1).Incarnation()
+	c.until("the owner has answered", func() bool {
+		_, err := c.entry(0).ask(t.Context(), owner, &peerpb.Question{Kind: peerpb.Question_STATE, Job: "00000000000000aa"})
+		return err == nil
+	})
+	former := member.NodeOf(owner) + "~former"
+	for _, kind := range []peerpb.Question_Kind{peerpb.Question_STATE, peerpb.Question_CANCEL} {
+		if a, err := c.entry(0).ask(t.Context(), former, &peerpb.Question{Kind: kind, Job: "00000000000000aa"}); !errors.Is(err, ErrStateUnknown) {
+			t.Errorf("question %v: %v, %v, want %v", kind, a, err, ErrStateUnknown)
+		}
+	}
+}
--- a/owner/isolation_test.go
+++ b/owner/isolation_test.go
@@ -106,3 +106,26 @@
 		}
 	}
 }
+
+// Over a new link the owner says nothing that it has read or decided for the former one: no time
+// on the clock of a gate's former process, and no start that was not sent yet.
+func TestNewLinkCarriesNothingOver(t *testing.T) {
+	b := newHarness(t)
+	b.now = time.Hour / 2
+	link := b.connect("gate-1")
+	b.owner.RunBestEffort(testSubmission("00000000000000aa", 1), time.Minute, func(BestEffortResult) {})
+	link++
+	b.owner.LinkUp("gate-1", link, nil)
+	if _, ok := b.owner.Flush("gate-1", link-1); ok {
+		t.Error("a frame was sent over the former link")
+	}
+	if f := b.flush("gate-1", link); f.Echo != 0 || f.DurableEcho != 0 || len(f.Starts) != 0 || f.Sequence != 1 {
+		t.Errorf("first frame %+v", f)
+	}
+	b.owner.OnFrame("gate-1", link-1, gate.Frame{Clock: time.Hour, Report: testReport()})
+	const clock = 5 * time.Second
+	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: clock, Report: testReport(), Inventory: true})
+	if f := b.flush("gate-1", link); f.Echo != clock || f.DurableEcho != clock || len(f.Starts) != 1 || f.Starts[0].Name.Run != 2 {
+		t.Errorf("frame %+v, want the echoes %v and run 2", f, clock)
+	}
+}
