A late heartbeat hides no stored word that the target leaves

What callers could see: a target had said that it leaves, which the agent had acknowledged and stored, and the agent restarted. A heartbeat from before, held up on its way, reached the new process before the store's answer or the target's: the gate opened beside a target about to end, and stored that it was ready. Draining is never taken back within an incarnation, but the stored description was passed over once the target was known.

Change: draining of the restored description counts for its incarnation whenever it comes; a write that finds another description in the store restores that one too.

--- a/gate/heartbeat.go
+++ b/gate/heartbeat.go
@@ -50,7 +50,7 @@
 	g.service = b.Service
 	g.capacity = b.Capacity
 	g.labels = b.Labels
-	g.draining = g.draining || b.Draining
+	g.draining = g.draining || b.Draining || g.recalledDraining()
 	g.updateLifetime(arrived, b)
 	g.reportChanged()
 }
--- a/gate/recall.go
+++ b/gate/recall.go
@@ -38,8 +38,13 @@
 }
 
 // RestoreDescription provides the description stored by an earlier process of this gate. It
-// takes effect once the incarnation that it names has answered a call.
+// takes effect once the incarnation that it names has answered a call. If the target is known
+// already, only draining counts.
 func (g *Gate) RestoreDescription(d Description) Actions {
+	if g.known && d.Incarnation == g.current && d.Draining && !g.draining {
+		g.draining = true
+		g.reportChanged()
+	}
 	if g.known || !d.named() || g.endedIncarnations[d.Incarnation] {
 		return Actions{}
 	}
@@ -51,6 +56,12 @@
 	return Actions{HoldNow: true}
 }
 
+// recalledDraining reports whether the restored description says that the current incarnation
+// drains, which is never taken back. A heartbeat that does not say so was delayed.
+func (g *Gate) recalledDraining() bool {
+	return g.recalled.Draining && g.recalled.Incarnation == g.current
+}
+
 // confirmRecalled applies the restored description if it is of the current incarnation.
 func (g *Gate) confirmRecalled() {
 	d := g.recalled
--- a/gate/recall_test.go
+++ b/gate/recall_test.go
@@ -66,3 +66,37 @@
 		t.Errorf("described as %v", d)
 	}
 }
+
+// A late heartbeat, from before the target said that it leaves, does not hide that this is in the
+// stored description, whichever comes first.
+func TestRecallOfDrainingBesideLateHeartbeat(t *testing.T) {
+	draining := recalled
+	draining.Draining = true
+	tests := map[string]func(b *bench){
+		"restored first": func(b *bench) {
+			b.gate.RestoreDescription(draining)
+			b.heartbeat(testIncarnation, false)
+		},
+		"restored after": func(b *bench) {
+			b.heartbeat(testIncarnation, false)
+			b.gate.RestoreDescription(draining)
+		},
+		"restored after an answer": func(b *bench) {
+			b.heartbeat(testIncarnation, false)
+			b.hold(HoldAnswer{})
+			b.hold(HoldAnswer{})
+			b.gate.RestoreDescription(draining)
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := restarted(t, Description{})
+			test(b)
+			b.hold(HoldAnswer{})
+			b.hold(HoldAnswer{})
+			if d, ok := b.gate.Description(); !ok || !d.Draining || b.gate.Open(b.now) {
+				t.Errorf("described as %+v, open %v, want it draining", d, b.gate.Open(b.now))
+			}
+		})
+	}
+}
--- a/node/descriptions.go
+++ b/node/descriptions.go
@@ -70,6 +70,10 @@
 		return
 	}
 	s.version.CompareAndSwap(0, row.Version)
+	s.restoreRow(row)
+}
+
+func (s *descriptions) restoreRow(row rowstore.Row) {
 	var d gate.Description
 	if err := json.Unmarshal(row.Value, &d); err != nil {
 		s.unreadable.Note(tableTargets, row.Name, err.Error())
@@ -92,13 +96,18 @@
 			return
 		}
 		s.log.V(1).Info("Target description not stored; retrying.", "error", err.Error())
-		wait.For(ctx, descriptionPause)
-		if len(s.driver.Described()) > 0 {
+		if !s.outdated() {
+			wait.For(ctx, descriptionPause)
+		}
+		if s.outdated() {
 			return
 		}
 	}
 }
 
+// outdated reports whether a newer description is available.
+func (s *descriptions) outdated() bool { return len(s.driver.Described()) > 0 }
+
 // write stores a description unless the row has changed since its known version: the store may
 // carry out an unanswered write late, after a newer one. If the row has changed, by an earlier
 // process or an unanswered write, a second try replaces it.
@@ -106,7 +115,7 @@
 	ctx, cancel := context.WithTimeout(ctx, descriptionTimeout)
 	defer cancel()
 	err := s.replace(ctx, value)
-	if errors.Is(err, rowstore.ErrConflict) {
+	if errors.Is(err, rowstore.ErrConflict) && !s.outdated() {
 		err = s.replace(ctx, value)
 	}
 	return err
@@ -129,8 +138,8 @@
 	return err
 }
 
-// noteConflict takes over the current version. It returns nil if the row has the value already,
-// by a write that was not answered.
+// noteConflict takes over the current version and restores the current description. It returns nil
+// if the row has the value already, by a write that was not answered.
 func (s *descriptions) noteConflict(out rowstore.Outcome, value []byte) error {
 	s.version.Store(0)
 	for _, row := range out.Current {
@@ -138,6 +147,7 @@
 		if bytes.Equal(row.Value, value) {
 			return nil
 		}
+		s.restoreRow(row)
 	}
 	return rowstore.ErrConflict
 }
--- a/node/descriptions_test.go
+++ b/node/descriptions_test.go
@@ -165,6 +165,28 @@
 	}
 }
 
+// An agent that describes its target before it has read the stored description does not replace
+// what that says and is never taken back.
+func TestDescriptionBeforeRestore(t *testing.T) {
+	store := rowstore.NewMemory()
+	leaves := gate.Description{Incarnation: gate.Incarnation{ID: "i-1"}, Service: testService, Draining: true}
+	newDescriptions(t, store).keep(t.Context(), leaves)
+	newer := newDescriptions(t, store)
+	newer.driver.Heartbeat(gate.Heartbeat{Incarnation: leaves.Incarnation, Service: testService, Sequence: 1})
+	newer.keep(t.Context(), <-newer.driver.Described())
+	select {
+	case d := <-newer.driver.Described():
+		newer.keep(t.Context(), d)
+	default:
+		t.Error("the stored description changes nothing")
+	}
+	row, _, err := rowstore.ReadOne(t.Context(), store, newer.key())
+	var got gate.Description
+	if err != nil || json.Unmarshal(row.Value, &got) != nil || !got.Equal(leaves) {
+		t.Errorf("stored %+v, %v, want %+v", got, err, leaves)
+	}
+}
+
 // newDescriptions returns the descriptions of an agent process that has just started.
 func newDescriptions(t *testing.T, s rowstore.Store) *descriptions {
 	g := gate.New(gate.Options{Node: "agent-1", Lease: time.Second})
