Tests of late inserts and of orders that were held up

Cause: nothing showed that an insert which the store carries out after the job's end has no effect, nor that an order held up on its way starts nothing.

Change: tests only: TestLateInsertOfEndedJob, TestOrderHeldUp, and frames over a former link in TestNewLinkCarriesNothingOver.

--- a/gate/process_test.go
+++ b/gate/process_test.go
@@ -32,6 +32,27 @@
 	}
 }
 
+// An order that was held up on its way for longer than its owner may be out of contact starts
+// nothing, since the owner may have been replaced.
+func TestOrderHeldUp(t *testing.T) {
+	for name, bestEffort := range map[string]bool{"durable": false, "best effort": true} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t)
+			most := b.gate.options.ContactTimeout
+			if bestEffort {
+				most = b.gate.options.BestEffortContactTimeout
+			}
+			f := OwnerFrame{Echo: b.now, DurableEcho: b.now, Sequence: 1, Starts: []Order{{Name: testRun("aa", 0, 1), BestEffort: bestEffort}}}
+			for sent := b.now; b.now-sent <= most; b.now += 50 * time.Millisecond {
+				b.hold(HoldAnswer{})
+			}
+			if a, ok := b.gate.OnFrame(b.now, testOwner, 1, f); !ok || len(a.Starts) != 0 {
+				t.Errorf("%d starts, frame accepted: %v", len(a.Starts), ok)
+			}
+		})
+	}
+}
+
 // Until the target has answered, calls name no incarnation, so that any may carry them out. They
 // then extend no lease and acknowledge no end, and nothing is started before the id is known.
 func TestCallsBeforeIncarnationIsKnown(t *testing.T) {
--- a/owner/isolation_test.go
+++ b/owner/isolation_test.go
@@ -123,6 +123,9 @@
 		t.Errorf("first frame %+v", f)
 	}
 	b.owner.OnFrame("gate-1", link-1, gate.Frame{Clock: time.Hour, Report: testReport()})
+	if b.owner.gates["gate-1"].linked {
+		t.Error("a frame over the former link was accepted")
+	}
 	const clock = 5 * time.Second
 	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: clock, Report: testReport(), Inventory: true})
 	if f := b.flush("gate-1", link); f.Echo != clock || f.DurableEcho != clock || len(f.Starts) != 1 || f.Starts[0].Name.Run != 2 {
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -103,3 +104,36 @@
 		t.Errorf("a run missing from the inventory was not started again: %+v", again.Starts)
 	}
 }
+
+// An insert of a job that the store carries out late, after the job has ended, does not bring its
+// row back. The next owner would run the job again.
+func TestLateInsertOfEndedJob(t *testing.T) {
+	b := newHarness(t)
+	store := rowstore.NewMemory()
+	commit := func() *rowstore.Write {
+		t.Helper()
+		writes := b.writer.take()
+		if len(writes) != 1 {
+			t.Fatalf("%d writes, want 1", len(writes))
+		}
+		writes[0].Done(store.Transact(t.Context(), writes[0].Transaction))
+		return writes[0]
+	}
+	link := b.connect("gate-1")
+	s := testSubmission("00000000000000aa", 1)
+	s.BestEffort = false
+	b.owner.Submit(s, func(SubmitResult) {})
+	insert := commit()
+	f := b.flush("gate-1", link)
+	if len(f.Starts) != 1 {
+		t.Fatalf("%d starts, want 1", len(f.Starts))
+	}
+	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: f.Sequence, Report: testReport(), States: []gate.RunState{{Name: f.Starts[0].Name, End: gate.EndDone}}})
+	commit()
+	if state, ok := b.owner.State(s.ID); state != job.StateCompleted || !ok {
+		t.Fatalf("state %v, %v", state, ok)
+	}
+	if _, err := store.Transact(t.Context(), insert.Transaction); !errors.Is(err, rowstore.ErrConflict) {
+		t.Errorf("late insert: %v, want %v", err, rowstore.ErrConflict)
+	}
+}
