A target that lists its runs before its id is known must list them again

What callers could see: an agent's new process without a stored description, as during an outage of the store, beside a target that does not tell when it began. Calls name no id until a heartbeat tells it. If the target restarted in between, the newer incarnation's id was taken for that of the former: its lists were passed over while its clock was behind, its first ends as known ones, and it was told to forget them. Tasks that had ended there counted as lost and ran again, and nothing ended it.

Change: an id that is told after the runs were listed begins a new incarnation: a token above all before, no acknowledged ends, and nothing starts until the runs are listed under it. The clock is kept until an answer to a later call is behind it.

--- a/gate/heartbeat.go
+++ b/gate/heartbeat.go
@@ -17,6 +17,11 @@
 			return Actions{}, true
 		}
 	case g.identifies(b.Incarnation):
+		if g.current.Born == 0 && g.listedMS != 0 {
+			g.identifyListed(now, b.Incarnation)
+			g.applyHeartbeat(now, b)
+			return g.startFromQueue(now, Actions{HoldNow: true}), true
+		}
 		g.current = b.Incarnation
 	case g.currentAnswers(now) || g.mayHaveRuns(now):
 		return g.addCandidate(now, b), true
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -95,6 +95,9 @@
 		g.confirmed = false
 		return Actions{HoldNow: g.current != former}
 	}
+	if g.clockBegunAnew(h, a) {
+		g.resetClock(now, a.ClockMS)
+	}
 	g.updateClock(now, a.ClockMS)
 	g.confirmRecalled()
 	if a.ClockMS < g.listedMS {
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -131,6 +131,23 @@
 	g.reportChanged()
 }
 
+// identifyListed sets the id of a target that listed its runs while no call named one. As it does
+// not tell when it began, it may have restarted since and must list them again. The clock is kept
+// until an answer shows that it has begun anew: leases may still run by it.
+func (g *Gate) identifyListed(now Time, incarnation Incarnation) {
+	former := g.incarnationState
+	g.replaceIncarnation(now, incarnation, true)
+	g.clockMS, g.clockAt = former.clockMS, former.clockAt
+	g.grantedMS, g.inheritedMS = former.grantedMS, former.inheritedMS
+	g.raiseFence()
+}
+
+// clockBegunAnew reports whether the answer to a hold shows that the target has restarted since
+// its clock was last read.
+func (g *Gate) clockBegunAnew(h Hold, a Answer) bool {
+	return !g.runsListed && g.clockMS != 0 && a.ClockMS != 0 && h.sent >= g.clockAt && a.ClockMS < g.targetClock(h.sent)
+}
+
 // endIncarnation records that the current incarnation has ended for good: a call that named it
 // was rejected, or it has deregistered. A heartbeat of another incarnation is no proof, since
 // it may have been delayed, and the current one would no longer be trusted. sameID says whether
--- a/gate/process_test.go
+++ b/gate/process_test.go
@@ -81,3 +81,43 @@
 		})
 	}
 }
+
+// A target that does not tell its start restarts after a new process of the gate has listed its
+// runs and before a heartbeat has told its id. The id is then that of the newer incarnation, whose
+// ends are numbered anew and whose clock may be behind.
+func TestRestartBeforeIDIsKnown(t *testing.T) {
+	clocksOfRestart(t, func(t *testing.T, clockAt int64) {
+		b := restarted(t, Description{})
+		b.hold(HoldAnswer{})
+		found := testRun("old", 0, 1)
+		lists := HoldAnswer{Finished: []Ended{{Number: 58, Name: testRun("old", 1, 1), Kind: EndDone}}, Running: []Running{{Name: found}}}
+		b.hold(lists)
+		b.gate.Connect(b.now, testOwner, 1, func() {})
+		b.verdict(testRun("old", 1, 1), VerdictAcknowledge)
+		b.verdict(found, VerdictClaim)
+		b.hold(lists)
+		b.states()
+
+		b.clock = clockAt - b.now.Milliseconds()
+		b.heartbeat(newerIncarnation, false)
+		b.holdOf(newerIncarnation)
+		b.holdOf(newerIncarnation)
+		b.holdOf(newerIncarnation)
+		if s := b.states()[found]; s.End != EndLost {
+			t.Errorf("state %+v of a run of the former incarnation, want it lost", s)
+		}
+		name := testRun("aa", 0, 1)
+		a := b.order(true, name)
+		if len(a.Starts) != 1 {
+			t.Fatalf("%d starts at the newer incarnation, want 1", len(a.Starts))
+		}
+		b.started(a)
+		h, _ := b.hold(HoldAnswer{Finished: []Ended{{Number: 1, Name: name, Kind: EndDone}}})
+		if h.Call.Seen != 0 {
+			t.Errorf("acknowledged ends up to %d of the newer incarnation", h.Call.Seen)
+		}
+		if s := b.states()[name]; s.End != EndDone {
+			t.Errorf("state %+v, want its end", s)
+		}
+	})
+}
