Owners may link again before others decide on an end of their run

What callers could see: an agent restarted, and a best-effort run had ended that no owner had heard of. An entry that does not know the job found no record of it and had the end acknowledged, at times before the owner had linked again: the result was lost and the task ran again.

Change: an owner decides on ends of jobs that it does not know only once they are known for as long as a best-effort run goes on without contact.

Result: TestEndOfUnknownJobWaitsForOwner failed before and passes; go test -race ./owner: ok, 179 s beside other work. ./node was not run whole with this change, only TestForeignEnds, TestAgentRestart, TestAgentLost, TestTakeOver and TestBestEffortContact, without -race: ok, 19 s.

--- a/owner/drop_test.go
+++ b/owner/drop_test.go
@@ -276,3 +276,29 @@
 		})
 	}
 }
+
+// The end of a run that a restarted gate has found waits for its owner to link again before others,
+// which do not know its job, may decide on it. The gate would forget it, and the task would run again.
+func TestEndOfUnknownJobWaitsForOwner(t *testing.T) {
+	b := newHarness(t)
+	b.connect("gate-1")
+	link := b.connect("gate-1")
+	id := job.ID("00000000000000aa")
+	name := job.RunName{TaskName: job.TaskName{Job: id}, Run: 1}
+	inventory := gate.Frame{Clock: b.now, Report: testReport(), Inventory: true, States: []gate.RunState{{Name: name, End: gate.EndDone}}}
+	b.owner.OnFrame("gate-1", link, inventory)
+	b.now += bestEffortContact - time.Millisecond
+	b.owner.OnFrame("gate-1", link, inventory)
+	if ids := b.owner.UnknownJobs(); len(ids) != 0 {
+		t.Errorf("decides on %v while their owner may link again", ids)
+	}
+	b.now += time.Millisecond
+	if ids := b.owner.UnknownJobs(); !slices.Equal(ids, []job.ID{id}) {
+		t.Errorf("decides on %v, want %v", ids, id)
+	}
+	b.flush("gate-1", link)
+	b.owner.AnswerUnknown(id, true, nil)
+	if f := b.flush("gate-1", link); !slices.Contains(f.Verdicts, gate.Verdict{Name: name, Kind: gate.VerdictAcknowledge}) {
+		t.Errorf("verdicts %+v, want the end acknowledged", f.Verdicts)
+	}
+}
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -47,7 +47,7 @@
 	case e == nil || e.runs == nil:
 		v.addVerdict(s.Name, gate.VerdictUnknown)
 		if s.End != 0 {
-			o.foreign[s.Name.Job] = append(o.foreign[s.Name.Job], endRef{gate: v.name, name: s.Name})
+			o.noteForeign(v, s.Name)
 		}
 	case s.End != 0 && (e.state != job.StateCompleted || e.runs[s.Name.TaskName] == s.Name.Run):
 		v.addVerdict(s.Name, gate.VerdictAcknowledge)
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -118,7 +118,7 @@
 	adopted   []string
 	adoptions []*adoption
 	// foreign holds ends of runs of jobs that this owner does not know.
-	foreign map[job.ID][]endRef
+	foreign map[job.ID]*foreignEnds
 	// leaseResumed is when the lease was last renewed after it had expired.
 	leaseResumed Time
 	stats        Stats
@@ -188,7 +188,7 @@
 		ended:       map[job.ID]*endedJob{},
 		dropped:     map[job.ID]*droppedJob{},
 		gates:       map[string]*gateView{},
-		foreign:     map[job.ID][]endRef{},
+		foreign:     map[job.ID]*foreignEnds{},
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:         o.Log,
 		shares:      newShares(o.Decisions),
