test: a soak whose targets are processes

Cause: in TestSoakRestarts a line of the stand-in decides which calls cross a target's restart, so that its result says little about the listed failures.

Change: TestSoakTargetProcesses is the same soak with targets that are processes, killed and started again under their id; those of every other agent share a listening socket, whose backlog outlives each. The soak sees a target's incarnation through an interface; no check or bound is changed. The stand-in reports runs and orders through OnRun and OnOrder as they happen. Targets listen on addresses of their own test process; on shared ones, another process took the port of a target that was down.

--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -27,6 +27,10 @@
 	Work func(job.RunName) (time.Duration, gate.EndKind)
 	// StartClockMS is the executor's clock at its start, in milliseconds.
 	StartClockMS int64
+	// OnRun and OnOrder, if set, are called with each run that starts or changes and with each
+	// order, before the call that causes it is answered. They must not call the executor.
+	OnRun   func(Span)
+	OnOrder func(Order)
 	// ClockDrift is the fraction of time that the executor's clock loses, from 0 to MaxClockDrift.
 	ClockDrift float64
 
@@ -128,6 +132,11 @@
 	return next
 }
 
+// Incarnation returns the executor's id and start time.
+func (e *Executor) Incarnation() gate.Incarnation {
+	return gate.Incarnation{ID: e.Life, Born: e.Born}
+}
+
 // Speed returns how much faster than Work says runs proceed.
 func (e *Executor) Speed() float64 {
 	e.mu.Lock()
@@ -234,9 +243,17 @@
 	e.journal[r.journalIndex].End = kind
 	e.journal[r.journalIndex].Ended = now
 	e.journal[r.journalIndex].Number = number
+	e.reportRun(r.journalIndex)
 	e.notifyChange()
 }
 
+// reportRun reports a run that has started or changed. The lock must be held.
+func (e *Executor) reportRun(journalIndex int) {
+	if e.OnRun != nil {
+		e.OnRun(e.journal[journalIndex])
+	}
+}
+
 // notifyChange wakes the holds that wait for an end. The lock must be held.
 func (e *Executor) notifyChange() {
 	close(e.changed)
@@ -287,6 +304,7 @@
 	work, end := e.Work(c.Name)
 	e.journal = append(e.journal, Span{Name: c.Name, Life: e.Life, Born: e.Born, Started: now})
 	e.running[c.Name] = &executorRun{name: c.Name, need: c.Need, work: work, since: now, speed: e.speed, end: end, journalIndex: len(e.journal) - 1}
+	e.reportRun(len(e.journal) - 1)
 	return a, nil
 }
 
@@ -361,6 +379,7 @@
 		s := &e.journal[i]
 		if s.Number == number && s.End != 0 && !s.Ended.Before(e.lastLapse) {
 			s.Noted = true
+			e.reportRun(i)
 		}
 	}
 }
--- a/internal/standin/orderlog.go
+++ b/internal/standin/orderlog.go
@@ -64,6 +64,9 @@
 	if untilMS != 0 {
 		o.Until = e.timeAtClock(untilMS)
 	}
+	if e.OnOrder != nil {
+		e.OnOrder(o)
+	}
 	e.orders = append(e.orders, o)
 	if len(e.orders) >= 2*maxOrders {
 		e.orders = append([]Order(nil), e.orders[maxOrders:]...)
--- a/test/soak_series_test.go
+++ b/test/soak_series_test.go
@@ -219,6 +219,12 @@
 // them all runs would lapse.
 func (r *soakRun) loseOrders(m *box, lasts time.Duration) {
 	r.note("series: orders to the target of %s are lost or late for %v", m.name, lasts)
+	if m.processes != nil {
+		r.setFaults(m, targetFaults{Seed: r.seed})
+		pause(lasts)
+		r.setFaults(m, targetFaults{})
+		return
+	}
 	var orders atomic.Uint64
 	m.port.SetCallFaults(func(kind string) standin.CallFault {
 		if kind == standin.OrderHold {
@@ -230,6 +236,13 @@
 	m.port.SetCallFaults(nil)
 }
 
+// setFaults replaces the faults of calls to a target that is a process.
+func (d *deployment) setFaults(m *box, f targetFaults) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m.processes.current.Load().setFaults(f)
+}
+
 // orderOutcome draws the outcome of an order by its number.
 func orderOutcome(seed, number uint64) standin.CallFault {
 	random := rand.New(rand.NewPCG(seed, longOrdersPart<<32|number))
