test: calls after a restart that a kept connection has shown

Cause: TestRestartedTargetProcess had no case in which the client knows that connections outlive an incarnation, so that none is reused.

Change: five cells on the way that keeps connections, with a restart before.

--- a/test/target_restart_test.go
+++ b/test/target_restart_test.go
@@ -60,12 +60,38 @@
 	momentReceived callMoment = "received"
 )
 
-// moments returns the moments that a way has.
-func (w *targetWay) moments() []callMoment {
-	all := []callMoment{momentFrozen, momentDown, momentUp, momentReceived}
+// callConnection is the connection that a call uses.
+type callConnection string
+
+const (
+	// openConnection was opened to the former process.
+	openConnection callConnection = "open connection"
+	// newConnection is opened for the call.
+	newConnection callConnection = "new connection"
+	// noticedConnection is opened for the call too, since the client has noticed that a connection
+	// has outlived an incarnation.
+	noticedConnection callConnection = "after a noticed restart"
+)
+
+// connections returns the connections that a way has.
+func (w *targetWay) connections() []callConnection {
+	all := []callConnection{openConnection, newConnection}
+	if w.keeps {
+		all = append(all, noticedConnection)
+	}
+	return all
+}
+
+// moments returns the moments that a way has for calls on a connection.
+func (w *targetWay) moments(connection callConnection) []callMoment {
+	all := []callMoment{momentFrozen, momentDown, momentUp}
 	if w.carrier != nil {
 		all = append(all, momentHeld, momentDelayed)
 	}
+	if connection == openConnection {
+		// On a new connection another call would be the one received.
+		all = append(all, momentReceived)
+	}
 	return all
 }
 
@@ -119,22 +145,17 @@
 // former one are made around that. Guards against calls that the newer process carries out.
 func TestRestartedTargetProcess(t *testing.T) {
 	for _, way := range targetWays {
-		for _, open := range []bool{true, false} {
-			for _, moment := range way.moments() {
-				if moment == momentReceived && !open {
-					// The first call on a new connection would be the one received.
-					continue
-				}
-				connection := "new connection"
-				if open {
-					connection = "open connection"
-				}
+		for _, connection := range way.connections() {
+			for _, moment := range way.moments(connection) {
 				t.Run(fmt.Sprintf("%s/%s/%s", way.name, connection, moment), func(t *testing.T) {
 					t.Parallel()
 					a := newAcrossRestart(t, way)
-					carriedOut := a.calls(moment, open)
+					if connection == noticedConnection {
+						a.noticeRestart()
+					}
+					carriedOut := a.calls(moment, connection != newConnection)
 					// A kept connection shows its incarnation only with the first answer after a restart.
-					crosses := way.keeps && open && moment != momentReceived && moment != momentFrozen
+					crosses := way.keeps && connection == openConnection && moment != momentReceived && moment != momentFrozen
 					for _, c := range crossings {
 						if carriedOut[c.name] != crosses {
 							t.Errorf("%s: carried out by the newer process: %v, want %v", c.name, carriedOut[c.name], crosses)
@@ -243,6 +264,23 @@
 	}
 }
 
+// noticeRestart restarts the target, makes the clients notice that their connections have outlived
+// that, and prepares the next restart.
+func (a *acrossRestart) noticeRestart() {
+	a.t.Helper()
+	a.open()
+	a.change()
+	newer := a.newer.Incarnation()
+	for _, client := range a.clients {
+		waitFor(a.t, "the newer process answers a hold", func() bool {
+			answer, _, err := client.Hold(a.t.Context(), a.of, gate.HoldCall{Fence: callFence})
+			return err == nil && answer.Incarnation.Born == newer.Born
+		})
+	}
+	a.of, a.former, a.newer = newer, a.newer, prepareTarget(a.t, nil)
+	a.newer.ready()
+}
+
 // calls makes the calls at a moment of the change and returns those that the newer process has
 // carried out.
 func (a *acrossRestart) calls(moment callMoment, open bool) (carriedOut map[string]bool) {
