gate: keep a newer incarnation's clock apart

A start or stop that is turned away because the target has restarted returns the newer incarnation's answer. The gate took that clock reading for the former one's. With the newer clock ahead, a former incarnation's late lists then made a start that may still be carried out count as expired, so that its owner could run the task again.

TestClockOfNewerIncarnationExpiresNoStart failed before (the run was reported as rejected, "unanswered") and passes now; go test -race ./gate passes.

--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -115,6 +115,12 @@
 	return false
 }
 
+// fromNewer reports whether the answer to a call that was meant for the current incarnation shows
+// that a newer one has taken its place.
+func (g *Gate) fromNewer(a Answer) bool {
+	return a.Incarnation.Born != 0 && g.current.Born != 0 && a.Incarnation.Born != g.current.Born
+}
+
 // onRestart handles an answer that shows that the target has restarted under its id. The new
 // incarnation's lists count only once it has answered a call with a higher token than all calls
 // to the previous one, none of which can be carried out from then on.
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -806,3 +806,25 @@
 		}
 	})
 }
+
+// Guards against times of a newer incarnation's clock that count as the former one's: a start that
+// may still be carried out would then count as expired.
+func TestClockOfNewerIncarnationExpiresNoStart(t *testing.T) {
+	b := newRestartBench(t)
+	unanswered := testRun("aa", 0, 1)
+	order := b.orderBy(testOwner, b.now, unanswered)
+	turnedAway := b.orderBy(testOwner, b.now, testRun("bb", 0, 1))
+	b.gate.OnStart(b.now, order.Incarnation, order.Starts[0], Answer{}, ErrUnanswered)
+	b.now += time.Millisecond
+	b.answer(HoldAnswer{})
+	h := b.gate.NextHold(b.now, 0)
+	b.now += time.Millisecond
+	former := Answer{ClockMS: b.targetClock(), Incarnation: Incarnation{Born: firstIncarnation.Born}}
+	b.restart(secondIncarnation, aheadClockAt)
+	b.gate.OnStart(b.now, turnedAway.Incarnation, turnedAway.Starts[0], Answer{ClockMS: b.targetClock(), Incarnation: Incarnation{Born: secondIncarnation.Born}}, ErrOtherIncarnation)
+	b.states()
+	b.gate.OnHold(b.now, h, former, HoldAnswer{}, nil)
+	if s, told := b.states()[unanswered]; told {
+		t.Errorf("reported %+v while the start may still be carried out", s)
+	}
+}
--- a/gate/silence.go
+++ b/gate/silence.go
@@ -7,9 +7,11 @@
 // silence.
 const silentAfter = 2 * holdWait
 
-// recordAnswer records the result of any call.
+// recordAnswer records the result of any call to the current incarnation.
 func (g *Gate) recordAnswer(now Time, a Answer, err error) {
-	g.updateClock(now, a.ClockMS)
+	if !g.fromNewer(a) {
+		g.updateClock(now, a.ClockMS)
+	}
 	switch {
 	case answered(err):
 		g.recordContact(now)
