gate: make clock probes fence a restarted target

After a deregistration, or a heartbeat without a clock, the first call to a newer incarnation under the same id was a clock probe without a token. Starts that were meant for the former one and came late were carried out until the next call. The probe now carries a token above all that were used.

--- a/gate/fence.go
+++ b/gate/fence.go
@@ -12,14 +12,19 @@
 // previous incarnation has seen. Otherwise their late orders would be carried out. The target's
 // clock would not do, since it starts anew with each incarnation.
 func (g *Gate) raiseFence() {
-	g.maxFence = max(g.maxFence+1, uint64(max(0, g.options.Unix())))
-	g.fence = g.maxFence
+	g.fence = g.nextFence()
 	g.ordered = false
 }
 
+// nextFence returns a token above all that were used, and counts it as used.
+func (g *Gate) nextFence() uint64 {
+	g.maxFence = max(g.maxFence+1, uint64(max(0, g.options.Unix())))
+	return g.maxFence
+}
+
 // onFenced handles the rejection of a call because the target has seen a higher token.
 func (g *Gate) onFenced(fence uint64) {
-	if fence != g.fence {
+	if fence != g.fence && (g.fence != 0 || fence != g.probeFence) {
 		// The token has been raised since.
 		return
 	}
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -19,6 +19,7 @@
 	h := Hold{Incarnation: g.current, sent: now}
 	if g.fence == 0 {
 		h.clockProbe = true
+		h.Call.Fence = g.probeFence
 		return h
 	}
 	if g.watching() {
@@ -113,7 +114,9 @@
 		if a.ClockMS == 0 {
 			return Actions{}
 		}
-		g.onFenced(h.Call.Fence)
+		if g.fence == 0 {
+			g.raiseFence()
+		}
 		g.grantedMS = max(g.grantedMS, a.ClockMS+g.options.Lease.Milliseconds())
 		return Actions{HoldNow: true}
 	}
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -45,8 +45,11 @@
 	draining bool
 	sequence int64
 
-	// fence is the fencing token of all calls; 0 before the first answer.
+	// fence is the fencing token of all calls but clock probes; 0 before the first answer.
 	fence uint64
+	// probeFence is the fencing token of clock probes. It is 0 unless the target may have
+	// restarted under its id: the probe may then be the first call to the newer incarnation.
+	probeFence uint64
 	// clockMS was the target's clock at clockAt; 0 before the first answer.
 	clockMS int64
 	clockAt Time
@@ -212,6 +215,7 @@
 	if sameID {
 		g.formerID = id
 		g.formerGrantedMS = former
+		g.probeFence = g.nextFence()
 	}
 	g.rejectQueue("target restarted")
 }
--- a/gate/lateorder_test.go
+++ b/gate/lateorder_test.go
@@ -68,3 +68,45 @@
 		}
 	}
 }
+
+// Guards against a first call to a newer incarnation that carries no token, after which starts
+// for the former one are still carried out.
+func TestFirstCallAfterDeregistrationFencesLateStarts(t *testing.T) {
+	tests := []struct {
+		name string
+		over func(b *restartBench)
+	}{
+		{"deregistration", func(b *restartBench) { b.gate.OnDeregister(b.now, firstIncarnation) }},
+		{"heartbeat without a clock", func(b *restartBench) {
+			b.now += 5 * time.Second
+			h := b.heartbeatOf(secondIncarnation, 1, false)
+			h.ClockMS = 0
+			b.gate.OnHeartbeat(b.now, h)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newRestartBench(t)
+			start := b.startRun(testRun("aa", 0, 1)).Starts[0]
+			b.gate.recordLateOrder(b.now)
+			test.over(b)
+			if b.gate.current == firstIncarnation {
+				t.Fatal("the first incarnation is still the current one")
+			}
+			if first := b.gate.NextHold(b.now, 0); first.Call.Fence <= start.Fence {
+				t.Errorf("token %d, want one above %d", first.Call.Fence, start.Fence)
+			}
+		})
+	}
+}
+
+// Guards against a clock probe that is sent again and again with a token that the target refuses.
+func TestRefusedClockProbe(t *testing.T) {
+	b := newRestartBench(t)
+	b.gate.OnDeregister(b.now, firstIncarnation)
+	refused := b.gate.NextHold(b.now, 0)
+	b.gate.OnHold(b.now, refused, Answer{ClockMS: b.targetClock()}, HoldAnswer{}, ErrFenced)
+	if next := b.gate.NextHold(b.now, 0); next.Call.Fence <= refused.Call.Fence {
+		t.Errorf("token %d after a refused one of %d", next.Call.Fence, refused.Call.Fence)
+	}
+}
