gate: look for a newer incarnation that answered an order

A start or stop may be the first call that shows that the target has restarted, while holds wait on connections that went silent. The gate ignored that: it went on starting runs, each of which was turned away, and the newer incarnation carried out late starts until the next hold was due. The answer now replaces the holds by one with a higher token.

TestOrderAnsweredByNewerIncarnation failed before in its four cases and passes now; go test -race ./gate passes.

--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -72,6 +72,8 @@
 	// runsListed is set once the target has listed the runs left by earlier processes of this
 	// gate, or by orders to the previous incarnation.
 	runsListed bool
+	// succeeded is set once an order was answered by a newer incarnation.
+	succeeded bool
 	// fullUntil is until when the target is assumed to have no room.
 	fullUntil Time
 
@@ -124,6 +126,21 @@
 	return a.Incarnation.Born != 0 && g.current.Born != 0 && a.Incarnation.Born != g.current.Born
 }
 
+// lookForNewer requests a hold if an order was answered by a newer incarnation, whose lists are
+// needed. The hold carries a higher token, so that it fences that incarnation; those in flight may
+// be waiting for the former one.
+func (g *Gate) lookForNewer(now Time, a Answer) Actions {
+	if !g.fromNewer(a) || g.succeeded {
+		return Actions{}
+	}
+	g.succeeded = true
+	if g.fence != 0 {
+		g.raiseFence()
+	}
+	g.SuspectRestart(now)
+	return Actions{ReplaceHolds: true}
+}
+
 // onRestart handles an answer that shows that the target has restarted under its id. The new
 // incarnation's lists count only once it has answered a call with a higher token than all calls
 // to the previous one, none of which can be carried out from then on.
--- a/gate/restart_test.go
+++ b/gate/restart_test.go
@@ -828,3 +828,55 @@
 		t.Errorf("reported %+v while the start may still be carried out", s)
 	}
 }
+
+// Guards against a newer incarnation that answers an order, but stays unnoticed until the next
+// hold.
+func TestOrderAnsweredByNewerIncarnation(t *testing.T) {
+	tests := []struct {
+		name   string
+		answer func(b *restartBench, start Actions, a Answer) Actions
+	}{
+		{"start turned away", func(b *restartBench, start Actions, a Answer) Actions {
+			return b.gate.OnStart(b.now, start.Incarnation, start.Starts[0], a, ErrOtherIncarnation)
+		}},
+		{"start turned away after unanswered tries", func(b *restartBench, start Actions, a Answer) Actions {
+			return b.gate.OnStart(b.now, start.Incarnation, start.Starts[0], a, ErrUnanswered)
+		}},
+		{"start carried out", func(b *restartBench, start Actions, a Answer) Actions {
+			return b.gate.OnStart(b.now, start.Incarnation, start.Starts[0], a, nil)
+		}},
+		{"stop turned away", func(b *restartBench, start Actions, a Answer) Actions {
+			stop := StopCall{Name: start.Starts[0].Name, Fence: start.Starts[0].Fence}
+			return b.gate.OnStop(b.now, start.Incarnation, stop, a, ErrOtherIncarnation)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			b := newRestartBench(t)
+			start := b.orderBy(testOwner, b.now, testRun("aa", 0, 1))
+			if len(start.Starts) != 1 {
+				t.Fatalf("%d starts, want 1", len(start.Starts))
+			}
+			fence := start.Starts[0].Fence
+			b.restart(secondIncarnation, behindClockAt)
+			answer := Answer{ClockMS: b.targetClock(), Incarnation: Incarnation{Born: secondIncarnation.Born}}
+			a := test.answer(b, start, answer)
+			if !a.ReplaceHolds {
+				t.Errorf("%+v, want the holds replaced", a)
+			}
+			h := b.gate.NextHold(b.now, 0)
+			if h.Call.Fence <= fence || h.Call.Seen != 0 {
+				t.Errorf("hold %+v, want a token above %d and no ends acknowledged", h.Call, fence)
+			}
+			// The hold that is under way is not replaced again.
+			if a := test.answer(b, start, answer); a.ReplaceHolds {
+				t.Errorf("%+v after another answer", a)
+			}
+			b.now += time.Millisecond
+			b.answered(h, HoldAnswer{})
+			if b.gate.current != secondIncarnation {
+				t.Errorf("incarnation %v, want %v", b.gate.current, secondIncarnation)
+			}
+		})
+	}
+}
--- a/gate/start.go
+++ b/gate/start.go
@@ -112,10 +112,14 @@
 
 // OnStart handles the answer to a start.
 func (g *Gate) OnStart(now Time, incarnation Incarnation, c StartCall, ans Answer, err error) Actions {
-	r := g.runs[c.Name]
-	if incarnation != g.current || r == nil || r.phase != phaseStarting {
+	if incarnation != g.current {
 		return Actions{}
 	}
+	look := g.lookForNewer(now, ans)
+	r := g.runs[c.Name]
+	if r == nil || r.phase != phaseStarting {
+		return look
+	}
 	g.recordAnswer(now, ans, err)
 	switch {
 	case err == nil:
@@ -123,11 +127,12 @@
 		if !r.bestEffort {
 			g.sendState(r)
 		}
-		return Actions{}
+		return look
 	case errors.Is(err, ErrUnanswered):
 		r.phase = phaseUnknown
 		r.unknownSince = now
-		return Actions{HoldNow: true}
+		look.HoldNow = true
+		return look
 	}
 	g.release(r)
 	if errors.Is(err, ErrNoRoom) && g.hasUnclaimedRuns() {
@@ -142,19 +147,26 @@
 	}
 	g.reject(r, err.Error())
 	g.reportChanged()
+	if g.fromNewer(ans) {
+		return look
+	}
 	return g.startFromQueue(now, Actions{HoldNow: errors.Is(err, ErrFenced)})
 }
 
 // OnStop handles the answer to a stop.
 func (g *Gate) OnStop(now Time, incarnation Incarnation, c StopCall, ans Answer, err error) Actions {
-	r := g.runs[c.Name]
-	if incarnation != g.current || r == nil {
+	if incarnation != g.current {
 		return Actions{}
 	}
+	look := g.lookForNewer(now, ans)
+	r := g.runs[c.Name]
+	if r == nil {
+		return look
+	}
 	g.recordAnswer(now, ans, err)
 	if err == nil {
 		r.stopConfirmed = now
-		return Actions{HoldNow: true}
+		look.HoldNow = true
 	}
-	return Actions{}
+	return look
 }
