--- a/gate/retry_test.go
+++ b/gate/retry_test.go
@@ -403,3 +403,55 @@
 		}
 	})
 }
+
+// openCalls is a target that answers nothing and counts the calls in progress.
+type openCalls struct {
+	open, most atomic.Int32
+}
+
+func (e *openCalls) hang(ctx context.Context) {
+	n := e.open.Add(1)
+	defer e.open.Add(-1)
+	e.most.Store(max(e.most.Load(), n))
+	<-ctx.Done()
+}
+
+func (e *openCalls) Start(ctx context.Context, _ Incarnation, _ StartCall) (Answer, error) {
+	e.hang(ctx)
+	return Answer{}, ErrUnanswered
+}
+
+func (e *openCalls) Stop(ctx context.Context, _ Incarnation, _ StopCall) (Answer, error) {
+	e.hang(ctx)
+	return Answer{}, ErrUnanswered
+}
+
+func (e *openCalls) Hold(ctx context.Context, _ Incarnation, _ HoldCall) (Answer, HoldAnswer, error) {
+	<-ctx.Done()
+	return Answer{}, HoldAnswer{}, ErrUnanswered
+}
+
+// Tries of an order at a target that answers nothing end once it counts as silent. Time is
+// virtual.
+func TestOpenTriesEndWithSilence(t *testing.T) {
+	for _, latency := range []time.Duration{time.Millisecond, silentAfter} {
+		synctest.Test(t, func(t *testing.T) {
+			x := &openCalls{}
+			d := NewDriver(t.Context(), New(Options{Node: "gate-1", Lease: time.Second}), x, logr.Discard())
+			for range 50 {
+				d.rto.answered(latency)
+			}
+			began := time.Now()
+			go d.start(testIncarnation, StartCall{UntilMS: time.Hour.Milliseconds()})
+			synctest.Wait()
+			for x.open.Load() > 0 {
+				wait.For(t.Context(), time.Millisecond)
+				synctest.Wait()
+			}
+			t.Logf("latency %v: at most %d tries at once, open for %v", latency, x.most.Load(), time.Since(began))
+			if took := time.Since(began); took > silentAfter+maxSlowRTO {
+				t.Errorf("tries were open for %v", took)
+			}
+		})
+	}
+}
