--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -45,8 +45,11 @@
 	draining bool
 	sequence int64
 
-	// fence is the fencing token of all calls; 0 before the first answer.
+	// fence is the fencing token of all calls but clock probes; 0 before the first answer.
 	fence uint64
+	// probeFence is the fencing token of clock probes. It is 0 unless the target may have
+	// restarted under its id: the probe may then be the first call to the newer incarnation.
+	probeFence uint64
 	// clockMS was the target's clock at clockAt; 0 before the first answer.
 	clockMS int64
 	clockAt Time
@@ -69,6 +72,8 @@
 	// runsListed is set once the target has listed the runs left by earlier processes of this
 	// gate, or by orders to the previous incarnation.
 	runsListed bool
+	// succeeded is set once an order was answered by a newer incarnation.
+	succeeded bool
 	// fullUntil is until when the target is assumed to have no room.
 	fullUntil Time
 
@@ -116,6 +121,27 @@
 	return false
 }
 
+// fromNewer reports whether the answer to a call that was meant for the current incarnation shows
+// that a newer one has taken its place.
+func (g *Gate) fromNewer(a Answer) bool {
+	return a.Incarnation.Born != 0 && g.current.Born != 0 && a.Incarnation.Born != g.current.Born
+}
+
+// lookForNewer requests a hold if an order was answered by a newer incarnation, whose lists are
+// needed. The hold carries a higher token, so that it fences that incarnation; those in flight may
+// be waiting for the former one.
+func (g *Gate) lookForNewer(now Time, a Answer) Actions {
+	if !g.fromNewer(a) || g.succeeded {
+		return Actions{}
+	}
+	g.succeeded = true
+	if g.fence != 0 {
+		g.raiseFence()
+	}
+	g.SuspectRestart(now)
+	return Actions{ReplaceHolds: true}
+}
+
 // onRestart handles an answer that shows that the target has restarted under its id. The new
 // incarnation's lists count only once it has answered a call with a higher token than all calls
 // to the previous one, none of which can be carried out from then on.
@@ -224,6 +250,7 @@
 	if sameID {
 		g.formerID = id
 		g.formerGrantedMS = former
+		g.probeFence = g.nextFence()
 	}
 	g.rejectQueue("target restarted")
 }
