--- a/gate/driver.go
+++ b/gate/driver.go
@@ -90,7 +90,7 @@
 
 func (d *Driver) start(incarnation Incarnation, c StartCall) {
 	call := newRetriedCall(&d.rto, func(ctx context.Context) (Answer, error) { return d.target.Start(ctx, incarnation, c) })
-	call.timeout = min(call.timeout, max(d.leaseLeft(c), orderTimeout))
+	call.timeout = min(call.timeout, max(d.leaseLeft(c), minOrderTimeout))
 	ans, err := call.run(d.ctx)
 	if err != nil {
 		d.log.Info("Start failed.", "job", c.Name.Job, "step", c.Name.Step, "index", c.Name.Index, "run", c.Name.Run, "tries", call.tries, "timeout", call.timeout.String(), "error", err.Error())
--- a/gate/holdload_test.go
+++ b/gate/holdload_test.go
@@ -121,7 +121,7 @@
 		{name: "all just after their timeout", most: maxHolds, requested: true, delay: func(int) time.Duration { return maxRTO + time.Millisecond }, maxGap: 2 * holdWait},
 		{name: "one of two just after its timeout", most: maxHolds, requested: true, delay: every(2, minRTO+time.Millisecond), maxGap: 2 * holdWait},
 		{name: "half late, half of these hang", most: maxHolds, requested: true, delay: func(number int) time.Duration {
-			return []time.Duration{0, lateAnswerWait, 0, neverAnswered}[number%4]
+			return []time.Duration{0, minLateAnswerWait, 0, neverAnswered}[number%4]
 		}, maxGap: 2 * holdWait},
 	}
 	for _, test := range tests {
--- a/gate/lease.go
+++ b/gate/lease.go
@@ -12,7 +12,7 @@
 	// active if its stop is not carried out or the gate fails.
 	bestEffortGrace = 400 * time.Millisecond
 	// minStartLease is the shortest lease worth starting a run with: an unanswered start is
-	// retried for orderTimeout at least.
+	// retried for minOrderTimeout or longer.
 	minStartLease = 100 * time.Millisecond
 	// unclaimedWait is how long runs of an earlier process wait to be claimed before they are
 	// stopped. Owners are linked again within 150 ms. The lease is not extended meanwhile, and
--- a/gate/leftover_test.go
+++ b/gate/leftover_test.go
@@ -328,7 +328,7 @@
 	b := newBench(t)
 	name := testRun("aa", 0, 1)
 	a := b.orderBy(testOwner, b.now, name)
-	b.now += orderTimeout
+	b.now += minOrderTimeout
 	b.gate.OnStart(b.now, a.Incarnation, a.Starts[0], Answer{}, ErrUnanswered)
 	b.now += time.Millisecond
 	if _, a = b.hold(HoldAnswer{}); len(a.Stops) != 1 {
--- a/gate/retry.go
+++ b/gate/retry.go
@@ -17,17 +17,17 @@
 	// newConnectionTry is the try that uses a new connection: the connections of the earlier
 	// ones may be dead.
 	newConnectionTry = 3
-	// orderTimeout is how long an order may go unanswered at least before the gate checks with a
-	// hold what became of it; see rtoEstimator.orderTimeout.
-	orderTimeout = 60 * time.Millisecond
-	// lateAnswerWait is how long the other tries of a resolved order, and abandoned holds, may
-	// continue at least; see rtoEstimator.lateAnswerWait.
-	lateAnswerWait = maxRTO
+	// minOrderTimeout is the shortest time that an order may go unanswered before the gate checks
+	// with a hold what became of it; see rtoEstimator.orderTimeout.
+	minOrderTimeout = 60 * time.Millisecond
+	// minLateAnswerWait is the shortest time that the other tries of a resolved order, and
+	// abandoned holds, may continue; see rtoEstimator.lateAnswerWait.
+	minLateAnswerWait = maxRTO
 )
 
 // retriedCall is a start or a stop that is sent again until it is answered. This is safe: a
-// target treats a second start of the same run as a duplicate, and a start that is carried out
-// late has an expired lease.
+// target treats a second start of the same run as a duplicate, and a start that it carries out
+// late has an expired lease. For a newer incarnation see the comment in lateorder.go.
 type retriedCall struct {
 	call func(ctx context.Context) (Answer, error)
 	rto  *rtoEstimator
@@ -85,7 +85,7 @@
 		cancel()
 		return
 	}
-	time.AfterFunc(min(left, lateAnswerWait), func() { c.cancelLost(cancel) })
+	time.AfterFunc(min(left, minLateAnswerWait), func() { c.cancelLost(cancel) })
 }
 
 func (c *retriedCall) send(ctx context.Context) {
--- a/gate/retry_test.go
+++ b/gate/retry_test.go
@@ -116,13 +116,13 @@
 		t.Errorf("%v, %v for an order, for answers in 100 ms", w, e.orderTimeout())
 	}
 	wait.For(t.Context(), silentAfter+time.Millisecond)
-	if e.timeout() != maxRTO || e.orderTimeout() != orderTimeout {
+	if e.timeout() != maxRTO || e.orderTimeout() != minOrderTimeout {
 		t.Errorf("%v, %v for an order, after silence", e.timeout(), e.orderTimeout())
 	}
 	for range 50 {
 		e.answered(time.Millisecond)
 	}
-	if e.timeout() != minRTO || e.orderTimeout() != orderTimeout {
+	if e.timeout() != minRTO || e.orderTimeout() != minOrderTimeout {
 		t.Errorf("%v, %v for an order, for answers that are quick again", e.timeout(), e.orderTimeout())
 	}
 }
@@ -152,8 +152,8 @@
 			if _, err := c.run(t.Context()); err != nil {
 				unresolved++
 			}
-			if e.timeout() > maxRTO || e.orderTimeout() != orderTimeout {
-				t.Fatalf("%v until a try, %v for an order, want at most %v and %v", e.timeout(), e.orderTimeout(), maxRTO, orderTimeout)
+			if e.timeout() > maxRTO || e.orderTimeout() != minOrderTimeout {
+				t.Fatalf("%v until a try, %v for an order, want at most %v and %v", e.timeout(), e.orderTimeout(), maxRTO, minOrderTimeout)
 			}
 			wait.For(t.Context(), time.Millisecond)
 		}
@@ -210,8 +210,8 @@
 		_, _ = c.run(t.Context())
 		resolved := time.Now()
 		e.answeredCall(resolved)
-		if open := (<-ended).Sub(resolved); open != lateAnswerWait {
-			t.Errorf("the open tries went on for %v, want %v", open, lateAnswerWait)
+		if open := (<-ended).Sub(resolved); open != minLateAnswerWait {
+			t.Errorf("the open tries went on for %v, want %v", open, minLateAnswerWait)
 		}
 	})
 }
@@ -293,8 +293,8 @@
 		}
 		answered := time.Now()
 		<-open.Done()
-		if passed := time.Since(answered); passed != lateAnswerWait {
-			t.Errorf("the open try went on for %v, want %v", passed, lateAnswerWait)
+		if passed := time.Since(answered); passed != minLateAnswerWait {
+			t.Errorf("the open try went on for %v, want %v", passed, minLateAnswerWait)
 		}
 		second := newRetriedCall(&rtoEstimator{}, func(ctx context.Context) (Answer, error) {
 			contexts <- ctx
@@ -334,7 +334,7 @@
 func (e *lateHolds) Hold(ctx context.Context, _ Incarnation, c HoldCall) (Answer, HoldAnswer, error) {
 	takes := time.Duration(c.WaitMS) * time.Millisecond
 	if e.holds.Add(1)%10 == 0 {
-		takes += maxRTO + lateAnswerWait/2
+		takes += maxRTO + minLateAnswerWait/2
 	}
 	wait.For(ctx, takes)
 	if ctx.Err() != nil {
--- a/gate/rto.go
+++ b/gate/rto.go
@@ -97,15 +97,14 @@
 // orderTimeout returns how long an order may go unanswered before the gate checks with a hold what
 // became of it.
 func (e *rtoEstimator) orderTimeout() time.Duration {
-	return max(orderTimeout, triesPerOrder*e.timeout())
+	return max(minOrderTimeout, triesPerOrder*e.timeout())
 }
 
 // lateAnswerWait returns how long the other tries of a resolved order, and abandoned holds, may
 // continue before they are cancelled. Cancelling a call closes its connection, and most are
-// answered shortly after: cancelling overdue holds at once caused 11 of 13 new connections per
-// target and minute.
+// answered shortly after.
 func (e *rtoEstimator) lateAnswerWait() time.Duration {
-	return max(lateAnswerWait, e.timeout())
+	return max(minLateAnswerWait, e.timeout())
 }
 
 // answeredSince reports whether any call was answered after t.
