--- a/test/soak_restart_test.go
+++ b/test/soak_restart_test.go
@@ -170,9 +170,13 @@
 	}
 }
 
-// processSoakSeeds are the seeds of TestSoakTargetProcesses: those of TestSoakRestarts whose
-// failures came with calls that crossed a restart.
-var processSoakSeeds = []uint64{515707851790, 932265993314}
+// processSoakSeeds are the seeds of TestSoakTargetProcesses.
+var processSoakSeeds = []uint64{
+	// Those of TestSoakRestarts whose failures came with calls that crossed a restart.
+	515707851790, 932265993314,
+	// Starts that got slow answers were given up, and a target got no work after the faults.
+	1440717752670,
+}
 
 // TestSoakTargetProcesses is TestSoakRestarts with targets that are processes, so that the operating
 // system decides which calls cross a restart. Guards against a durable task that starts again
