gate: count a repeated stop from the contact before its frame

Callers could see two runs of a task at one time: their job is dropped while the link to a gate is silent, the stop is lost with the link and sent again over the next one, and the target does not carry it out.

Cause: a gate counts the end of a run that is being stopped from its owner's newest contact. The frame that repeats the stop also renews the contact, so that the run may go on for 1.25 s from the new link, not from when its caller left; callers are back after 1.3 s.

Change: OnFrame fixes when the runs that the frame stops must have ended before it takes in the frame's contact. The first frame that is sent after a job was dropped carries its stops, so the contact before that frame is not newer than the decision.

--- a/gate/orders.go
+++ b/gate/orders.go
@@ -119,6 +119,7 @@
 	if _, over := g.adopted[owner]; over {
 		return Actions{}, false
 	}
+	g.boundStops(owner, f.Stops)
 	o.contact = max(o.contact, min(f.Echo, now))
 	o.durableContact = max(o.durableContact, min(f.DurableEcho, now))
 	o.received = f.Sequence
@@ -141,6 +142,17 @@
 	return g.startFromQueue(now, a), true
 }
 
+// boundStops fixes when runs that their owner stops must have ended, from the contact before the
+// frame with the stops. A stop that was lost with its link is repeated over the next one, by a frame
+// that is newer than the owner's decision; the contact before that frame is not.
+func (g *Gate) boundStops(owner string, stops []job.RunName) {
+	for _, name := range stops {
+		if r := g.runs[name]; r != nil && r.owner == owner {
+			g.setStopBy(r)
+		}
+	}
+}
+
 // adopt reassigns the runs of ended owner incarnations to the owner that takes over their jobs.
 func (g *Gate) adopt(now Time, owner string, incarnations []string) {
 	if len(incarnations) == 0 {
--- a/node/virtualentry_test.go
+++ b/node/virtualentry_test.go
@@ -33,6 +33,8 @@
 	mu    sync.Mutex
 	late  delays
 	links uint64
+	// newest has the newest link to each agent.
+	newest map[*agentBox]*virtualLink
 }
 
 // delays are the delays of an entry box.
@@ -58,7 +60,7 @@
 
 func newEntryBox(s *virtualSite, i int) *entryBox {
 	name := fmt.Sprintf("entry-%d", i)
-	b := &entryBox{site: s, name: name, incarnation: name + "~1", late: delays{notice: linkLatency}}
+	b := &entryBox{site: s, name: name, incarnation: name + "~1", late: delays{notice: linkLatency}, newest: map[*agentBox]*virtualLink{}}
 	b.ctx, b.kill = context.WithCancel(s.ctx)
 	o := s.bounds.options(name)
 	o.Policy = fixedOrder{first: i}
--- a/node/virtuallink_test.go
+++ b/node/virtuallink_test.go
@@ -69,6 +69,8 @@
 	toGate       chan sentFrame[gate.OwnerFrame]
 	toOwner      chan sentFrame[gate.Frame]
 	wake         chan struct{}
+	// silent is shut once the connection has gone silent in both directions; a new link works.
+	silent valve
 
 	mu sync.Mutex
 	// heard is when the owner last received a frame; zero before the first.
@@ -136,19 +138,27 @@
 	}
 	l.ctx, l.end = context.WithCancel(b.ctx)
 	l.gateCtx, l.gateEnd = context.WithCancel(l.process.ctx)
+	b.newest[a] = l
 	return l
 }
 
+// linkTo returns the newest link to an agent.
+func (b *entryBox) linkTo(a *agentBox) *virtualLink {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.newest[a]
+}
+
 // closeGateEnd closes the gate's end of a link after the owner's.
 func (l *virtualLink) closeGateEnd() {
-	if l.path.toGate.pass(l.gateCtx) && l.agent.awake.pass(l.gateCtx) {
+	if l.silent.pass(l.gateCtx) && l.path.toGate.pass(l.gateCtx) && l.agent.awake.pass(l.gateCtx) {
 		l.gateEnd()
 	}
 }
 
 // closeOwnerEnd closes the owner's end of a link after the gate's.
 func (l *virtualLink) closeOwnerEnd() {
-	if l.path.toOwner.pass(l.ctx) && l.entry.awake.pass(l.ctx) {
+	if l.silent.pass(l.ctx) && l.path.toOwner.pass(l.ctx) && l.entry.awake.pass(l.ctx) {
 		l.end()
 	}
 }
@@ -194,7 +204,7 @@
 // arrivals yields the frames that arrive at the owner's box.
 func (l *virtualLink) arrivals() func(yield func(gate.Frame) bool) {
 	return func(yield func(gate.Frame) bool) {
-		for f, ok := arrival(l.ctx, l.toOwner, &l.path.toOwner); ok; f, ok = arrival(l.ctx, l.toOwner, &l.path.toOwner) {
+		for f, ok := arrival(l.ctx, l.toOwner, &l.silent, &l.path.toOwner); ok; f, ok = arrival(l.ctx, l.toOwner, &l.silent, &l.path.toOwner) {
 			if !yield(f) {
 				return
 			}
@@ -203,11 +213,11 @@
 }
 
 // arrival waits for the next frame to arrive; ok is false at the link's end.
-func arrival[F any](ctx context.Context, way <-chan sentFrame[F], v *valve) (f F, ok bool) {
+func arrival[F any](ctx context.Context, way <-chan sentFrame[F], silent, v *valve) (f F, ok bool) {
 	select {
 	case s := <-way:
 		wait.For(ctx, time.Until(s.at.Add(linkLatency)))
-		return s.frame, v.pass(ctx)
+		return s.frame, silent.pass(ctx) && v.pass(ctx)
 	case <-ctx.Done():
 		return f, false
 	}
@@ -269,7 +279,7 @@
 func (l *virtualLink) receiveOrders() {
 	defer l.gateEnd()
 	for {
-		f, ok := arrival(l.gateCtx, l.toGate, &l.path.toGate)
+		f, ok := arrival(l.gateCtx, l.toGate, &l.silent, &l.path.toGate)
 		if !ok || !l.agent.awake.pass(l.gateCtx) || !l.process.driver.Frame(l.entry.incarnation, l.number, f) {
 			return
 		}
