owner: resume a dropped job instead of running it beside its runs

Callers could see two runs of a task at one time: their job is dropped (its caller left, its connection broke), the runs are being stopped, and the job is submitted to the same entry box again.

Cause: an owner forgot a dropped job's runs but for the caller's answer. A second submission began a new job whose tasks were placed at once, although the owner knew that a run of each might still be active.

Change: a dropped job keeps the gates of its open runs. A submission resumes it: a task whose run may be active counts as placed there until its gate reports the end, leaves it out of an inventory or is silent for long enough; an end that counts is used.

--- a/node/metrics.go
+++ b/node/metrics.go
@@ -29,6 +29,7 @@
 	register("jobs.accepted", func(s owner.Stats) int64 { return s.Accepted })
 	register("jobs.refused", func(s owner.Stats) int64 { return s.Refused })
 	register("jobs.returned", func(s owner.Stats) int64 { return s.Returned })
+	register("runs.resumed", func(s owner.Stats) int64 { return s.Resumed })
 	register("jobs.completed", func(s owner.Stats) int64 { return s.Completed })
 	register("jobs.failed", func(s owner.Stats) int64 { return s.Failed })
 	register("jobs.cancelled", func(s owner.Stats) int64 { return s.Cancelled })
--- a/owner/besteffort.go
+++ b/owner/besteffort.go
@@ -45,7 +45,8 @@
 	j.setUrgency()
 	o.noteArrival(now, j)
 	f := o.figuresOf(now, j)
-	if o.stopped || !o.admits(f) {
+	earlier := o.dropped[s.ID]
+	if o.stopped || !earlier.hasOpenRuns() && !o.admits(f) {
 		o.countShareRefused(now, j)
 		o.logRefused(f, "no hope at arrival")
 		result(o.refusedResult(now, j))
@@ -55,6 +56,9 @@
 	j.deadline = now + patience
 	j.callers = append(j.callers, c)
 	o.jobs[s.ID] = j
+	if earlier != nil {
+		o.resumeDropped(now, j, earlier)
+	}
 	o.stats.Accepted++
 	o.countShareArrived(now, j)
 	o.makeReady(now, j)
--- a/owner/drop.go
+++ b/owner/drop.go
@@ -14,8 +14,9 @@
 // droppedJob is a best-effort job that was dropped before it ended.
 type droppedJob struct {
 	at Time
-	// unconfirmed are runs that were sent to gates and may or may not have started.
-	unconfirmed map[job.RunName]bool
+	// unconfirmed are the runs that were sent to gates and are not known to be over, with their
+	// gates.
+	unconfirmed map[job.RunName]string
 	// newest is the number of the newest run of each task that was placed.
 	newest map[job.TaskName]int
 	// callers wait until that is known; nil once they are answered.
@@ -55,20 +56,14 @@
 	o.stopAll(j)
 }
 
-// rememberDropped keeps the callers of a dropped job until they are answered. If the
-// same job was dropped before, the callers of that time are answered now.
+// rememberDropped keeps the runs of a dropped job until they are over, and its callers until they
+// are answered.
 func (o *Owner) rememberDropped(now Time, j *liveJob) *droppedJob {
 	d := &droppedJob{at: now, unconfirmed: j.openRuns(), newest: j.newestRuns(), callers: j.callers}
 	if len(d.callers) > 0 {
 		d.refused = func() BestEffortResult { return o.refusedResult(o.options.Now(), j) }
 	}
 	j.callers = nil
-	if earlier := o.dropped[j.record.ID]; earlier != nil {
-		earlier.answer(BestEffortResult{})
-		for name, run := range earlier.newest {
-			d.newest[name] = max(d.newest[name], run)
-		}
-	}
 	o.dropped[j.record.ID] = d
 	return d
 }
@@ -80,12 +75,12 @@
 	}
 }
 
-// openRuns returns the runs whose end gates have not reported yet.
-func (j *liveJob) openRuns() map[job.RunName]bool {
-	runs := map[job.RunName]bool{}
+// openRuns returns the runs whose end gates have not reported yet, with their gates.
+func (j *liveJob) openRuns() map[job.RunName]string {
+	runs := map[job.RunName]string{}
 	for _, t := range j.tasks {
 		if t.phase == taskPlaced || t.phase == taskRunning {
-			runs[t.runName()] = true
+			runs[t.runName()] = t.gate
 		}
 	}
 	return runs
@@ -110,18 +105,38 @@
 
 // onState processes the state of a run of a dropped job.
 func (d *droppedJob) onState(s gate.RunState) {
-	if !d.unconfirmed[s.Name] || s.End == 0 {
+	if s.End == 0 {
+		return
+	}
+	d.ended(s.Name, s.End)
+}
+
+// ended records that a run is over.
+func (d *droppedJob) ended(name job.RunName, end gate.EndKind) {
+	if _, ok := d.unconfirmed[name]; !ok {
 		return
 	}
-	delete(d.unconfirmed, s.Name)
+	delete(d.unconfirmed, name)
 	switch {
-	case s.End != gate.EndRejected:
+	case end != gate.EndRejected:
 		d.answer(BestEffortResult{})
 	case len(d.unconfirmed) == 0:
 		d.answerRefused()
 	}
 }
 
+// endDroppedRuns records that the runs of dropped jobs at a gate are over, but for those that
+// remain.
+func (o *Owner) endDroppedRuns(v *gateView, remains func(job.RunName) bool) {
+	for _, d := range o.dropped {
+		for name, at := range d.unconfirmed {
+			if at == v.name && !remains(name) {
+				d.ended(name, gate.EndLost)
+			}
+		}
+	}
+}
+
 // answer answers the callers, once.
 func (d *droppedJob) answer(r BestEffortResult) {
 	for _, c := range d.callers {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -163,6 +163,9 @@
 
 	// Returned counts jobs that were submitted again after a refusal.
 	Returned int64
+	// Resumed counts the runs that were not known to be over when their job, which had been
+	// dropped, was submitted again.
+	Resumed int64
 
 	// PlacedSlow counts tasks placed on a target that is slower than its service's median one,
 	// HeldForSpeed how often a task waited for a faster target.
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -185,6 +185,11 @@
 		o.dropIfLive(t.job)
 		return
 	}
+	if !t.ready() {
+		// The run was started before the job was dropped and submitted again.
+		t.phase = taskBlocked
+		return
+	}
 	t.phase = taskWaiting
 	t.gate = ""
 	t.since = now
--- a/owner/view.go
+++ b/owner/view.go
@@ -229,36 +229,29 @@
 }
 
 // reconcile requeues the tasks that are placed on a gate but missing from its
-// inventory: their runs have never started or are lost.
+// inventory: their runs have never started or are lost. Runs of dropped jobs that are missing are
+// over as well.
 func (o *Owner) reconcile(now Time, v *gateView, states []gate.RunState) {
 	known := make(map[job.RunName]bool, len(states))
 	for _, s := range states {
 		known[s.Name] = true
 	}
+	remains := func(name job.RunName) bool { return known[name] || v.inTransit(name) }
 	for _, j := range o.jobs {
 		for _, t := range j.tasks {
 			placed := t.phase == taskPlaced || t.phase == taskRunning
-			if placed && t.gate == v.name && !known[t.runName()] && !v.inTransit(t) {
+			if placed && t.gate == v.name && !remains(t.runName()) {
 				o.requeue(now, t)
 			}
 		}
 	}
+	o.endDroppedRuns(v, remains)
 }
 
-// inTransit reports whether a task's start had not reached the gate over this link when
+// inTransit reports whether the start of a run had not reached the gate over this link when
 // it sent its newest frame.
-func (v *gateView) inTransit(t *task) bool {
-	for _, s := range v.inFlight {
-		if s.name == t.runName() {
-			return true
-		}
-	}
-	for _, s := range v.starts {
-		if s.Name == t.runName() {
-			return true
-		}
-	}
-	return false
+func (v *gateView) inTransit(name job.RunName) bool {
+	return v.holdsStart(name) || slices.ContainsFunc(v.inFlight, func(s sentOrder) bool { return s.name == name })
 }
 
 // presumeSilentGates requeues the tasks of gates that were not heard from for so long
@@ -277,6 +270,7 @@
 				}
 			}
 		}
+		o.endDroppedRuns(v, func(job.RunName) bool { return false })
 	}
 }
 
