node: let the earlier owner run a job that is submitted elsewhere

Callers could see two runs of a task at one time: the connection of a best-effort job's caller breaks without the knowledge of the entry box that has the job (on the caller's side only, or silently), and the caller submits the job to another one after 1.3 s.

Cause: what ends a first owner's runs in time is its death, or that it knows that its caller has left. An owner that lives and does not know keeps its gates' contact, and a second owner knows nothing of the first.

Change: owners announce the best-effort jobs that they have had for 0.4 s, and dropped ones whose runs may be active, to the other entry boxes, in fleets of fewer than 32. An entry box that is handed an announced job asks that owner to resume it: it is joined to the live job, or waits there for the runs that are being stopped. Only if the owner has no runs of it any more, or does not answer in 0.4 s, is it run where it was submitted. Nothing is added to the path of a job that was not announced.

--- a/node/entry.go
+++ b/node/entry.go
@@ -126,6 +126,8 @@
 	pending pendingElsewhere
 	// hubs selects the entry box through which this one follows the store.
 	hubs *hubs
+	// elsewhere holds the jobs that other owners have announced.
+	elsewhere jobsElsewhere
 
 	mu         sync.Mutex
 	boxes      map[string]member.Box
@@ -167,7 +169,7 @@
 func (e *Entry) Run(ctx context.Context) error {
 	server := rpc.NewServer(e.options.Metrics)
 	peerpb.RegisterPeerServer(server, &peer.Server{
-		Node: e.options.Node, Owner: e, Inviter: e, Direct: e.direct, Metrics: e.options.Metrics, Log: e.log,
+		Node: e.options.Node, Owner: e, Resumer: e, Inviter: e, Direct: e.direct, Metrics: e.options.Metrics, Log: e.log,
 	})
 	go func() { _ = server.Serve(e.listener) }()
 	defer server.Stop()
--- a/node/jobs.go
+++ b/node/jobs.go
@@ -46,7 +46,8 @@
 }
 
 // RunBestEffort runs a best-effort job and waits for its end. The job is dropped when the
-// context ends because its caller has left or its deadline has passed.
+// context ends because its caller has left or its deadline has passed. A job that another
+// owner has had before is run there.
 func (e *Entry) RunBestEffort(ctx context.Context, s job.Submission) owner.BestEffortResult {
 	t := e.current.Load()
 	if t == nil {
@@ -57,6 +58,9 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
 	}
+	if r, ok := e.runElsewhere(ctx, s, timeout); ok {
+		return r
+	}
 	ticket := t.owner.RunBestEffort(s, timeout, func(r owner.BestEffortResult) { result <- r })
 	select {
 	case r := <-result:
--- a/node/term.go
+++ b/node/term.go
@@ -123,6 +123,7 @@
 	go t.serveDurable()
 	go t.fleet.Run(t.ctx)
 	go t.resolveForeign()
+	go newAnnouncer(t).run()
 	for ctx.Err() == nil && t.ctx.Err() == nil {
 		pause := calmPause
 		if t.owner.Waiting() {
--- a/owner/besteffort.go
+++ b/owner/besteffort.go
@@ -28,6 +28,11 @@
 func (o *Owner) RunBestEffort(s job.Submission, patience time.Duration, result func(BestEffortResult)) (ticket uint64) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	return o.runBestEffort(s, patience, result)
+}
+
+// runBestEffort is RunBestEffort with the lock held.
+func (o *Owner) runBestEffort(s job.Submission, patience time.Duration, result func(BestEffortResult)) (ticket uint64) {
 	now := o.options.Now()
 	o.noteContact(now)
 	o.order++
@@ -38,6 +43,7 @@
 	}
 	if j := o.jobs[s.ID]; j != nil {
 		j.callers = append(j.callers, c)
+		j.deadline = max(j.deadline, now+patience)
 		return c.ticket
 	}
 	j := newLiveJob(job.Record{Submission: s, Owner: o.options.Incarnation}, now)
--- a/peer/server.go
+++ b/peer/server.go
@@ -104,6 +104,8 @@
 	Gate Gate
 	// Owner is nil if the process has no owner.
 	Owner JobAnswerer
+	// Resumer is nil if the process has no owner.
+	Resumer Resumer
 	// Inviter is nil if the process opens no links.
 	Inviter Inviter
 	// Direct is the store without relays.
