gate: start no run whose end was reported or whose stop was ordered

Change: an end listed for a queued run's name takes the run out of the queue; a run whose stop was ordered is rejected, not queued again, when the target has no room.

--- a/gate/lists.go
+++ b/gate/lists.go
@@ -37,6 +37,10 @@
 			}
 			continue
 		}
+		if r.phase == phaseQueued {
+			// The end is another owner's run's, given up before; the target rejects this run.
+			g.queue.remove(r)
+		}
 		g.release(r)
 		r.checkpoint = e.Checkpoint
 		r.number = e.Number
--- a/gate/samename_test.go
+++ b/gate/samename_test.go
@@ -62,6 +62,7 @@
 		t.Fatalf("%d starts, want 1", len(a.Starts))
 	}
 	b.hold(runningLists(testRun("bb", 0, 1))) // A run of an earlier process, whose need is unknown.
+	b.states()                                // An inventory, which has no rejected runs.
 	b.gate.OnFrame(b.now, testOwner, 1, OwnerFrame{Echo: b.now, Stops: []job.RunName{run}})
 	b.gate.OnStart(b.now, a.Incarnation, a.Starts[0], Answer{ClockMS: b.targetClock()}, ErrNoRoom)
 	if s := b.states()[run]; s.End != EndRejected {
--- a/gate/start.go
+++ b/gate/start.go
@@ -135,7 +135,7 @@
 		return look
 	}
 	g.release(r)
-	if errors.Is(err, ErrNoRoom) && g.hasUnclaimedRuns() {
+	if errors.Is(err, ErrNoRoom) && g.hasUnclaimedRuns() && !r.mustStop {
 		// Unclaimed runs, whose needs are unknown, take up the room.
 		r.phase = phaseQueued
 		g.queue.push(r)
