--- a/node/bounds_test.go
+++ b/node/bounds_test.go
@@ -25,6 +25,9 @@
 	evacuate time.Duration
 	// keepFinished is how long the state of an ended job is retained.
 	keepFinished time.Duration
+	// idOnly: targets do not report their start, so that only their id tells incarnations apart,
+	// and restarted agents learn the id from a heartbeat.
+	idOnly bool
 }
 
 // defaultBounds are the bounds of most deployments.
--- a/node/twice_test.go
+++ b/node/twice_test.go
@@ -41,14 +41,16 @@
 	}
 }
 
-// subtest runs a test in its own bubbles, under the default bounds and with long leases of
-// the platform, and checks all runs.
+// subtest runs a test in its own bubbles, under the default bounds, with long leases of the
+// platform and with targets that are identified by their id only, and checks all runs.
 func subtest(t *testing.T, name string, test func(s *virtualSite)) {
 	t.Helper()
 	longLeases := defaultBounds
 	longLeases.maxHold = 15 * time.Second
-	for _, bounds := range []virtualBounds{defaultBounds, longLeases} {
-		t.Run(name+"/leases of "+bounds.maxHold.String(), func(t *testing.T) {
+	idOnly := defaultBounds
+	idOnly.idOnly = true
+	for _, bounds := range []virtualBounds{defaultBounds, longLeases, idOnly} {
+		t.Run(fmt.Sprintf("%s/leases of %v, id only %v", name, bounds.maxHold, bounds.idOnly), func(t *testing.T) {
 			t.Parallel()
 			inBubbleWith(t, bounds, func(s *virtualSite) {
 				test(s)
--- a/node/virtualagent_test.go
+++ b/node/virtualagent_test.go
@@ -43,6 +43,10 @@
 func newAgentBox(s *virtualSite, i int) *agentBox {
 	name := fmt.Sprintf("agent-%d", i)
 	b := &agentBox{site: s, name: name, target: newVirtualTarget(name, s.bounds.maxHold)}
+	if s.bounds.idOnly {
+		b.target.newest().Born = 0
+		b.stored = &gate.Description{}
+	}
 	b.slow = newSlowConnections(&agentCalls{box: b})
 	b.start()
 	return b
