--- a/owner/again_test.go
+++ b/owner/again_test.go
@@ -24,6 +24,7 @@
 	r.endOthers()
 	second := b.connect("gate-2")
 	r.toOwner()
+	r.fromOwner()
 	started := r.started
 	for _, o := range b.flush("gate-2", second).Starts {
 		started = append(started, o.Name)
