gate, owner: log two owners of a task, and why a job was dropped

Two owners of a job, an owner that replaced a run, and a stop that came late could not be told apart by the logs. Each order for a task of which another owner's run is active here is now an event ("Another owner's run of the task is active.", gate.second_owners); a stop's line says when the run has to have ended (endsInMS); "Job given up." says why.

--- a/gate/event.go
+++ b/gate/event.go
@@ -33,6 +33,9 @@
 	EventRestart
 	// EventLeaving: the target has announced when its process ends. It refers to no run.
 	EventLeaving
+	// EventSecondOwner: an owner wants to start a task of which another owner's run is active.
+	// Event.Run is that run.
+	EventSecondOwner
 )
 
 // Event is an action or observation of a gate that is worth logging. Events are rare: a run
@@ -44,6 +47,8 @@
 	Reason StopReason
 	// ContactAge is the time since the last contact with the run's owner; 0 if there was none.
 	ContactAge time.Duration
+	// EndsIn is the time until a run that is being stopped has to have ended; 0 if that is unknown.
+	EndsIn time.Duration
 	// LeaseLeft is how much of the target's lease is left at least.
 	LeaseLeft time.Duration
 	// NewsAge is the age of the news about the evacuation.
@@ -80,6 +85,8 @@
 	RunsLost          int64
 	Restarts          int64
 	RunsLeaving       int64
+	// SecondOwners counts the events of kind EventSecondOwner.
+	SecondOwners int64
 }
 
 // Counts returns the counters.
@@ -180,9 +187,23 @@
 	if contact, ok := g.lastContact(r); ok {
 		e.ContactAge = now - contact
 	}
+	if r.stopBy != 0 {
+		e.EndsIn = r.stopBy - now
+	}
 	g.events = append(g.events, e)
 }
 
+// recordSecondOwner records that an owner wants to start a task of which another owner's run is
+// active here.
+func (g *Gate) recordSecondOwner(now Time, r *run) {
+	for name, other := range g.runs {
+		if name.TaskName == r.TaskName && other.active() && other.owner != r.owner {
+			g.counts.SecondOwners++
+			g.record(now, EventSecondOwner, other, "")
+		}
+	}
+}
+
 // TakeEvents returns the events since the last call.
 func (g *Gate) TakeEvents() []Event {
 	taken := g.events
--- a/gate/eventlog.go
+++ b/gate/eventlog.go
@@ -16,6 +16,7 @@
 	EventHeartbeatSkipped: "Skipped a heartbeat.",
 	EventRestart:          "Target has restarted.",
 	EventLeaving:          "Target is leaving.",
+	EventSecondOwner:      "Another owner's run of the task is active.",
 }
 
 // logEvents writes a log line for each event.
@@ -43,6 +44,6 @@
 			"cause", e.Cause, "leaseLeftMS", e.LeaseLeft.Milliseconds())
 	default:
 		d.log.Info(message, "job", e.Run.Job, "step", e.Run.Step, "index", e.Run.Index, "run", e.Run.Run, "owner", e.Owner,
-			"reason", string(e.Reason), "contactAgeMS", e.ContactAge.Milliseconds(), "leaseLeftMS", e.LeaseLeft.Milliseconds())
+			"reason", string(e.Reason), "contactAgeMS", e.ContactAge.Milliseconds(), "endsInMS", e.EndsIn.Milliseconds(), "leaseLeftMS", e.LeaseLeft.Milliseconds())
 	}
 }
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -198,6 +198,7 @@
 		RunName: o.Name, owner: owner, spec: o.Spec, need: o.Need, checkpoint: o.Checkpoint,
 		estimate: o.Estimate, rank: o.Rank, order: g.orders, arrived: now, bestEffort: o.BestEffort,
 	}
+	g.recordSecondOwner(now, r)
 	if g.runs[o.Name] != nil {
 		// Each owner numbers the runs of a job from 1, so the name may belong to another
 		// owner's run.
--- a/node/resume_test.go
+++ b/node/resume_test.go
@@ -12,7 +12,9 @@
 )
 
 // longWork makes each task take longer than callers without an answer wait before they return.
-func longWork(job.RunName) (time.Duration, gate.EndKind) { return 2500 * time.Millisecond, gate.EndDone }
+func longWork(job.RunName) (time.Duration, gate.EndKind) {
+	return 2500 * time.Millisecond, gate.EndDone
+}
 
 // longJob returns a job of two tasks with the duration of longWork.
 func longJob(id int) job.Submission {
--- a/owner/besteffort.go
+++ b/owner/besteffort.go
@@ -94,7 +94,7 @@
 		}
 	}
 	if len(j.callers) == 0 && j.record.BestEffort {
-		o.drop(j)
+		o.drop(j, dropCallerLeft)
 	}
 }
 
--- a/owner/drop.go
+++ b/owner/drop.go
@@ -26,15 +26,27 @@
 	refused func() BestEffortResult
 }
 
+// dropReason is why a best-effort job was dropped.
+type dropReason string
+
+// Reasons for dropping a job.
+const (
+	dropCallerLeft dropReason = "its caller has left"
+	dropDeadline   dropReason = "its deadline has passed"
+	dropVeryLate   dropReason = "very late and waiting"
+	dropNotPlaced  dropReason = "no task placed in time"
+	dropIsolated   dropReason = "its owner was isolated"
+)
+
 // drop ends a best-effort job without a result and withdraws its runs. If none of them
 // is known to have started, the answer waits for the reports of the gates, to tell a
 // job that has not run from one that may have.
-func (o *Owner) drop(j *liveJob) {
+func (o *Owner) drop(j *liveJob, why dropReason) {
 	now := o.options.Now()
 	o.withdrawShare(now, j)
 	delete(o.jobs, j.record.ID)
 	o.stats.Dropped++
-	o.logDropped(now, j)
+	o.logDropped(now, j, why)
 	o.withdrawTasks(j)
 	d := o.rememberDropped(now, j)
 	j.notifyWaiters()
@@ -69,9 +81,9 @@
 }
 
 // dropIfLive drops a job unless it was dropped already.
-func (o *Owner) dropIfLive(j *liveJob) {
+func (o *Owner) dropIfLive(j *liveJob, why dropReason) {
 	if o.jobs[j.record.ID] == j {
-		o.drop(j)
+		o.drop(j, why)
 	}
 }
 
--- a/owner/drop_test.go
+++ b/owner/drop_test.go
@@ -183,7 +183,7 @@
 	b.flush("gate-1", link)
 	b.owner.RunBestEffort(testSubmission("00000000000000aa", 200), time.Minute, func(BestEffortResult) {})
 	b.owner.RemoveCaller("00000000000000aa", ticket)
-	b.owner.drop(b.owner.jobs["00000000000000aa"])
+	b.owner.drop(b.owner.jobs["00000000000000aa"], dropVeryLate)
 	if !b.owner.Waiting() {
 		t.Error("not waiting for the gate's report on a dropped job")
 	}
--- a/owner/isolation.go
+++ b/owner/isolation.go
@@ -41,7 +41,7 @@
 	o.log.Info("Job starts no more tasks: its owner was isolated.", "job", j.record.ID, "ageMS", (now - j.arrived).Milliseconds(),
 		"silentMS", (now - o.lastContact).Milliseconds(), "left", j.left, "on", j.gateNames())
 	if o.mustStart(j) {
-		o.drop(j)
+		o.drop(j, dropIsolated)
 	}
 }
 
--- a/owner/log.go
+++ b/owner/log.go
@@ -31,11 +31,11 @@
 }
 
 // logDropped logs that a job was dropped.
-func (o *Owner) logDropped(now Time, j *liveJob) {
+func (o *Owner) logDropped(now Time, j *liveJob, why dropReason) {
 	if !j.placed {
 		return
 	}
-	o.log.Info("Job given up.", "job", j.record.ID, "queue", j.record.Queue.Name, "ageMS", (now - j.arrived).Milliseconds(),
+	o.log.Info("Job given up.", "job", j.record.ID, "queue", j.record.Queue.Name, "why", string(why), "ageMS", (now - j.arrived).Milliseconds(),
 		"tasks", len(j.tasks), "left", j.left, "on", j.gateNames(), "callers", len(j.callers), "overdueMS", (now - j.objective).Milliseconds())
 }
 
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -182,7 +182,7 @@
 	}
 	if t.job.closed {
 		t.phase = taskBlocked
-		o.dropIfLive(t.job)
+		o.dropIfLive(t.job, dropIsolated)
 		return
 	}
 	if !t.ready() {
--- a/owner/waiting.go
+++ b/owner/waiting.go
@@ -22,8 +22,8 @@
 	}
 	for _, j := range refused {
 		o.loseShare(now, j)
-		o.logRefused(o.figuresOf(now, j), "no task placed in time")
-		o.drop(j)
+		o.logRefused(o.figuresOf(now, j), string(dropNotPlaced))
+		o.drop(j, dropNotPlaced)
 	}
 	for _, j := range changed {
 		o.reorder(j, func() { j.late = j.isLate(now) })
@@ -63,9 +63,13 @@
 		if !j.record.BestEffort || j.phase != jobLive {
 			continue
 		}
-		if now >= j.deadline || (now >= j.veryLateAt && j.hasWaiting()) {
+		switch {
+		case now >= j.deadline:
+			o.settleShare(now, j)
+			o.drop(j, dropDeadline)
+		case now >= j.veryLateAt && j.hasWaiting():
 			o.settleShare(now, j)
-			o.drop(j)
+			o.drop(j, dropVeryLate)
 		}
 	}
 }
