platform: take in no best-effort job whose caller has left

Callers could see two runs of a task at one time: an entry box is suspended, or too busy to read, while a request waits. The caller gives up, comes back 1.3 s later at another box, and its tasks run there. Then the first box reads the request and starts them too, until the server has read the end of the connection and the stops have taken.

Cause: the front handed a job over without a look at the connection. Its context ends only once the server's background read has seen the end, 8 to 36 microseconds after the handler began, and by then the tasks may be placed.

Change: before a best-effort job is taken in, the front peeks at its connection.

--- a/cli/limits.go
+++ b/cli/limits.go
@@ -1,11 +1,14 @@
 package cli
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"rackspur/platform"
 	"rackspur/route"
 )
 
@@ -36,6 +39,15 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// SyscallConn implements syscall.Conn.SyscallConn.
+func (c *limitedConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return conn.SyscallConn()
+}
+
 // limitedListener accepts connections as limitedConns.
 type limitedListener struct {
 	net.Listener
@@ -91,6 +103,7 @@
 	}
 	srv := newServer(limitHeaders(limits, h))
 	srv.ConnState = trackIdle
+	srv.ConnContext = platform.WithCallerConn
 	serveListener(srv, limitedListener{Listener: l, limits: limits})
 	return srv, nil
 }
