Virtual site: restarts of entries, silent links, one-way cuts from callers, faults of all calls

Cause: the virtual site could not play a new process of an entry box, a link whose open connection goes silent, the early end of such a link while runs are at its gate, ticks that stand still, slow or lost answers of a target, nor a stop that takes a time. Change: test files, and StopTime of the stand-in executor. A path ends busy links as peer.frameWatch does. Calls can be bound to an incarnation, as package platform binds them.

--- a/internal/standin/executor.go
+++ b/internal/standin/executor.go
@@ -25,6 +25,8 @@
 	MaxHold time.Duration
 	// Work returns a run's duration and how it ends.
 	Work func(job.RunName) (time.Duration, gate.EndKind)
+	// StopTime is how long a run goes on after a stop.
+	StopTime time.Duration
 	// StartClockMS is the executor's clock at its start, in milliseconds.
 	StartClockMS int64
 	// OnRun and OnOrder, if set, are called with each run that starts or changes and with each
@@ -126,6 +128,7 @@
 	next := NewExecutor(e.Life, e.Capacity, e.Work)
 	next.MaxHold = e.MaxHold
 	next.ClockDrift = e.ClockDrift
+	next.StopTime = e.StopTime
 	next.speed = e.Speed()
 	// Incarnations must differ even if they start within the same millisecond.
 	next.Born = max(next.Born, e.Born+1)
@@ -330,12 +333,25 @@
 	e.highestRun[c.Name.TaskName] = max(e.highestRun[c.Name.TaskName], c.Name.Run)
 	for _, r := range e.running {
 		if r.name.TaskName == c.Name.TaskName && r.name.Run <= c.Name.Run {
-			e.finish(now, r, gate.EndStopped)
+			e.stop(now, r)
 		}
 	}
 	return a, nil
 }
 
+// stop ends a run after StopTime, unless it ends sooner.
+func (e *Executor) stop(now time.Time, r *executorRun) {
+	if e.StopTime == 0 {
+		e.finish(now, r, gate.EndStopped)
+		return
+	}
+	if r.due().Sub(now) <= e.StopTime {
+		return
+	}
+	r.work, r.done, r.since, r.speed, r.end = e.StopTime, 0, now, 1, gate.EndStopped
+	e.notifyChange()
+}
+
 // Hold implements gate.Executor.Hold.
 func (e *Executor) Hold(ctx context.Context, life gate.Incarnation, c gate.HoldCall) (gate.Answer, gate.HoldAnswer, error) {
 	e.mu.Lock()
--- a/node/twicestop_test.go
+++ b/node/twicestop_test.go
@@ -18,7 +18,7 @@
 
 var linkFaults = []linkFault{
 	{"silent",
-		func(s *virtualSite) { s.entries[0].linkTo(s.agents[1]).silent.shut() },
+		func(s *virtualSite) { s.entries[0].linkTo(s.agents[1]).silence() },
 		// The owner has found out and opens another link.
 		func(s *virtualSite) { s.entries[0].linkTo(s.agents[1]).end() }},
 	{"cut", func(s *virtualSite) { s.entries[0].paths[1].cut() }, func(s *virtualSite) { s.entries[0].paths[1].heal() }},
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -23,10 +23,10 @@
 // This file simulates a site in virtual time, in a bubble of testing/synctest: real
 // owners, gates and drivers with stand-in targets and in-memory links.
 //
-// Not simulated are gRPC, links through a peer, the early end of a busy link (links end
-// only after linkFrameTimeout without a frame), and the takeover of durable jobs. A frozen
-// agent makes no calls and receives no frames, but its gate keeps ticking, so after a
-// freeze its stops and lapses are further ahead than those of a real one.
+// Not simulated are gRPC, links through a peer, and the takeover of durable jobs. A frozen
+// agent makes no calls and receives no frames, but its gate keeps ticking unless
+// agentBox.ticks is shut too, so after a freeze its stops and lapses are further ahead than
+// those of a real one.
 //
 // Events at the same virtual time happen in any order, so the periodic events of boxes
 // and links have different offsets.
@@ -53,7 +53,7 @@
 	taskTime = 6800 * time.Millisecond
 )
 
-// logVariable is the environment variable that enables the agents' log.
+// logVariable is the environment variable that enables the boxes' log.
 const logVariable = "RACKSPUR_VIRTUAL_LOG"
 
 // virtualSite is a simulated site of a few boxes.
@@ -65,8 +65,10 @@
 	entries []*entryBox
 	// started is when the site was started.
 	started time.Time
-	// log is the agents' logger; its lines have times relative to trouble.
+	// log is the logger of the boxes; its lines have times relative to trouble.
 	log logr.Logger
+	// onStart, if set, is called with each order to start a run that an owner sends.
+	onStart func(a *agentBox, owner string, o gate.Order)
 	// trouble is the time of the first fault, which event times are relative to.
 	trouble time.Time
 }
@@ -80,6 +82,24 @@
 
 // inBubbleWith is inBubble with the given bounds.
 func inBubbleWith(t *testing.T, bounds virtualBounds, test func(s *virtualSite)) {
+	t.Helper()
+	inBubbleSite(t, siteOptions{bounds: bounds, entries: 2}, test)
+}
+
+// siteOptions are the options of a virtual site.
+type siteOptions struct {
+	bounds  virtualBounds
+	entries int
+	// log replaces the log of the test.
+	log logr.Logger
+	// boundCalls says that a call reaches only the incarnation that it is meant for, since its
+	// connection ends with that one; see package platform.
+	boundCalls bool
+	onStart    func(a *agentBox, owner string, o gate.Order)
+}
+
+// inBubbleSite is inBubble with options.
+func inBubbleSite(t *testing.T, o siteOptions, test func(s *virtualSite)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -88,16 +108,18 @@
 			// Let goroutines exit before the bubble ends.
 			wait.For(context.Background(), time.Second)
 		}()
-		s := &virtualSite{t: t, ctx: ctx, bounds: bounds, started: time.Now(), log: logr.Discard()}
-		if os.Getenv(logVariable) != "" {
+		s := &virtualSite{t: t, ctx: ctx, bounds: o.bounds, started: time.Now(), log: o.log, onStart: o.onStart}
+		if o.log.GetSink() == nil && os.Getenv(logVariable) != "" {
 			s.log = funcr.New(func(prefix, args string) {
 				t.Logf("%.3f %s %s", time.Since(s.trouble).Seconds(), prefix, args)
 			}, funcr.Options{})
 		}
 		for i := range 3 {
-			s.agents = append(s.agents, newAgentBox(s, i))
+			a := newAgentBox(s, i)
+			a.target.bound = o.boundCalls
+			s.agents = append(s.agents, a)
 		}
-		for i := range 2 {
+		for i := range o.entries {
 			s.entries = append(s.entries, newEntryBox(s, i))
 		}
 		wait.For(ctx, settleTime)
--- a/node/virtualagent_test.go
+++ b/node/virtualagent_test.go
@@ -19,6 +19,8 @@
 	slow *slowConnections
 	// awake is shut while the agent's process is frozen.
 	awake valve
+	// ticks is shut while the process runs neither its gate's ticks nor its holds.
+	ticks valve
 	// operator evacuates failure domains; nil in most tests.
 	operator *virtualOperator
 
@@ -68,7 +70,7 @@
 	if b.operator != nil {
 		b.operator.watch(b, p)
 	}
-	go p.driver.Run(p.ctx)
+	go p.driver.Run(tickContext{Context: p.ctx, ticks: &b.ticks})
 	go b.sendHeartbeats(p)
 	if b.count > 1 {
 		go func() {
@@ -78,6 +80,20 @@
 	}
 }
 
+// tickContext is the context of a gate's periodic work, which looks at Done before it waits for
+// the next event. While ticks is shut the work stands still there; the event that it waits for
+// at first is still handled.
+type tickContext struct {
+	context.Context
+	ticks *valve
+}
+
+// Done implements context.Context.Done.
+func (c tickContext) Done() <-chan struct{} {
+	c.ticks.pass(c.Context)
+	return c.Context.Done()
+}
+
 // storedDescription returns the stored description of the target.
 func (b *agentBox) storedDescription() gate.Description {
 	b.mu.Lock()
--- a/node/virtualentry_test.go
+++ b/node/virtualentry_test.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-logr/logr"
-
 	"rackspur/dispatch"
 	"rackspur/internal/wait"
 	"rackspur/job"
@@ -22,13 +20,16 @@
 	name        string
 	owner       *owner.Owner
 	incarnation string
+	index       int
+	count       int
 	ctx         context.Context
 	// kill kills the box: its links and its callers' connections break.
 	kill context.CancelFunc
-	// awake is shut while the box is frozen; callers is shut while it is cut off from its
-	// callers.
-	awake, callers valve
-	paths          []*path
+	// awake is shut while the box is frozen; callers is shut while nothing reaches it from its
+	// callers, toCallers while nothing reaches them from it.
+	awake              valve
+	callers, toCallers *valve
+	paths              []*path
 
 	mu    sync.Mutex
 	late  delays
@@ -59,22 +60,39 @@
 }
 
 func newEntryBox(s *virtualSite, i int) *entryBox {
-	name := fmt.Sprintf("entry-%d", i)
-	b := &entryBox{site: s, name: name, incarnation: name + "~1", late: delays{notice: linkLatency}, newest: map[*agentBox]*virtualLink{}}
-	b.ctx, b.kill = context.WithCancel(s.ctx)
-	o := s.bounds.options(name)
-	o.Policy = fixedOrder{first: i}
-	e := &Entry{started: time.Now(), log: logr.Discard(), options: o}
+	b := &entryBox{site: s, name: fmt.Sprintf("entry-%d", i), index: i, callers: &valve{}, toCallers: &valve{}}
+	for range s.agents {
+		b.paths = append(b.paths, &path{})
+	}
+	b.start()
+	return b
+}
+
+// restarted returns the box with a new process, with the same network. The former one must have
+// been killed.
+func (b *entryBox) restarted() *entryBox {
+	next := &entryBox{site: b.site, name: b.name, index: b.index, count: b.count, callers: b.callers, toCallers: b.toCallers, paths: b.paths}
+	next.start()
+	return next
+}
+
+// start starts the process.
+func (b *entryBox) start() {
+	b.count++
+	b.incarnation = fmt.Sprintf("%s~%d", b.name, b.count)
+	b.late = delays{notice: linkLatency}
+	b.newest = map[*agentBox]*virtualLink{}
+	b.ctx, b.kill = context.WithCancel(b.site.ctx)
+	o := b.site.bounds.options(b.name)
+	o.Policy = fixedOrder{first: b.index}
+	e := &Entry{started: time.Now(), log: b.site.log.WithName(b.incarnation), options: o}
 	b.owner = owner.New(e.ownerOptions(b.incarnation), instantWriter{})
-	for _, a := range s.agents {
-		p := &path{}
-		b.paths = append(b.paths, p)
+	for i, a := range b.site.agents {
 		b.owner.AddGate(a.name, "zone-a")
-		go b.keepLink(a, p)
+		go b.keepLink(a, b.paths[i])
 	}
 	go b.tick()
 	go b.renew(e)
-	return b
 }
 
 // fixedOrder is a policy that places tasks at the target with the most free capacity, and
@@ -150,6 +168,7 @@
 // cut cuts the box off from its callers and the gates, in both directions.
 func (b *entryBox) cut() {
 	b.callers.shut()
+	b.toCallers.shut()
 	for _, p := range b.paths {
 		p.cut()
 	}
@@ -158,6 +177,7 @@
 // heal ends a cut.
 func (b *entryBox) heal() {
 	b.callers.open()
+	b.toCallers.open()
 	for _, p := range b.paths {
 		p.heal()
 	}
--- a/node/virtuallink_test.go
+++ b/node/virtuallink_test.go
@@ -20,6 +20,7 @@
 	linkIdleReport        = 400 * time.Millisecond
 	linkReportPause       = 30 * time.Millisecond
 	linkFrameTimeout      = 900 * time.Millisecond
+	linkBusyFrameTimeout  = 350 * time.Millisecond
 	linkFirstFrameTimeout = 700 * time.Millisecond
 	linkLeastBackoff      = 50 * time.Millisecond
 	linkMostBackoff       = 500 * time.Millisecond
@@ -38,6 +39,32 @@
 // frames are held back and the sender does not notice.
 type path struct {
 	toGate, toOwner valve
+
+	mu sync.Mutex
+	// links are the links that were opened over the path.
+	links []*virtualLink
+}
+
+// silence makes the open links of the path silent for good in the given directions, also to
+// the end of the other side. New links work.
+func (p *path) silence(toGate, toOwner bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		if toGate {
+			l.silentToGate.shut()
+		}
+		if toOwner {
+			l.silentToOwner.shut()
+		}
+	}
+	p.links = nil
+}
+
+func (p *path) add(l *virtualLink) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.links = append(p.links, l)
 }
 
 func (p *path) cut() {
@@ -69,8 +96,9 @@
 	toGate       chan sentFrame[gate.OwnerFrame]
 	toOwner      chan sentFrame[gate.Frame]
 	wake         chan struct{}
-	// silent is shut once the connection has gone silent in both directions; a new link works.
-	silent valve
+	// A direction whose valve is shut carries nothing any more.
+	silentToGate, silentToOwner valve
+	probe                       *linkProbe
 
 	mu sync.Mutex
 	// heard is when the owner last received a frame; zero before the first.
@@ -98,11 +126,13 @@
 
 // link runs one link until it ends and reports whether a frame was received.
 func (b *entryBox) link(a *agentBox, p *path) (worked bool) {
-	if !b.reaches(a, p) {
+	if !b.reaches(b.ctx, a, p) {
 		return false
 	}
 	l := b.newLink(a, p)
 	defer l.end()
+	p.add(l)
+	defer l.probe.stop()
 	if l.process.ctx.Err() != nil {
 		return false
 	}
@@ -119,8 +149,8 @@
 }
 
 // reaches reports whether the box can connect to an agent.
-func (b *entryBox) reaches(a *agentBox, p *path) bool {
-	ctx, cancel := context.WithTimeout(b.ctx, linkFirstFrameTimeout)
+func (b *entryBox) reaches(ctx context.Context, a *agentBox, p *path) bool {
+	ctx, cancel := context.WithTimeout(ctx, linkFirstFrameTimeout)
 	defer cancel()
 	ok := b.awake.pass(ctx) && p.toGate.pass(ctx) && a.awake.pass(ctx) && p.toOwner.pass(ctx)
 	wait.For(ctx, 2*linkLatency)
@@ -139,6 +169,7 @@
 	l.ctx, l.end = context.WithCancel(b.ctx)
 	l.gateCtx, l.gateEnd = context.WithCancel(l.process.ctx)
 	b.newest[a] = l
+	l.probe = newLinkProbe(l)
 	return l
 }
 
@@ -149,16 +180,22 @@
 	return b.newest[a]
 }
 
+// silence makes the link carry nothing any more, in either direction; a new one works.
+func (l *virtualLink) silence() {
+	l.silentToGate.shut()
+	l.silentToOwner.shut()
+}
+
 // closeGateEnd closes the gate's end of a link after the owner's.
 func (l *virtualLink) closeGateEnd() {
-	if l.silent.pass(l.gateCtx) && l.path.toGate.pass(l.gateCtx) && l.agent.awake.pass(l.gateCtx) {
+	if l.silentToGate.pass(l.gateCtx) && l.path.toGate.pass(l.gateCtx) && l.agent.awake.pass(l.gateCtx) {
 		l.gateEnd()
 	}
 }
 
 // closeOwnerEnd closes the owner's end of a link after the gate's.
 func (l *virtualLink) closeOwnerEnd() {
-	if l.silent.pass(l.ctx) && l.path.toOwner.pass(l.ctx) && l.entry.awake.pass(l.ctx) {
+	if l.silentToOwner.pass(l.ctx) && l.path.toOwner.pass(l.ctx) && l.entry.awake.pass(l.ctx) {
 		l.end()
 	}
 }
@@ -184,6 +221,61 @@
 	l.end()
 }
 
+// linkProbe ends a link with runs at its gate that is silent once a new connection works, as
+// peer.frameWatch does.
+type linkProbe struct {
+	link *virtualLink
+
+	mu     sync.Mutex
+	busy   bool
+	timer  *time.Timer
+	cancel context.CancelFunc
+}
+
+func newLinkProbe(l *virtualLink) *linkProbe {
+	p := &linkProbe{link: l, cancel: func() {}}
+	p.timer = time.AfterFunc(linkBusyFrameTimeout, p.run)
+	p.timer.Stop()
+	return p
+}
+
+func (p *linkProbe) stop() { p.received(false) }
+
+// received restarts the timer after a frame; busy reports whether the gate has runs of the owner.
+func (p *linkProbe) received(busy bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cancel()
+	p.busy = busy
+	p.timer.Stop()
+	if busy {
+		p.timer.Reset(linkBusyFrameTimeout)
+	}
+}
+
+// sent starts the timer if a frame with orders was sent.
+func (p *linkProbe) sent(orders bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.busy || !orders {
+		return
+	}
+	p.busy = true
+	p.timer.Reset(linkBusyFrameTimeout)
+}
+
+func (p *linkProbe) run() {
+	l := p.link
+	p.mu.Lock()
+	ctx, cancel := context.WithTimeout(l.ctx, linkFrameTimeout)
+	p.cancel = cancel
+	p.mu.Unlock()
+	defer cancel()
+	if l.entry.passTimers() && l.entry.reaches(ctx, l.agent, l.path) && ctx.Err() == nil {
+		l.end()
+	}
+}
+
 // receiveFrames passes the gate's frames to the owner; the first one starts the sender.
 func (l *virtualLink) receiveFrames() {
 	for f := range l.arrivals() {
@@ -191,6 +283,7 @@
 			return
 		}
 		l.entry.owner.OnFrame(l.agent.name, l.number, f)
+		l.probe.received(l.entry.owner.Busy(l.agent.name))
 		l.mu.Lock()
 		first := l.heard.IsZero()
 		l.heard = time.Now()
@@ -204,7 +297,8 @@
 // arrivals yields the frames that arrive at the owner's box.
 func (l *virtualLink) arrivals() func(yield func(gate.Frame) bool) {
 	return func(yield func(gate.Frame) bool) {
-		for f, ok := arrival(l.ctx, l.toOwner, &l.silent, &l.path.toOwner); ok; f, ok = arrival(l.ctx, l.toOwner, &l.silent, &l.path.toOwner) {
+		next := func() (gate.Frame, bool) { return arrival(l.ctx, l.toOwner, &l.path.toOwner, &l.silentToOwner) }
+		for f, ok := next(); ok; f, ok = next() {
 			if !yield(f) {
 				return
 			}
@@ -213,7 +307,7 @@
 }
 
 // arrival waits for the next frame to arrive; ok is false at the link's end.
-func arrival[F any](ctx context.Context, way <-chan sentFrame[F], silent, v *valve) (f F, ok bool) {
+func arrival[F any](ctx context.Context, way <-chan sentFrame[F], v, silent *valve) (f F, ok bool) {
 	select {
 	case s := <-way:
 		wait.For(ctx, time.Until(s.at.Add(linkLatency)))
@@ -234,7 +328,17 @@
 			l.end()
 			return
 		}
-		l.toGate <- sentFrame[gate.OwnerFrame]{time.Now(), f}
+		for _, o := range f.Starts {
+			if l.entry.site.onStart != nil {
+				l.entry.site.onStart(l.agent, l.entry.incarnation, o)
+			}
+		}
+		select {
+		case l.toGate <- sentFrame[gate.OwnerFrame]{time.Now(), f}:
+		case <-l.ctx.Done():
+			return
+		}
+		l.probe.sent(len(f.Starts) > 0)
 		l.awaitDue(beat.C)
 	}
 }
@@ -279,7 +383,7 @@
 func (l *virtualLink) receiveOrders() {
 	defer l.gateEnd()
 	for {
-		f, ok := arrival(l.gateCtx, l.toGate, &l.silent, &l.path.toGate)
+		f, ok := arrival(l.gateCtx, l.toGate, &l.path.toGate, &l.silentToGate)
 		if !ok || !l.agent.awake.pass(l.gateCtx) || !l.process.driver.Frame(l.entry.incarnation, l.number, f) {
 			return
 		}
@@ -297,7 +401,11 @@
 		if !ok {
 			return
 		}
-		l.toOwner <- sentFrame[gate.Frame]{time.Now(), f}
+		select {
+		case l.toOwner <- sentFrame[gate.Frame]{time.Now(), f}:
+		case <-l.gateCtx.Done():
+			return
+		}
 		sent := time.Now()
 		for !l.reportDue(sent, reported) {
 			select {
--- a/node/virtualtarget_test.go
+++ b/node/virtualtarget_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	"rackspur/gate"
 	"rackspur/internal/standin"
+	"rackspur/internal/wait"
 	"rackspur/job"
 )
 
@@ -32,6 +34,98 @@
 	startsLate time.Duration
 	// tries has the withheld first tries; nil to withhold none.
 	tries map[job.RunName]lateStart
+	// bound is siteOptions.boundCalls.
+	bound bool
+	calls callFaults
+}
+
+// callFaults are faults of all calls to a target.
+type callFaults struct {
+	// slowest is how long a call takes at most, before and after it is carried out. It is carried
+	// out even if its caller has given up by then.
+	slowest time.Duration
+	// lost is how many of a hundred calls are carried out without an answer.
+	lost int
+	// mute says that calls are neither carried out nor answered.
+	mute bool
+	// holdsLate is the delay of holds, which get no answer then; 0 for no delay.
+	holdsLate time.Duration
+	random    *rand.Rand
+}
+
+// callPlan is what happens to a call.
+type callPlan struct {
+	before, after time.Duration
+	lost          bool
+}
+
+// changeCalls changes the faults of all calls.
+func (x *virtualTarget) changeCalls(change func(f *callFaults)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	change(&x.calls)
+}
+
+func (x *virtualTarget) planCall(hold bool) (p callPlan) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	f := &x.calls
+	if f.slowest > 0 {
+		total := time.Duration(f.random.Int64N(int64(f.slowest)))
+		p.before = time.Duration(f.random.Int64N(int64(total) + 1))
+		p.after = total - p.before
+	}
+	p.lost = f.lost > 0 && f.random.IntN(100) < f.lost || f.mute
+	if hold && f.holdsLate > 0 {
+		p.before, p.lost = f.holdsLate, true
+	}
+	return p
+}
+
+func (x *virtualTarget) isMute() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.calls.mute
+}
+
+// targetReply is the reply to a call.
+type targetReply struct {
+	answer gate.Answer
+	lists  gate.HoldAnswer
+	err    error
+}
+
+// carryOut makes a call to the incarnation that receives it, with the faults of all calls. An
+// incarnation that crashes takes the calls along that it has received.
+func (x *virtualTarget) carryOut(ctx context.Context, life gate.Incarnation, hold bool, call func(e *standin.Executor) targetReply) targetReply {
+	unanswered := targetReply{err: gate.ErrUnanswered}
+	e := x.newest()
+	if x.bound && life.Born != 0 && life.Born != e.Born {
+		return targetReply{err: gate.ErrOtherIncarnation}
+	}
+	p := x.planCall(hold)
+	if p == (callPlan{}) {
+		return call(e)
+	}
+	if x.isMute() {
+		<-ctx.Done()
+		return unanswered
+	}
+	done := make(chan targetReply, 1)
+	go func() {
+		wait.For(context.Background(), p.before)
+		r := call(e)
+		wait.For(context.Background(), p.after)
+		if !p.lost {
+			done <- r
+		}
+	}()
+	select {
+	case r := <-done:
+		return r
+	case <-ctx.Done():
+		return unanswered
+	}
 }
 
 // lateStart is a withheld start: it was neither carried out nor answered.
@@ -176,14 +270,16 @@
 		return gate.Answer{}, gate.ErrUnanswered
 	}
 	if late := x.startsLateNow(); late > 0 {
-		// The incarnation that is the newest at that time carries it out.
-		time.AfterFunc(late, func() { _, _ = x.newest().Start(context.Background(), life, c) })
+		receiver := x.newest()
+		time.AfterFunc(late, func() { _, _ = x.carriedOutBy(receiver).Start(context.Background(), life, c) })
 		<-ctx.Done()
 		return gate.Answer{}, gate.ErrUnanswered
 	}
-	a, err := x.newest().Start(ctx, life, c)
-	a.ClockMS = toTargetClock(a.ClockMS)
-	return a, err
+	r := x.carryOut(ctx, life, false, func(e *standin.Executor) targetReply {
+		a, err := e.Start(ctx, life, c)
+		return targetReply{answer: a, err: err}
+	})
+	return r.toTargetClock(), r.err
 }
 
 // Stop implements gate.Executor.Stop.
@@ -193,12 +289,15 @@
 	}
 	fault := x.stopsNow()
 	if !fault.on {
-		a, err := x.newest().Stop(ctx, life, c)
-		a.ClockMS = toTargetClock(a.ClockMS)
-		return a, err
+		r := x.carryOut(ctx, life, false, func(e *standin.Executor) targetReply {
+			a, err := e.Stop(ctx, life, c)
+			return targetReply{answer: a, err: err}
+		})
+		return r.toTargetClock(), r.err
 	}
 	if fault.after > 0 {
-		time.AfterFunc(fault.after, func() { _, _ = x.newest().Stop(context.Background(), life, c) })
+		receiver := x.newest()
+		time.AfterFunc(fault.after, func() { _, _ = x.carriedOutBy(receiver).Stop(context.Background(), life, c) })
 	}
 	<-ctx.Done()
 	return gate.Answer{}, gate.ErrUnanswered
@@ -210,7 +309,28 @@
 		return gate.Answer{}, gate.HoldAnswer{}, err
 	}
 	c.UntilMS = fromTargetClock(c.UntilMS)
-	a, lists, err := x.newest().Hold(ctx, life, c)
-	a.ClockMS = toTargetClock(a.ClockMS)
-	return a, lists, err
+	r := x.carryOut(ctx, life, true, func(e *standin.Executor) targetReply {
+		a, lists, err := e.Hold(ctx, life, c)
+		return targetReply{answer: a, lists: lists, err: err}
+	})
+	if e := x.newest(); x.bound && r.err == gate.ErrOtherIncarnation && life.Born != 0 && life.Born != e.Born {
+		// The first answer on a new connection is that of the newer incarnation.
+		return gate.Answer{ClockMS: toTargetClock(e.Clock()), Incarnation: e.Incarnation()}, gate.HoldAnswer{}, nil
+	}
+	return r.toTargetClock(), r.lists, r.err
+}
+
+// carriedOutBy returns the incarnation that carries out a late order: the receiver if calls are
+// bound, else the newest one.
+func (x *virtualTarget) carriedOutBy(receiver *standin.Executor) *standin.Executor {
+	if x.bound {
+		return receiver
+	}
+	return x.newest()
+}
+
+// toTargetClock returns the answer with the time of the target's slow clock.
+func (r targetReply) toTargetClock() gate.Answer {
+	r.answer.ClockMS = toTargetClock(r.answer.ClockMS)
+	return r.answer
 }
