--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -67,6 +67,8 @@
 	started time.Time
 	// log is the logger of the boxes; its lines have times relative to trouble.
 	log logr.Logger
+	// boundCalls is the option of that name.
+	boundCalls bool
 	// onStart, if set, is called with each order to start a run that an owner sends.
 	onStart func(a *agentBox, owner string, o gate.Order)
 	// trouble is the time of the first fault, which event times are relative to.
@@ -108,16 +110,14 @@
 			// Let goroutines exit before the bubble ends.
 			wait.For(context.Background(), time.Second)
 		}()
-		s := &virtualSite{t: t, ctx: ctx, bounds: o.bounds, started: time.Now(), log: o.log, onStart: o.onStart}
+		s := &virtualSite{t: t, ctx: ctx, bounds: o.bounds, started: time.Now(), log: o.log, boundCalls: o.boundCalls, onStart: o.onStart}
 		if o.log.GetSink() == nil && os.Getenv(logVariable) != "" {
 			s.log = funcr.New(func(prefix, args string) {
 				t.Logf("%.3f %s %s", time.Since(s.trouble).Seconds(), prefix, args)
 			}, funcr.Options{})
 		}
 		for i := range 3 {
-			a := newAgentBox(s, i)
-			a.target.bound = o.boundCalls
-			s.agents = append(s.agents, a)
+			s.agents = append(s.agents, newAgentBox(s, i))
 		}
 		for i := range o.entries {
 			s.entries = append(s.entries, newEntryBox(s, i))
@@ -168,6 +168,12 @@
 	}
 }
 
+func (v *valve) isOpen() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.opened == nil
+}
+
 // pass waits until the valve is open; it returns false if the context ends before.
 func (v *valve) pass(ctx context.Context) bool {
 	_, ok := v.passed(ctx)
--- a/node/virtualagent_test.go
+++ b/node/virtualagent_test.go
@@ -49,6 +49,7 @@
 		b.target.newest().Born = 0
 		b.stored = &gate.Description{}
 	}
+	b.target.bound = s.boundCalls
 	b.slow = newSlowConnections(&agentCalls{box: b})
 	b.start()
 	return b
