--- a/node/twicerandom_test.go
+++ b/node/twicerandom_test.go
@@ -88,7 +88,7 @@
 		seed: seed, random: rand.New(rand.NewPCG(seed, seed)), untold: os.Getenv(twiceUntoldVariable) != "", fresh: os.Getenv(twiceFreshVariable) != "",
 		orders: map[runAt][]sentOrder{}, attempts: map[*attempt]bool{},
 	}
-	o := siteOptions{bounds: defaultBounds, entries: 2 + p.random.IntN(2), boundCalls: true, onStart: p.noteStart}
+	o := siteOptions{bounds: defaultBounds, entries: 2 + p.random.IntN(2), boundCalls: true, watcher: p}
 	if p.random.IntN(4) == 0 {
 		o.bounds.maxHold = 15 * time.Second
 	}
@@ -148,12 +148,46 @@
 	owner string
 }
 
-// noteStart implements siteOptions.onStart.
-func (p *twicePlay) noteStart(a *agentBox, owner string, o gate.Order) {
+// ownerFrame implements frameWatcher.ownerFrame.
+func (p *twicePlay) ownerFrame(l *virtualLink, received bool, f *gate.OwnerFrame) {
+	name, verb := l.entry.incarnation, "sent to "+l.agent.name
+	if received {
+		name, verb = l.agent.name, "received from "+l.entry.incarnation
+	}
+	note := func(what string, n job.RunName, kv ...any) {
+		p.note(name, what+" "+verb, append([]any{"job", n.Job, "index", n.Index, "run", n.Run, "link", l.number, "frame", f.Sequence}, kv...)...)
+	}
+	for _, o := range f.Starts {
+		note("Start", o.Name, "echo", f.Echo.String())
+		if !received {
+			p.noteStart(l, o)
+		}
+	}
+	for _, n := range f.Stops {
+		note("Stop", n)
+	}
+	for _, v := range f.Verdicts {
+		note("Verdict", v.Name, "kind", int(v.Kind))
+	}
+}
+
+// gateFrame implements frameWatcher.gateFrame.
+func (p *twicePlay) gateFrame(l *virtualLink, received bool, f *gate.Frame) {
+	name, verb := l.agent.name, "sent to "+l.entry.incarnation
+	if received {
+		name, verb = l.entry.incarnation, "received from "+l.agent.name
+	}
+	for _, s := range f.States {
+		p.note(name, "State "+verb, "job", s.Name.Job, "index", s.Name.Index, "run", s.Name.Run, "link", l.number, "state", fmt.Sprintf("%+v", s))
+	}
+}
+
+// noteStart notes the owner of an order.
+func (p *twicePlay) noteStart(l *virtualLink, o gate.Order) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	at := runAt{agent: a.name, name: o.Name}
-	p.orders[at] = append(p.orders[at], sentOrder{at: time.Now(), owner: owner})
+	at := runAt{agent: l.agent.name, name: o.Name}
+	p.orders[at] = append(p.orders[at], sentOrder{at: time.Now(), owner: l.entry.incarnation})
 }
 
 // ownerOf returns the owner that has ordered a run.
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -69,8 +69,8 @@
 	log logr.Logger
 	// boundCalls is the option of that name.
 	boundCalls bool
-	// onStart, if set, is called with each order to start a run that an owner sends.
-	onStart func(a *agentBox, owner string, o gate.Order)
+	// watcher, if set, observes the frames of links.
+	watcher frameWatcher
 	// trouble is the time of the first fault, which event times are relative to.
 	trouble time.Time
 }
@@ -97,7 +97,7 @@
 	// boundCalls says that a call reaches only the incarnation that it is meant for, since its
 	// connection ends with that one; see package platform.
 	boundCalls bool
-	onStart    func(a *agentBox, owner string, o gate.Order)
+	watcher    frameWatcher
 }
 
 // inBubbleSite is inBubble with options.
@@ -110,7 +110,7 @@
 			// Let goroutines exit before the bubble ends.
 			wait.For(context.Background(), time.Second)
 		}()
-		s := &virtualSite{t: t, ctx: ctx, bounds: o.bounds, started: time.Now(), log: o.log, boundCalls: o.boundCalls, onStart: o.onStart}
+		s := &virtualSite{t: t, ctx: ctx, bounds: o.bounds, started: time.Now(), log: o.log, boundCalls: o.boundCalls, watcher: o.watcher}
 		if o.log.GetSink() == nil && os.Getenv(logVariable) != "" {
 			s.log = funcr.New(func(prefix, args string) {
 				t.Logf("%.3f %s %s", time.Since(s.trouble).Seconds(), prefix, args)
@@ -127,6 +127,12 @@
 	})
 }
 
+// frameWatcher observes the frames of links as they are sent and received.
+type frameWatcher interface {
+	ownerFrame(l *virtualLink, received bool, f *gate.OwnerFrame)
+	gateFrame(l *virtualLink, received bool, f *gate.Frame)
+}
+
 // event is an action at a time relative to the first fault.
 type event struct {
 	at time.Duration
--- a/node/virtuallink_test.go
+++ b/node/virtuallink_test.go
@@ -186,6 +186,18 @@
 	l.silentToOwner.shut()
 }
 
+func (l *virtualLink) watchOwnerFrame(received bool, f *gate.OwnerFrame) {
+	if w := l.entry.site.watcher; w != nil {
+		w.ownerFrame(l, received, f)
+	}
+}
+
+func (l *virtualLink) watchGateFrame(received bool, f *gate.Frame) {
+	if w := l.entry.site.watcher; w != nil {
+		w.gateFrame(l, received, f)
+	}
+}
+
 // closeGateEnd closes the gate's end of a link after the owner's.
 func (l *virtualLink) closeGateEnd() {
 	if l.silentToGate.pass(l.gateCtx) && l.path.toGate.pass(l.gateCtx) && l.agent.awake.pass(l.gateCtx) {
@@ -282,6 +294,7 @@
 		if !l.entry.passFrames() || l.ctx.Err() != nil {
 			return
 		}
+		l.watchGateFrame(true, &f)
 		l.entry.owner.OnFrame(l.agent.name, l.number, f)
 		l.probe.received(l.entry.owner.Busy(l.agent.name))
 		l.mu.Lock()
@@ -328,11 +341,7 @@
 			l.end()
 			return
 		}
-		for _, o := range f.Starts {
-			if l.entry.site.onStart != nil {
-				l.entry.site.onStart(l.agent, l.entry.incarnation, o)
-			}
-		}
+		l.watchOwnerFrame(false, &f)
 		select {
 		case l.toGate <- sentFrame[gate.OwnerFrame]{time.Now(), f}:
 		case <-l.ctx.Done():
@@ -384,7 +393,11 @@
 	defer l.gateEnd()
 	for {
 		f, ok := arrival(l.gateCtx, l.toGate, &l.path.toGate, &l.silentToGate)
-		if !ok || !l.agent.awake.pass(l.gateCtx) || !l.process.driver.Frame(l.entry.incarnation, l.number, f) {
+		if !ok || !l.agent.awake.pass(l.gateCtx) {
+			return
+		}
+		l.watchOwnerFrame(true, &f)
+		if !l.process.driver.Frame(l.entry.incarnation, l.number, f) {
 			return
 		}
 	}
@@ -401,6 +414,7 @@
 		if !ok {
 			return
 		}
+		l.watchGateFrame(false, &f)
 		select {
 		case l.toOwner <- sentFrame[gate.Frame]{time.Now(), f}:
 		case <-l.gateCtx.Done():
