Gate: runs of a deregistered target end once they are over

Cause: see the tests before: a deregistration counted all runs of a target that does not tell when it began as lost, although its process may go on, for instance while it waits for the answer. Change: the gate stops these runs, requests no further lease and starts nothing. They are over with their listed end, with a hold sent after the word for which the connection is refused, with another target's answer, or with the lease. A refused connection has an error of its own, ErrNotListening; a timeout or a lack of descriptors is no proof. Targets that tell when they began are handled as before. TestLeavingRunOfSilentOwner expected the end with the word alone; it expects it now with the refused call after it.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -245,5 +245,5 @@
 
 // Open reports whether the gate accepts orders.
 func (g *Gate) Open(now Time) bool {
-	return g.known && !g.draining && !g.candidateDraining() && !g.leaving && !g.evacuated() && !g.lapsing && g.fence != 0 && g.knowsRuns(now) && !g.targetSilent(now)
+	return g.known && !g.draining && !g.deregistered() && !g.candidateDraining() && !g.leaving && !g.evacuated() && !g.lapsing && g.fence != 0 && g.knowsRuns(now) && !g.targetSilent(now)
 }
--- a/gate/heartbeat.go
+++ b/gate/heartbeat.go
@@ -1,12 +1,12 @@
 package gate
 
-// This file handles the target's heartbeats and deregistrations.
+// This file handles the target's heartbeats.
 
 // OnHeartbeat handles a heartbeat. It returns false if the heartbeat is not trusted: it is of
 // an incarnation that has ended or can't be identified, or of another service.
 func (g *Gate) OnHeartbeat(now Time, b Heartbeat) (Actions, bool) {
 	switch {
-	case g.endedIncarnations[b.Incarnation]:
+	case g.endedIncarnations[b.Incarnation], g.deregistered() && b.Incarnation == g.current:
 		return Actions{}, false
 	case g.current.ambiguous(b.Incarnation), g.namesOtherService(b):
 		g.skipHeartbeat(now, b)
@@ -93,23 +93,5 @@
 // mayHaveRuns reports whether runs of the current incarnation may be active, judging by its
 // lease.
 func (g *Gate) mayHaveRuns(now Time) bool {
-	if g.leaseOver(now) {
-		return false
-	}
-	for _, r := range g.runs {
-		if r.active() {
-			return true
-		}
-	}
-	return false
-}
-
-// OnDeregister handles the deregistration of an incarnation. If it does not identify one, the
-// next call shows whether the target is still there.
-func (g *Gate) OnDeregister(now Time, incarnation Incarnation) Actions {
-	if incarnation != g.current {
-		return Actions{HoldNow: g.current.ambiguous(incarnation)}
-	}
-	g.endIncarnation(now, incarnation.Born != 0)
-	return g.adoptCandidate(now, "")
+	return !g.leaseOver(now) && g.hasActiveRuns()
 }
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -37,7 +37,7 @@
 		h.Call.WaitMS = 0
 		return h
 	}
-	if g.holdsUnanswered(now) || !g.runsListed {
+	if g.holdsUnanswered(now) || !g.runsListed || g.deregistered() {
 		return h
 	}
 	h.Call.UntilMS = g.extendLease(now)
@@ -154,6 +154,9 @@
 		g.onFenced(h.Call.Fence)
 		g.grantedMS = max(g.grantedMS, a.ClockMS+g.options.Lease.Milliseconds())
 		return Actions{HoldNow: true}
+	case errors.Is(err, ErrNotListening) && g.endsDeregistered(h):
+		g.endIncarnation(now, false)
+		return g.adoptCandidate(now, "")
 	case errors.Is(err, ErrOtherIncarnation):
 		if g.current.named() {
 			return g.onTurnedAway(now, a.Incarnation.ID)
--- a/gate/incarnation.go
+++ b/gate/incarnation.go
@@ -82,6 +82,8 @@
 	seen     int64
 	seenSent int64
 	listed   map[int64]*run
+	// deregisteredAt is when the incarnation deregistered while it had runs; 0 if it has not.
+	deregisteredAt Time
 	// lapsing is set while the gate lets the lease expire.
 	lapsing bool
 	health  health
@@ -219,6 +221,7 @@
 	g.recalled = Description{}
 	g.known = false
 	g.draining = false
+	g.deregisteredAt = 0
 	g.lifetime = lifetime{}
 	g.sequence = 0
 	g.rejectQueue("target not known")
--- a/gate/lateorder.go
+++ b/gate/lateorder.go
@@ -50,9 +50,10 @@
 	return false
 }
 
-// pauseAfterFailure returns the time between a failed hold and the next one.
+// pauseAfterFailure returns the time between a failed hold and the next one. It is also short
+// while the end of a deregistered target is awaited.
 func (g *Gate) pauseAfterFailure(now Time) time.Duration {
-	if !g.expectsLateOrders(now) {
+	if !g.expectsLateOrders(now) && !g.deregistered() {
 		return failurePause
 	}
 	return min(max((now-g.lastAnswer)/pauseDivisor, minLateOrderPause), failurePause)
--- a/gate/leaving_test.go
+++ b/gate/leaving_test.go
@@ -290,6 +290,7 @@
 		t.Errorf("reported %+v, %v over a new link", f.States, f.Report.Leaving)
 	}
 	b.gate.OnDeregister(b.now, testIncarnation)
+	b.gate.OnHold(b.now, b.gate.NextHold(b.now, 0), Answer{}, HoldAnswer{}, ErrNotListening)
 	f, _ = b.gate.Flush(b.now, testOwner, 2)
 	if len(f.States) != 1 || f.States[0].End != EndLost || f.States[0].Reason == ReasonLeaving {
 		t.Errorf("reported %+v after the target's end, want the run lost", f.States)
--- a/gate/stop.go
+++ b/gate/stop.go
@@ -5,12 +5,13 @@
 
 // Reasons for a stop.
 const (
-	StopOrdered     StopReason = "ordered by its owner"
-	StopOwnerSilent StopReason = "no contact with its owner"
-	StopOwnerEnded  StopReason = "its owner has ended"
-	StopUnclaimed   StopReason = "claimed by no owner"
-	StopDiscarded   StopReason = "its end is discarded"
-	StopUnanswered  StopReason = "start unanswered, run not listed"
+	StopOrdered      StopReason = "ordered by its owner"
+	StopOwnerSilent  StopReason = "no contact with its owner"
+	StopOwnerEnded   StopReason = "its owner has ended"
+	StopUnclaimed    StopReason = "claimed by no owner"
+	StopDiscarded    StopReason = "its end is discarded"
+	StopUnanswered   StopReason = "start unanswered, run not listed"
+	StopDeregistered StopReason = "its target has deregistered"
 )
 
 // overdueReason returns why an overdue run is stopped.
--- a/gate/target.go
+++ b/gate/target.go
@@ -27,6 +27,9 @@
 	ErrRefused = eris.New("gate: executor refused the call")
 	// ErrUnreachable: no connection could be established; the call was not sent.
 	ErrUnreachable = eris.New("gate: executor not reached")
+	// ErrNotListening is an ErrUnreachable: the connection was refused, since no process listens
+	// at the target's address.
+	ErrNotListening = eris.Wrap(ErrUnreachable, "connection refused")
 	// ErrUnanswered: the call may have been carried out, or may be carried out later.
 	ErrUnanswered = eris.New("gate: executor did not answer")
 )
--- a/node/twiceleft_test.go
+++ b/node/twiceleft_test.go
@@ -97,3 +97,33 @@
 		})
 	}
 }
+
+// A target that ends with its word, or soon after it, loses little time for its runs: they are
+// replaced as soon as a refused call shows that the process has ended.
+func TestRunsOfDeregisteredTargetAreReplacedSoon(t *testing.T) {
+	const within = 30 * time.Millisecond
+	for lives := time.Duration(0); lives <= 20*time.Millisecond; lives += time.Millisecond {
+		subtest(t, fmt.Sprintf("goes on for %v", lives), func(s *virtualSite) {
+			a := s.agents[1]
+			a.withoutBorn()
+			// The target ends before it carries out stops.
+			a.target.setStops(stopFault{on: true})
+			s.submitBestEffort()
+			s.play(time.Second, event{0, func() { a.deregister(lives) }})
+			if late := s.replacedAfter(a); late > lives+within {
+				s.t.Errorf("runs were replaced %v after the word, want at most %v after the end of the target", late, within)
+			}
+		})
+	}
+}
+
+// replacedAfter returns when the last run of a lost target was replaced, from the first fault on.
+func (s *virtualSite) replacedAfter(lost *agentBox) time.Duration {
+	s.t.Helper()
+	s.checkReplaced(lost)
+	var last time.Duration
+	for _, x := range s.spans() {
+		last = max(last, x.Started.Sub(s.trouble))
+	}
+	return last
+}
