Tests: lost owners and late starts at targets that answer slowly

The tests of lost owners, agents and callers with calls that reach the target 50 to 150 ms late, or are answered so late, and that are carried out although they were given up; and starts that are carried out late, after their stops.

--- a/node/virtualagent_test.go
+++ b/node/virtualagent_test.go
@@ -15,8 +15,9 @@
 	site   *virtualSite
 	name   string
 	target *virtualTarget
-	// slow carries the calls to the target.
+	// slow carries the calls to the target, late delays them on their way.
 	slow *slowConnections
+	late *lateCalls
 	// awake is shut while the agent's process is frozen.
 	awake valve
 	// ticks is shut while the process runs neither its gate's ticks nor its holds.
@@ -50,6 +51,7 @@
 		b.stored = &gate.Description{}
 	}
 	b.target.bound = s.boundCalls
+	b.late = &lateCalls{target: b.target, ctx: s.ctx}
 	b.slow = newSlowConnections(&agentCalls{box: b})
 	b.start()
 	return b
@@ -181,7 +183,7 @@
 // Start implements gate.Executor.Start.
 func (c *agentCalls) Start(ctx context.Context, life gate.Incarnation, s gate.StartCall) (a gate.Answer, err error) {
 	err = c.call(ctx, func() error {
-		a, err = c.box.target.Start(ctx, life, s)
+		a, err = c.box.late.Start(ctx, life, s)
 		return err
 	})
 	return answerOf(a, err), err
@@ -190,7 +192,7 @@
 // Stop implements gate.Executor.Stop.
 func (c *agentCalls) Stop(ctx context.Context, life gate.Incarnation, s gate.StopCall) (a gate.Answer, err error) {
 	err = c.call(ctx, func() error {
-		a, err = c.box.target.Stop(ctx, life, s)
+		a, err = c.box.late.Stop(ctx, life, s)
 		return err
 	})
 	return answerOf(a, err), err
@@ -199,7 +201,7 @@
 // Hold implements gate.Executor.Hold.
 func (c *agentCalls) Hold(ctx context.Context, life gate.Incarnation, h gate.HoldCall) (a gate.Answer, lists gate.HoldAnswer, err error) {
 	err = c.call(ctx, func() error {
-		a, lists, err = c.box.target.Hold(ctx, life, h)
+		a, lists, err = c.box.late.Hold(ctx, life, h)
 		return err
 	})
 	return answerOf(a, err), lists, err
