Tests: another target's heartbeat while runs wait for lists

Cause: after a deregistration of a target that tells when it began, its clock is not known until the next answer, and no lease is recorded. The gate takes the lease for over 0.1 s later: a heartbeat of another id then ends the runs, although the deregistered process may go on.

--- a/node/twiceleft_test.go
+++ b/node/twiceleft_test.go
@@ -127,3 +127,31 @@
 	}
 	return last
 }
+
+// A heartbeat of another target arrives while the runs of a deregistered one wait for lists. It
+// may be a late one, and the process of the deregistered target may go on.
+func TestOtherHeartbeatAfterDeregistration(t *testing.T) {
+	for _, born := range []bool{false, true} {
+		for _, after := range []time.Duration{5 * time.Millisecond, 110 * time.Millisecond, 300 * time.Millisecond, 700 * time.Millisecond} {
+			for _, dark := range []bool{false, true} {
+				name := fmt.Sprintf("born %v, heartbeat after %v, calls hang %v", born, after, dark)
+				subtest(t, name, func(s *virtualSite) {
+					a := s.agents[1]
+					if !born {
+						a.withoutBorn()
+					}
+					a.target.setStops(stopFault{on: true})
+					s.submitBestEffort()
+					e := a.target.newest()
+					other := gate.Heartbeat{Incarnation: gate.Incarnation{ID: "other", Born: e.Born / 2}, Service: testService, Capacity: e.Capacity, ClockMS: 1, Sequence: 1}
+					if dark {
+						a.late.setDelays(callDelays{request: 600 * time.Millisecond})
+						time.AfterFunc(500*time.Millisecond, func() { a.late.setDelays(callDelays{}) })
+					}
+					s.play(playTime, event{0, func() { a.deregister(1500 * time.Millisecond) }},
+						event{after, func() { a.running().driver.Heartbeat(other) }})
+				})
+			}
+		}
+	}
+}
