Gate: the lease of an unknown clock is over after the longest lease

Change: leaseOver waits for the longest lease that may have been requested from the previous incarnation.

--- a/gate/lease.go
+++ b/gate/lease.go
@@ -86,8 +86,12 @@
 // without them, runs were considered ended 2 s before a lease granted that way expired.
 func (g *Gate) leaseEndMS() int64 { return max(g.grantedMS, g.inheritedMS) }
 
-// leaseOver reports whether the granted lease has certainly expired.
+// leaseOver reports whether the granted lease has certainly expired. Before the incarnation's first
+// answer it may be one that was requested from the previous incarnation.
 func (g *Gate) leaseOver(now Time) bool {
+	if g.clockMS == 0 {
+		return now-g.begun > g.longestLease()
+	}
 	return g.targetClock(now) > g.leaseEndMS()+lapseMargin.Milliseconds()
 }
 
