test: proxies silence single connections, with and without acknowledgements

A connection through a test proxy can be reset on one side only, go silent in one direction or both, and be delayed. A filter on the proxy's own socket discards the server's segments before TCP sees them, so that nothing is acknowledged, as on a dead network path; it needs no privileges. Two further variants acknowledge as middleboxes do.

--- a/test/proxy_test.go
+++ b/test/proxy_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // proxy is a small TCP proxy that injects faults between two processes.
@@ -17,6 +19,10 @@
 	faults faults
 	held   chan struct{}
 	conns  map[net.Conn]struct{}
+	// links are the open connections by the client's address.
+	links map[string]*link
+	// ended is closed when the test ends.
+	ended chan struct{}
 	// served counts the connections; those numbered up to muted drop all bytes.
 	served, muted int
 }
@@ -48,10 +54,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &proxy{address: l.Addr().String(), to: to, held: make(chan struct{}), conns: map[net.Conn]struct{}{}}
+	p := &proxy{address: l.Addr().String(), to: to, held: make(chan struct{}), conns: map[net.Conn]struct{}{}, links: map[string]*link{}, ended: make(chan struct{})}
 	t.Cleanup(func() {
 		l.Close()
+		close(p.ended)
 		p.breakAll()
+		p.breakLinks()
 	})
 	go func() {
 		for {
@@ -93,14 +101,6 @@
 	p.muted = p.served
 }
 
-// number returns the next connection's number.
-func (p *proxy) number() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.served++
-	return p.served
-}
-
 func (p *proxy) mute(number int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -138,12 +138,13 @@
 		reset(client)
 		return
 	}
-	server, err := net.Dial("tcp", p.to)
+	// A silent link must not send keep-alive probes.
+	dialer := net.Dialer{KeepAlive: -1}
+	server, err := dialer.Dial("tcp", p.to)
 	if err != nil {
 		reset(client)
 		return
 	}
-	number := p.number()
 	p.track(client, true)
 	p.track(server, true)
 	defer p.track(client, false)
@@ -155,19 +156,174 @@
 			go func() { _, _ = io.Copy(io.Discard, duplicate) }()
 		}
 	}
+	l := p.addLink(client, server)
+	defer p.removeLink(l)
 	var wg sync.WaitGroup
-	wg.Add(2)
-	go func() {
-		defer wg.Done()
-		p.up(client, server, duplicate, number)
-	}()
-	go func() {
-		defer wg.Done()
-		p.down(client, server, number)
-	}()
+	wg.Go(func() { p.up(l, duplicate) })
+	wg.Go(func() { p.down(l) })
 	wg.Wait()
 }
 
+// silence is how a link stops carrying bytes in a direction.
+type silence int
+
+const (
+	// notSilent carries all bytes.
+	notSilent silence = iota
+	// silentNetwork models a network that loses all packets: nothing arrives and nothing is
+	// acknowledged, so that the sender can tell (TCP_USER_TIMEOUT, TCP_INFO, keep-alive probes).
+	// A filter on the proxy's socket to the server discards the server's segments before the
+	// kernel's TCP sees them. TCP acknowledges whatever it delivers, so a direction towards the
+	// server can't lose the acknowledgements alone without privileges: it silences both
+	// directions. To the server that looks the same. The client's own TCP always gets
+	// acknowledgements.
+	silentNetwork
+	// silentProxy models a middlebox that has lost the other side: it goes on reading and
+	// discards the bytes, which its TCP acknowledges. The sender's TCP can't tell.
+	silentProxy
+	// silentReader models a middlebox that stops reading: its TCP acknowledges what fits into
+	// its buffer, then the sender's zero-window probes. The sender's TCP can tell only by a
+	// window that stays closed.
+	silentReader
+)
+
+// linkFaults are the faults of one connection, beside those of its proxy.
+type linkFaults struct {
+	// Up and Down silence the directions towards and from the server, for good: the end of a
+	// connection is not passed on either.
+	Up, Down silence
+	// Delay is added in each direction.
+	Delay time.Duration
+}
+
+// link is a connection through a proxy.
+type link struct {
+	client, server net.Conn
+	number         int
+
+	mu     sync.Mutex
+	faults linkFaults
+	// reached reports that bytes were passed on to the server.
+	reached bool
+}
+
+func (p *proxy) addLink(client, server net.Conn) *link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.served++
+	l := &link{client: client, server: server, number: p.served}
+	p.links[client.RemoteAddr().String()] = l
+	return l
+}
+
+func (p *proxy) removeLink(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if key := l.client.RemoteAddr().String(); p.links[key] == l {
+		delete(p.links, key)
+	}
+}
+
+// breakLinks resets both sides of all links, silent ones too.
+func (p *proxy) breakLinks() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		reset(l.client)
+		reset(l.server)
+	}
+}
+
+// linkTimeout is how long a proxy may take to serve a connection that was accepted.
+const linkTimeout = 300 * time.Millisecond
+
+// linkOf returns the link of a client's connection; nil if the proxy does not serve it.
+func (p *proxy) linkOf(client net.Conn) (l *link) {
+	holdsWithin(linkTimeout, func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		l = p.links[client.LocalAddr().String()]
+		return l != nil
+	})
+	return l
+}
+
+func (l *link) get() linkFaults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+func (l *link) setDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults.Delay = d
+}
+
+func (l *link) noteReached() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reached = true
+}
+
+// hasReached reports whether bytes were passed on to the server.
+func (l *link) hasReached() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.reached
+}
+
+// silence silences directions of a link for good. It no longer takes part in the proxy's resets.
+func (p *proxy) silence(l *link, up, down silence) error {
+	if up == silentNetwork {
+		down = silentNetwork
+	}
+	l.mu.Lock()
+	l.faults.Up, l.faults.Down = up, down
+	l.mu.Unlock()
+	p.track(l.client, false)
+	p.track(l.server, false)
+	if down == silentReader {
+		return l.server.SetReadDeadline(time.Now())
+	}
+	if down == silentNetwork {
+		return discardSegments(l.server)
+	}
+	return nil
+}
+
+// cutClient resets a link on the client's side only; the server's stays open and silent.
+func (p *proxy) cutClient(l *link, s silence) error {
+	err := p.silence(l, s, s)
+	reset(l.client)
+	return err
+}
+
+// cutServer resets a link on the server's side only; the client's stays open and silent.
+func (p *proxy) cutServer(l *link) error {
+	err := p.silence(l, silentProxy, silentProxy)
+	reset(l.server)
+	return err
+}
+
+// discardSegments makes the kernel discard all segments that arrive at a socket.
+func discardSegments(c net.Conn) error {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	nothing := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K, K: 0}
+	program := unix.SockFprog{Len: 1, Filter: &nothing}
+	var setErr error
+	err = raw.Control(func(fd uintptr) {
+		setErr = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
+	if err != nil {
+		return err
+	}
+	return setErr
+}
+
 const readSize = 32 << 10
 
 // segment is the result of a read, with the time at which to pass it on.
@@ -179,14 +335,14 @@
 
 // segments reads a connection to its end. A delay applies to each segment on its own and
 // does not slow down reading.
-func (p *proxy) segments(c net.Conn) <-chan segment {
+func (p *proxy) segments(l *link, c net.Conn) <-chan segment {
 	out := make(chan segment, 1024)
 	go func() {
 		defer close(out)
 		for {
 			b := make([]byte, readSize)
 			n, err := c.Read(b)
-			out <- segment{data: b[:n], due: time.Now().Add(p.get().Delay), err: err}
+			out <- segment{data: b[:n], due: time.Now().Add(max(p.get().Delay, l.get().Delay)), err: err}
 			if err != nil {
 				return
 			}
@@ -202,12 +358,12 @@
 }
 
 // up carries the bytes towards the server.
-func (p *proxy) up(client, server, twin net.Conn, number int) {
-	defer closeWrite(server)
+func (p *proxy) up(l *link, twin net.Conn) {
+	client, server := l.client, l.server
 	passed := 0
-	for x := range p.segments(client) {
+	for x := range p.segments(l, client) {
 		x.await()
-		if p.mute(number) {
+		if p.mute(l.number) || l.get().Up != notSilent {
 			continue
 		}
 		f := p.get()
@@ -216,6 +372,7 @@
 				reset(client)
 				continue
 			}
+			l.noteReached()
 			if twin != nil {
 				_, _ = twin.Write(x.data)
 			}
@@ -225,14 +382,25 @@
 			reset(client)
 		}
 	}
+	if l.get().Up != notSilent {
+		p.keepOpen(l.server)
+		return
+	}
+	closeWrite(server)
+}
+
+// keepOpen leaves a side of a silent link open until the test ends.
+func (p *proxy) keepOpen(c net.Conn) {
+	<-p.ended
+	reset(c)
 }
 
 // down carries the bytes from the server.
-func (p *proxy) down(client, server net.Conn, number int) {
-	defer client.Close()
-	for x := range p.segments(server) {
+func (p *proxy) down(l *link) {
+	client, server := l.client, l.server
+	for x := range p.segments(l, server) {
 		x.await()
-		if p.mute(number) {
+		if p.mute(l.number) || l.get().Down != notSilent {
 			continue
 		}
 		f := p.get()
@@ -246,11 +414,16 @@
 			<-held
 		}
 		if len(x.data) > 0 && !f.CutDown {
-			if _, err := client.Write(x.data); err != nil {
+			if _, err := client.Write(x.data); err != nil && l.get().Up == notSilent {
 				reset(server)
 			}
 		}
 	}
+	if l.get().Down != notSilent {
+		p.keepOpen(l.client)
+		return
+	}
+	client.Close()
 }
 
 func closeWrite(c net.Conn) {
