test: soak with callers that come back while their first owner lives

It logs by kind of fault how many callers came back, when the owner dropped the job, jobs at two owners, runs at work after the loss, and overlaps; overlaps without a former owner that still has the job are logged apart.

--- a/test/process_test.go
+++ b/test/process_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -107,6 +108,9 @@
 	done chan struct{}
 	// logged is the length of log before the last start.
 	logged int
+	// exits are the times at which it has ended.
+	exitsMu sync.Mutex
+	exits   []time.Time
 }
 
 // start runs the program with the arguments until the test ends.
@@ -139,10 +143,24 @@
 	cmd := p.cmd
 	go func() {
 		_ = cmd.Wait()
+		p.noteExit()
 		close(done)
 	}()
 }
 
+func (p *process) noteExit() {
+	p.exitsMu.Lock()
+	defer p.exitsMu.Unlock()
+	p.exits = append(p.exits, time.Now())
+}
+
+// exited reports whether the process has ended between two times.
+func (p *process) exited(from, until time.Time) bool {
+	p.exitsMu.Lock()
+	defer p.exitsMu.Unlock()
+	return slices.ContainsFunc(p.exits, func(at time.Time) bool { return at.After(from) && at.Before(until) })
+}
+
 // end kills the process at the end of the test and reports data races.
 func (p *process) end() {
 	p.signal(syscall.SIGCONT)
--- a/test/proxy_test.go
+++ b/test/proxy_test.go
@@ -187,6 +187,11 @@
 	silentReader
 )
 
+// String implements fmt.Stringer.String.
+func (s silence) String() string {
+	return [...]string{"not silent", "like a network", "like a proxy", "like a proxy that stops reading"}[s]
+}
+
 // linkFaults are the faults of one connection, beside those of its proxy.
 type linkFaults struct {
 	// Up and Down silence the directions towards and from the server, for good: the end of a
--- a/test/soak_check_test.go
+++ b/test/soak_check_test.go
@@ -160,6 +160,7 @@
 		r.t.Error("no job was accepted")
 	}
 	r.logRestarts()
+	r.logReturns(byJob)
 	r.checkOrders()
 	r.checkRefusedOnce(byJob)
 	r.checkMoves()
--- a/test/soak_long_test.go
+++ b/test/soak_long_test.go
@@ -62,6 +62,7 @@
 	decisionsPart
 	speedsPart
 	leavingPart
+	callersPart
 )
 
 // longPrefix starts the id of a job with long tasks; longDigits hexadecimal digits with
--- /dev/null
+++ b/test/soak_returns_test.go
@@ -0,0 +1,205 @@
+package test
+
+import (
+	"net/http"
+	"regexp"
+	"slices"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/internal/standin"
+	"rackspur/job"
+)
+
+// droppedLine matches the line that an owner logs when it drops a job.
+var droppedLine = regexp.MustCompile(`"ts"="([^"]*)".*"Job given up\." .*?"job"="([^"]*)"`)
+
+// loggedDrop is the drop of a job as an entry has logged it.
+type loggedDrop struct {
+	entry *box
+	job   string
+	at    time.Time
+}
+
+// loggedDrops returns the drops that the entries have logged.
+func (r *soakRun) loggedDrops() (drops []loggedDrop) {
+	for _, e := range r.entries {
+		for _, found := range droppedLine.FindAllStringSubmatch(e.log.String(), -1) {
+			at, err := time.Parse(time.RFC3339Nano, found[1])
+			if err != nil {
+				r.t.Errorf("%s: time of a log line: %v", e.name, err)
+				continue
+			}
+			drops = append(drops, loggedDrop{e, found[2], at})
+		}
+	}
+	return drops
+}
+
+// returns counts the calls of one kind of connection, and what led or could have led to two runs of
+// a task at work.
+type returns struct {
+	calls int
+	// lost counts calls without an answer, back those after which the job was submitted again.
+	lost, back int
+	// dropped counts lost calls whose owner dropped the job within lateStop, droppedLate later. The
+	// others' owners ended the job, stopped, or had nothing placed.
+	dropped, droppedLate int
+	// twoOwners counts best-effort jobs that were submitted again while the owner before had started runs,
+	// lived, and had neither dropped nor ended the job.
+	twoOwners int
+	// lateRuns counts runs of such a job at work more than lateStop after the loss.
+	lateRuns int
+	// overlaps are how long two runs of a task were at work at a time, by the first lost call
+	// whose owner still had the job when the later one started.
+	overlaps []time.Duration
+}
+
+// callReturns are the counts of all kinds.
+type callReturns map[callerFaultKind]*returns
+
+// of returns the counts of a call's kind.
+func (c callReturns) of(v *callerVisit) *returns {
+	if c[v.fault.kind] == nil {
+		c[v.fault.kind] = &returns{}
+	}
+	return c[v.fault.kind]
+}
+
+// logReturns logs how often callers with faulty connections came back, and what followed.
+func (r *soakRun) logReturns(byJob map[string]map[job.TaskName][]standin.Span) {
+	counts := callReturns{}
+	drops := r.loggedDrops()
+	for _, j := range r.jobs {
+		for i := range j.visits {
+			counts.countVisit(j, i, byJob[j.id], drops)
+		}
+		for _, spans := range byJob[j.id] {
+			counts.countRuns(j, spans)
+			r.logOverlaps(counts, j, spans, byJob[j.id], drops)
+		}
+	}
+	for _, kind := range slices.Compact(slices.Clone(callerFaultKinds)) {
+		if c := counts[kind]; c != nil {
+			r.t.Logf("calls, %s: %d, %d without an answer, dropped within %v: %d, later: %d, back: %d, at two owners: %d, runs at work %v after the loss: %d, overlaps: %d %v",
+				kind, c.calls, c.lost, lateStop, c.dropped, c.droppedLate, c.back, c.twoOwners, lateStop, c.lateRuns, len(c.overlaps), c.overlaps)
+		}
+	}
+}
+
+// countVisit counts submission i of a job.
+func (c callReturns) countVisit(j *soakJob, i int, tasks map[job.TaskName][]standin.Span, drops []loggedDrop) {
+	v := &j.visits[i]
+	n := c.of(v)
+	n.calls++
+	if !v.lost() {
+		return
+	}
+	n.lost++
+	if at, ok := dropOf(drops, j, v, time.Now()); ok && at.Before(v.ended.Add(lateStop)) {
+		n.dropped++
+	} else if ok {
+		n.droppedLate++
+	}
+	if i+1 == len(j.visits) {
+		return
+	}
+	n.back++
+	next := &j.visits[i+1]
+	if j.bestEffort && next.reached && next.status != http.StatusServiceUnavailable && isOwned(j, v, next.sent, tasks, drops) {
+		n.twoOwners++
+	}
+}
+
+// countRuns counts the runs of one of a job's tasks.
+func (c callReturns) countRuns(j *soakJob, spans []standin.Span) {
+	for _, s := range spans {
+		if v, next := j.visitsAt(s.Started); j.bestEffort && next != nil && v.lost() && (s.End == 0 || s.Ended.After(v.ended.Add(lateStop))) {
+			c.of(v).lateRuns++
+		}
+	}
+}
+
+// logOverlaps counts the overlapping runs of one of a job's tasks. It logs those for which no
+// earlier owner is known that still had the job.
+func (r *soakRun) logOverlaps(c callReturns, j *soakJob, spans []standin.Span, tasks map[job.TaskName][]standin.Span, drops []loggedDrop) {
+	for i, s := range spans {
+		for _, before := range spans[:i] {
+			if len(j.visits) == 0 || !overlap(before, s) {
+				continue
+			}
+			lasted := firstEnd(before, s).Sub(s.Started).Round(time.Millisecond)
+			if v := j.formerOwner(s.Started, tasks, drops); v != nil {
+				n := c.of(v)
+				n.overlaps = append(n.overlaps, lasted)
+				continue
+			}
+			r.t.Logf("overlap of %v without a former owner: runs %v and %v for %v", s.Name.TaskName, before.Name.Run, s.Name.Run, lasted)
+		}
+	}
+}
+
+// formerOwner returns the first lost submission whose owner still has the job at a time, although the job
+// was submitted again; nil if there is none.
+func (j *soakJob) formerOwner(at time.Time, tasks map[job.TaskName][]standin.Span, drops []loggedDrop) *callerVisit {
+	for i := range j.visits {
+		again := i+1 < len(j.visits) && j.visits[i+1].sent.Before(at)
+		if v := &j.visits[i]; again && v.lost() && isOwned(j, v, at, tasks, drops) {
+			return v
+		}
+	}
+	return nil
+}
+
+// visitsAt returns the last submission before a time that reached an entry, and the next one; nil
+// if there is none.
+func (j *soakJob) visitsAt(at time.Time) (last, next *callerVisit) {
+	for i := range j.visits {
+		if v := &j.visits[i]; v.reached && v.sent.Before(at) {
+			last, next = v, nil
+			if i+1 < len(j.visits) {
+				next = &j.visits[i+1]
+			}
+		}
+	}
+	return last, next
+}
+
+// dropOf returns when a submission's owner dropped the job, if it did before a time.
+func dropOf(drops []loggedDrop, j *soakJob, v *callerVisit, until time.Time) (at time.Time, ok bool) {
+	for _, d := range drops {
+		if d.entry == v.entry && d.job == j.id && d.at.After(v.sent) && d.at.Before(until) {
+			return d.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// isOwned reports whether the owner of a lost submission has started runs, lives at a time, and has
+// neither dropped nor ended the job by then.
+func isOwned(j *soakJob, v *callerVisit, at time.Time, tasks map[job.TaskName][]standin.Span, drops []loggedDrop) bool {
+	if _, dropped := dropOf(drops, j, v, at); dropped || v.entry.exited(v.sent, at) {
+		return false
+	}
+	started, done := false, 0
+	for _, spans := range tasks {
+		for _, s := range spans {
+			started = started || s.Started.After(v.sent) && s.Started.Before(at)
+		}
+		if slices.ContainsFunc(spans, func(s standin.Span) bool { return s.End == gate.EndDone && s.Ended.Before(at) }) {
+			done++
+		}
+	}
+	return started && done < j.tasks
+}
+
+// firstEnd returns the earlier end of two runs; now, if neither has ended.
+func firstEnd(a, b standin.Span) time.Time {
+	first := time.Now()
+	for _, s := range []standin.Span{a, b} {
+		if s.End != 0 && s.Ended.Before(first) {
+			first = s.Ended
+		}
+	}
+	return first
+}
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -122,6 +122,8 @@
 	// tries is the number of submissions, longest the duration of the longest.
 	tries   int
 	longest time.Duration
+	// visits are its submissions, if its caller's connections had faults of their own.
+	visits []callerVisit
 	// callLog lists its caller's calls and their answers, for the log of a failed test.
 	callLog []string
 	// accepted: answered with success; refused: every try was refused.
