--- a/node/metrics_test.go
+++ b/node/metrics_test.go
@@ -17,7 +17,7 @@
 		var text strings.Builder
 		e.options.Metrics.WriteText(&text)
 		for _, name := range []string{"jobs_share_lifted ", "share_worst_served ", "share_served "} {
-			if strings.Contains(text.String(), "\n"+name) != fair {
+			if strings.Contains("\n"+text.String(), "\n"+name) != fair {
 				t.Errorf("fair shares %v: metric %sin %q", fair, name, text.String())
 			}
 		}
