owner: answer callers that come to a stopped owner

A caller that joined a job of a stopped owner waited until its own deadline: Stop had answered the others, and nothing answers later ones. Resume made this reachable from other boxes, since a stopped owner answers them for up to a second. One whose earlier runs may be active was refused, as if none had run.

TestStoppedOwnerAnswersReturningCaller fails without the change: known, never answered.

--- a/owner/besteffort.go
+++ b/owner/besteffort.go
@@ -42,6 +42,10 @@
 		return c.ticket
 	}
 	if j := o.jobs[s.ID]; j != nil {
+		if o.stopped {
+			result(BestEffortResult{})
+			return c.ticket
+		}
 		j.callers = append(j.callers, c)
 		j.deadline = max(j.deadline, now+patience)
 		return c.ticket
@@ -52,6 +56,10 @@
 	o.noteArrival(now, j)
 	f := o.figuresOf(now, j)
 	earlier := o.dropped[s.ID]
+	if o.stopped && earlier.hasOpenRuns() {
+		result(BestEffortResult{})
+		return c.ticket
+	}
 	if o.stopped || !earlier.hasOpenRuns() && !o.admits(f) {
 		o.countShareRefused(now, j)
 		o.logRefused(f, "no hope at arrival")
--- a/owner/resume_test.go
+++ b/owner/resume_test.go
@@ -106,3 +106,23 @@
 		})
 	}
 }
+
+// A caller that comes to a stopped owner is answered at once: nobody would end its job.
+func TestStoppedOwnerAnswersReturningCaller(t *testing.T) {
+	b := newHarness(t)
+	s := testSubmission("00000000000000aa", 1)
+	link := b.connect("gate-1")
+	b.owner.RunBestEffort(s, time.Minute, func(BestEffortResult) {})
+	b.flush("gate-1", link)
+	b.owner.Stop()
+	answered := false
+	_, known := b.owner.ResumeBestEffort(s, time.Minute, func(r BestEffortResult) {
+		answered = true
+		if r.Refused {
+			t.Error("refused, though a run may be active")
+		}
+	})
+	if !known || !answered {
+		t.Errorf("known %v, answered %v, want both", known, answered)
+	}
+}
