node: close a connection to another entry box only if it is broken

Any failed call closed the connection, also one that its own caller had given up or that an earlier build does not know (an announcement every 0.2 s). With it ended the waits for resumed jobs, whose callers got no result.

TestAbandonedQuestionLeavesResumedJob fails without the change.

--- a/node/announce.go
+++ b/node/announce.go
@@ -124,7 +124,7 @@
 	ctx, cancel := context.WithTimeout(a.term.ctx, askTimeout)
 	defer cancel()
 	if _, err = client.Announce(ctx, peer.ToAnnouncement(a.term.box.Incarnation, jobs)); err != nil {
-		e.closeAskClient(b.Address)
+		e.closeIfBroken(a.term.ctx, b.Address, err)
 	}
 	return err
 }
--- a/node/ask.go
+++ b/node/ask.go
@@ -8,6 +8,8 @@
 
 	"github.com/rotisserie/eris"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"rackspur/job"
 	"rackspur/member"
@@ -150,11 +152,12 @@
 	if err != nil {
 		return nil, err
 	}
+	caller := ctx
 	ctx, cancel := context.WithTimeout(ctx, timeoutFor(q))
 	defer cancel()
 	a, err := client.Ask(ctx, q)
 	if err != nil {
-		e.closeAskClient(b.Address)
+		e.closeIfBroken(caller, b.Address, err)
 	}
 	return a, err
 }
@@ -200,6 +203,19 @@
 	}
 }
 
+// closeIfBroken closes a connection on which a call has failed, unless the call itself was the
+// reason: other calls may be waiting on it.
+func (e *Entry) closeIfBroken(caller context.Context, address string, err error) {
+	if caller.Err() != nil {
+		return
+	}
+	switch status.Code(err) {
+	case codes.Unavailable, codes.DeadlineExceeded, codes.Canceled:
+		e.closeAskClient(address)
+	default:
+	}
+}
+
 // seeds are the configured boxes, used while no others are known.
 type seeds struct {
 	addresses []string
