node: run a job beside an unreachable owner only once that owner's runs are over

A job was run at once if its earlier owner could not be reached or was another process. The caller had left long before, but the owner may have been lost just now, and its runs go on for up to 1.3 s. The owner is now asked again for that long; a job whose result is lost goes the same way, and an owner that stops answering is noticed within 1.2 s instead of at the caller's deadline.

--- a/node/resume.go
+++ b/node/resume.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"rackspur/internal/wait"
 	"rackspur/job"
 	"rackspur/member"
 	"rackspur/owner"
@@ -36,41 +37,99 @@
 	return result, known
 }
 
-// runElsewhere lets the owner that has announced a job run it. ok is false if there is none, or if
-// it has no runs of the job any more or can't be reached: the job may then be run here.
+// runElsewhere lets the owner that has announced a job run it. ok is false if there is none, if it
+// has no runs of the job any more, or if it can't be reached for so long that its runs are over
+// even if it was lost only when it was first asked: the job may then be run here.
 func (e *Entry) runElsewhere(ctx context.Context, s job.Submission, patience time.Duration) (r owner.BestEffortResult, ok bool) {
 	incarnation, ok := e.elsewhere.find(time.Now(), s.ID)
 	if !ok || incarnation == e.Incarnation() {
 		return owner.BestEffortResult{}, false
 	}
 	began := time.Now()
+	lastReached := began
+	for {
+		r, known, err := e.resumeOnce(ctx, s, incarnation, max(0, patience-time.Since(began)), &lastReached)
+		switch {
+		case ctx.Err() != nil:
+			return owner.BestEffortResult{}, true
+		case err == nil:
+			return r, known
+		}
+		e.options.Metrics.Count(metricResumeFailed, 1)
+		silent := time.Since(lastReached)
+		over := silent >= e.options.bestEffortContactTimeout()+resubmitMargin
+		e.log.Info("The earlier owner of a job was not reached.", "job", s.ID, "owner", incarnation, "tookMS", time.Since(began).Milliseconds(),
+			"silentMS", silent.Milliseconds(), "runHere", over, "error", err.Error())
+		if over {
+			return owner.BestEffortResult{}, false
+		}
+		wait.For(ctx, announceInterval)
+	}
+}
+
+// resumeOnce asks an owner to run a job and waits for the result. known is false if the owner has no
+// runs of the job. It sets reached to the time of the owner's last answer.
+func (e *Entry) resumeOnce(ctx context.Context, s job.Submission, incarnation string, patience time.Duration, reached *time.Time) (r owner.BestEffortResult, known bool, err error) {
+	caller := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, first, err := e.resumeAt(ctx, cancel, incarnation, s, patience)
+	stream, first, err := e.resumeAt(ctx, caller, cancel, incarnation, s, patience)
 	if err != nil {
-		e.options.Metrics.Count(metricResumeFailed, 1)
-		e.log.Info("Job is run here: its earlier owner was not reached.", "job", s.ID, "owner", incarnation, "tookMS", time.Since(began).Milliseconds(), "error", err.Error())
-		return owner.BestEffortResult{}, false
+		return owner.BestEffortResult{}, false, err
 	}
-	e.log.Info("Job was submitted again; its earlier owner was asked.", "job", s.ID, "owner", incarnation, "known", first.GetKnown(), "tookMS", time.Since(began).Milliseconds())
+	e.log.Info("Job was submitted again; its earlier owner was asked.", "job", s.ID, "owner", incarnation, "known", first.GetKnown())
 	if !first.GetKnown() {
 		e.elsewhere.forget(s.ID, incarnation)
-		return owner.BestEffortResult{}, false
+		return owner.BestEffortResult{}, false, nil
 	}
 	e.options.Metrics.Count(metricResumedElsewhere, 1)
+	go e.watchOwner(ctx, cancel, incarnation)
 	last, err := stream.Recv()
 	if err != nil {
-		// The earlier owner may have been lost. What it has started ends in time if the caller
-		// returns once more.
-		return owner.BestEffortResult{}, true
+		*reached = time.Now()
+		return owner.BestEffortResult{}, false, err
 	}
 	return owner.BestEffortResult{
 		State: job.State(last.GetState()), Refused: last.GetRefused(), RetryAfter: time.Duration(last.GetRetryAfterMs()) * time.Millisecond,
-	}, true
+	}, true, nil
+}
+
+// watchOwner cancels the wait for an owner once it does not answer any more. Without it, a caller
+// would wait for a frozen owner until its own deadline.
+func (e *Entry) watchOwner(ctx context.Context, cancel context.CancelFunc, incarnation string) {
+	const maxFailures = 2
+	for failures := 0; failures < maxFailures; {
+		wait.For(ctx, announceInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		if e.answers(ctx, incarnation) {
+			failures = 0
+		} else {
+			failures++
+		}
+	}
+	cancel()
+}
+
+// answers reports whether an owner answers within askTimeout.
+func (e *Entry) answers(ctx context.Context, incarnation string) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	b, err := e.box(ctx, member.NodeOf(incarnation))
+	if err != nil {
+		return false
+	}
+	client, err := e.askClient(b.Address)
+	if err != nil {
+		return false
+	}
+	a, err := client.Announce(ctx, &peerpb.Announcement{Incarnation: e.Incarnation()})
+	return err == nil && a.GetIncarnation() == incarnation
 }
 
 // resumeAt asks an owner to resume a job and returns its first answer, which it waits askTimeout for.
-func (e *Entry) resumeAt(ctx context.Context, cancel context.CancelFunc, incarnation string, s job.Submission, patience time.Duration) (peerpb.Peer_ResumeClient, *peerpb.ResumeAnswer, error) {
+func (e *Entry) resumeAt(ctx, caller context.Context, cancel context.CancelFunc, incarnation string, s job.Submission, patience time.Duration) (peerpb.Peer_ResumeClient, *peerpb.ResumeAnswer, error) {
 	b, err := e.box(ctx, member.NodeOf(incarnation))
 	if err != nil {
 		return nil, nil, err
@@ -91,7 +150,7 @@
 	}
 	first, err := stream.Recv()
 	if err != nil {
-		e.closeAskClient(b.Address)
+		e.closeIfBroken(caller, b.Address, err)
 		return nil, nil, err
 	}
 	return stream, first, nil
--- a/owner/announce.go
+++ b/owner/announce.go
@@ -37,6 +37,13 @@
 	return jobs
 }
 
+// KnowsBestEffort reports whether this owner runs a job or remembers its end.
+func (o *Owner) KnowsBestEffort(id job.ID) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ended[id] != nil || o.jobs[id] != nil
+}
+
 // ResumeBestEffort is RunBestEffort for a job that was submitted to another owner. known is false,
 // and result is not called, if this owner neither has the job nor may have runs of it.
 func (o *Owner) ResumeBestEffort(s job.Submission, patience time.Duration, result func(BestEffortResult)) (ticket uint64, known bool) {
--- a/peer/resume.go
+++ b/peer/resume.go
@@ -49,7 +49,8 @@
 // Resume implements peerpb.PeerServer.Resume.
 func (s *Server) Resume(r *peerpb.Resumption, stream grpc.ServerStreamingServer[peerpb.ResumeAnswer]) error {
 	if s.Resumer == nil || s.Resumer.Incarnation() != r.GetIncarnation() {
-		return stream.Send(&peerpb.ResumeAnswer{})
+		// Runs of an incarnation that has just ended may be active.
+		return status.Error(codes.FailedPrecondition, "incarnation has ended")
 	}
 	var submission job.Submission
 	if err := json.Unmarshal(r.GetSubmission(), &submission); err != nil {
