node: announce a job again if it may run longer than announced

A second caller extends the deadline of its job, but a job was announced only once to each box, which then forgot it at the first caller's time and would run it beside its owner.

--- a/node/announce.go
+++ b/node/announce.go
@@ -25,6 +25,9 @@
 	// maxAnnouncingEntries is the number of entry boxes up to which jobs are announced. In larger
 	// fleets connections between all of them would overload small boxes.
 	maxAnnouncingEntries = minEntriesForHubs
+	// maxLeftError is how much too early another box may forget a job. It is well below what
+	// owners add to the time that a job has left.
+	maxLeftError = 500 * time.Millisecond
 )
 
 // announcer announces the jobs of a term to the other entry boxes.
@@ -40,7 +43,8 @@
 type toldBox struct {
 	// incarnation is the process that was told.
 	incarnation string
-	jobs        map[job.ID]bool
+	// jobs holds until when the box knows of each job.
+	jobs map[job.ID]time.Time
 	// busy is set while an announcement is under way.
 	busy bool
 }
@@ -72,18 +76,19 @@
 	for _, b := range others {
 		told := a.told[b.Node]
 		if told == nil {
-			told = &toldBox{jobs: map[job.ID]bool{}}
+			told = &toldBox{jobs: map[job.ID]time.Time{}}
 			a.told[b.Node] = told
 		}
-		if news := told.news(b.Incarnation, jobs); len(news) > 0 && !told.busy {
+		if news := told.news(time.Now(), b.Incarnation, jobs); len(news) > 0 && !told.busy {
 			told.busy = true
 			go a.tell(b, news)
 		}
 	}
 }
 
-// news returns the jobs that a box has not been told of, and forgets those that are over.
-func (d *toldBox) news(incarnation string, jobs []owner.AnnouncedJob) []owner.AnnouncedJob {
+// news returns the jobs that a box has not been told of, or which it would forget too early since
+// another caller waits longer, and forgets those that are over.
+func (d *toldBox) news(now time.Time, incarnation string, jobs []owner.AnnouncedJob) []owner.AnnouncedJob {
 	if d.incarnation != incarnation {
 		d.incarnation = incarnation
 		clear(d.jobs)
@@ -92,16 +97,17 @@
 	var news []owner.AnnouncedJob
 	for _, j := range jobs {
 		live[j.ID] = true
-		if !d.jobs[j.ID] {
+		if until, ok := d.jobs[j.ID]; !ok || now.Add(j.Left).Sub(until) > maxLeftError {
 			news = append(news, j)
 		}
 	}
-	maps.DeleteFunc(d.jobs, func(id job.ID, _ bool) bool { return !live[id] })
+	maps.DeleteFunc(d.jobs, func(id job.ID, _ time.Time) bool { return !live[id] })
 	return news
 }
 
 // tell sends an announcement.
 func (a *announcer) tell(b member.Box, jobs []owner.AnnouncedJob) {
+	began := time.Now()
 	err := a.send(b, jobs)
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -111,7 +117,7 @@
 		return
 	}
 	for _, j := range jobs {
-		told.jobs[j.ID] = true
+		told.jobs[j.ID] = began.Add(j.Left)
 	}
 }
 
