--- a/node/resume.go
+++ b/node/resume.go
@@ -50,10 +50,12 @@
 	for {
 		r, known, err := e.resumeOnce(ctx, s, incarnation, max(0, patience-time.Since(began)), &lastReached)
 		switch {
+		case err == nil && known:
+			return r, true
 		case ctx.Err() != nil:
 			return owner.BestEffortResult{}, true
 		case err == nil:
-			return r, known
+			return owner.BestEffortResult{}, false
 		}
 		e.options.Metrics.Count(metricResumeFailed, 1)
 		silent := time.Since(lastReached)
