--- a/gate/event.go
+++ b/gate/event.go
@@ -47,7 +47,8 @@
 	Reason StopReason
 	// ContactAge is the time since the last contact with the run's owner; 0 if there was none.
 	ContactAge time.Duration
-	// EndsIn is the time until a run that is being stopped has to have ended; 0 if that is unknown.
+	// EndsIn is the time until a run that is being stopped has to have ended, negative once it is
+	// overdue; 0 if that is unknown.
 	EndsIn time.Duration
 	// LeaseLeft is how much of the target's lease is left at least.
 	LeaseLeft time.Duration
--- a/gate/lists.go
+++ b/gate/lists.go
@@ -38,7 +38,8 @@
 			continue
 		}
 		if r.phase == phaseQueued {
-			// The end is another owner's run's, given up before; the target rejects this run.
+			// The end is that of another owner's run of the same name, which counted as lost. The
+			// target rejects a start of that name from now on.
 			g.queue.remove(r)
 		}
 		g.release(r)
--- a/node/announce.go
+++ b/node/announce.go
@@ -24,7 +24,7 @@
 	announceInterval = 200 * time.Millisecond
 	// maxAnnouncingEntries is the number of entry boxes up to which jobs are announced. In larger
 	// fleets connections between all of them would overload small boxes.
-	maxAnnouncingEntries = minEntriesForHubs
+	maxAnnouncingEntries = 32
 	// maxLeftError is how much too early another box may forget a job. It is well below what
 	// owners add to the time that a job has left.
 	maxLeftError = 500 * time.Millisecond
--- a/node/resume.go
+++ b/node/resume.go
@@ -60,7 +60,7 @@
 		e.options.Metrics.Count(metricResumeFailed, 1)
 		silent := time.Since(lastReached)
 		over := silent >= e.options.bestEffortContactTimeout()+resubmitMargin
-		e.log.Info("The earlier owner of a job was not reached.", "job", s.ID, "owner", incarnation, "tookMS", time.Since(began).Milliseconds(),
+		e.log.Info("Earlier owner of a job was not reached.", "job", s.ID, "owner", incarnation, "tookMS", time.Since(began).Milliseconds(),
 			"silentMS", silent.Milliseconds(), "runHere", over, "error", err.Error())
 		if over {
 			return owner.BestEffortResult{}, false
@@ -79,7 +79,7 @@
 	if err != nil {
 		return owner.BestEffortResult{}, false, err
 	}
-	e.log.Info("Job was submitted again; its earlier owner was asked.", "job", s.ID, "owner", incarnation, "known", first.GetKnown())
+	e.log.Info("Earlier owner of a job was asked.", "job", s.ID, "owner", incarnation, "known", first.GetKnown())
 	if !first.GetKnown() {
 		e.elsewhere.forget(s.ID, incarnation)
 		return owner.BestEffortResult{}, false, nil
--- a/owner/drop.go
+++ b/owner/drop.go
@@ -14,9 +14,9 @@
 // droppedJob is a best-effort job that was dropped before it ended.
 type droppedJob struct {
 	at Time
-	// unconfirmed are the runs that were sent to gates and are not known to be over, with their
+	// open are the runs that were sent to gates and are not known to be over, with their
 	// gates.
-	unconfirmed map[job.RunName]string
+	open map[job.RunName]string
 	// newest is the number of the newest run of each task that was placed.
 	newest map[job.TaskName]int
 	// callers wait until that is known; nil once they are answered.
@@ -53,7 +53,7 @@
 	switch {
 	case j.mayHaveRun:
 		d.answer(BestEffortResult{})
-	case len(d.unconfirmed) == 0:
+	case len(d.open) == 0:
 		d.answerRefused()
 	default:
 		o.unanswered++
@@ -71,7 +71,7 @@
 // rememberDropped keeps the runs of a dropped job until they are over, and its callers until they
 // are answered.
 func (o *Owner) rememberDropped(now Time, j *liveJob) *droppedJob {
-	d := &droppedJob{at: now, unconfirmed: j.openRuns(), newest: j.newestRuns(), callers: j.callers}
+	d := &droppedJob{at: now, open: j.openRuns(), newest: j.newestRuns(), callers: j.callers}
 	if len(d.callers) > 0 {
 		d.refused = func() BestEffortResult { return o.refusedResult(o.options.Now(), j) }
 	}
@@ -125,14 +125,14 @@
 
 // ended records that a run is over.
 func (d *droppedJob) ended(name job.RunName, end gate.EndKind) {
-	if _, ok := d.unconfirmed[name]; !ok {
+	if _, ok := d.open[name]; !ok {
 		return
 	}
-	delete(d.unconfirmed, name)
+	delete(d.open, name)
 	switch {
 	case end != gate.EndRejected:
 		d.answer(BestEffortResult{})
-	case len(d.unconfirmed) == 0:
+	case len(d.open) == 0:
 		d.answerRefused()
 	}
 }
@@ -141,7 +141,7 @@
 // remain.
 func (o *Owner) endDroppedRuns(v *gateView, remains func(job.RunName) bool) {
 	for _, d := range o.dropped {
-		for name, at := range d.unconfirmed {
+		for name, at := range d.open {
 			if at == v.name && !remains(name) {
 				d.ended(name, gate.EndLost)
 			}
--- a/owner/resume.go
+++ b/owner/resume.go
@@ -5,7 +5,7 @@
 // active at the same time (TestSubmittedAgainWhileRunsStop).
 
 // hasOpenRuns reports whether runs of the job may be active. It may be called on nil.
-func (d *droppedJob) hasOpenRuns() bool { return d != nil && len(d.unconfirmed) > 0 }
+func (d *droppedJob) hasOpenRuns() bool { return d != nil && len(d.open) > 0 }
 
 // resumeDropped makes a job that was dropped earlier go on from there: a task whose run may be active
 // counts as placed until the run is over, and new runs are numbered above the earlier ones.
@@ -15,7 +15,7 @@
 	for _, t := range j.tasks {
 		t.run = max(t.run, earlier.newest[t.name])
 	}
-	for name, at := range earlier.unconfirmed {
+	for name, at := range earlier.open {
 		t := j.find(name.TaskName)
 		if t == nil || t.run != name.Run {
 			continue
@@ -31,6 +31,6 @@
 
 // logResumed logs that a dropped job was submitted again.
 func (o *Owner) logResumed(now Time, j *liveJob, earlier *droppedJob) {
-	o.log.Info("Job was submitted again.", "job", j.record.ID, "owner", o.options.Incarnation, "queue", j.record.Queue.Name,
-		"droppedMS", (now - earlier.at).Milliseconds(), "runsNotOver", len(earlier.unconfirmed), "on", j.gateNames())
+	o.log.Info("Dropped job was submitted again.", "job", j.record.ID, "owner", o.options.Incarnation, "queue", j.record.Queue.Name,
+		"droppedMS", (now - earlier.at).Milliseconds(), "runsNotOver", len(earlier.open), "on", j.gateNames())
 }
