node: an owner that has dropped a job does not hide the one that runs it

By reading (review): an owner that was isolated drops a job that another one has taken since, and its announcement replaced the other's, so that a caller who came back was sent to the former. An announcement now says whether the owner runs the job; one that does is kept. What boxes that are gone were told is forgotten. TestDroppedJobDoesNotHideLiveOne.

--- a/node/announce.go
+++ b/node/announce.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,12 +44,19 @@
 type toldBox struct {
 	// incarnation is the process that was told.
 	incarnation string
-	// jobs holds until when the box knows of each job.
-	jobs map[job.ID]time.Time
+	// jobs holds what the box was told of each job.
+	jobs map[job.ID]toldJob
 	// busy is set while an announcement is under way.
 	busy bool
 }
 
+// toldJob is what a box was told of a job: until when to expect runs of it, and whether its owner
+// still runs it.
+type toldJob struct {
+	until time.Time
+	live  bool
+}
+
 func newAnnouncer(t *term) *announcer {
 	return &announcer{term: t, told: map[string]*toldBox{}}
 }
@@ -73,10 +81,13 @@
 	jobs := a.term.owner.JobsToAnnounce()
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	maps.DeleteFunc(a.told, func(node string, told *toldBox) bool {
+		return !told.busy && !slices.ContainsFunc(others, func(b member.Box) bool { return b.Node == node })
+	})
 	for _, b := range others {
 		told := a.told[b.Node]
 		if told == nil {
-			told = &toldBox{jobs: map[job.ID]time.Time{}}
+			told = &toldBox{jobs: map[job.ID]toldJob{}}
 			a.told[b.Node] = told
 		}
 		if news := told.news(time.Now(), b.Incarnation, jobs); len(news) > 0 && !told.busy {
@@ -86,22 +97,22 @@
 	}
 }
 
-// news returns the jobs that a box has not been told of, or which it would forget too early since
-// another caller waits longer, and forgets those that are over.
+// news returns the jobs that a box has not been told of, that have been dropped since, or which it
+// would forget too early since another caller waits longer. It forgets those that are over.
 func (d *toldBox) news(now time.Time, incarnation string, jobs []owner.AnnouncedJob) []owner.AnnouncedJob {
 	if d.incarnation != incarnation {
 		d.incarnation = incarnation
 		clear(d.jobs)
 	}
-	live := make(map[job.ID]bool, len(jobs))
+	listed := make(map[job.ID]bool, len(jobs))
 	var news []owner.AnnouncedJob
 	for _, j := range jobs {
-		live[j.ID] = true
-		if until, ok := d.jobs[j.ID]; !ok || now.Add(j.Left).Sub(until) > maxLeftError {
+		listed[j.ID] = true
+		if before, ok := d.jobs[j.ID]; !ok || before.live != j.Live || now.Add(j.Left).Sub(before.until) > maxLeftError {
 			news = append(news, j)
 		}
 	}
-	maps.DeleteFunc(d.jobs, func(id job.ID, _ time.Time) bool { return !live[id] })
+	maps.DeleteFunc(d.jobs, func(id job.ID, _ toldJob) bool { return !listed[id] })
 	return news
 }
 
@@ -117,7 +128,7 @@
 		return
 	}
 	for _, j := range jobs {
-		told.jobs[j.ID] = began.Add(j.Left)
+		told.jobs[j.ID] = toldJob{until: began.Add(j.Left), live: j.Live}
 	}
 }
 
--- a/node/announce_test.go
+++ b/node/announce_test.go
@@ -16,7 +16,7 @@
 	c.until("the other entry box is known", func() bool { return len(a.others()) == 1 })
 	b := a.others()[0]
 	now := time.Now()
-	a.told[b.Node] = &toldBox{jobs: map[job.ID]time.Time{}}
+	a.told[b.Node] = &toldBox{jobs: map[job.ID]toldJob{}}
 	left := func(d time.Duration) []owner.AnnouncedJob {
 		return []owner.AnnouncedJob{{ID: "00000000000000aa", Left: d}}
 	}
@@ -33,4 +33,9 @@
 			t.Errorf("%s: %d jobs to announce, want %d", name, n, step.want)
 		}
 	}
+	live := left(2 * time.Second)
+	live[0].Live = true
+	if n := len(told.news(now.Add(time.Second), b.Incarnation, live)); n != 1 {
+		t.Errorf("%d jobs to announce once the owner runs the job again, want 1", n)
+	}
 }
--- a/node/elsewhere.go
+++ b/node/elsewhere.go
@@ -24,12 +24,14 @@
 type jobOwner struct {
 	incarnation string
 	until       time.Time
+	live        bool
 }
 
 // sweepInterval is the time between two removals of expired entries.
 const sweepInterval = time.Second
 
-// add records announced jobs of an incarnation.
+// add records announced jobs of an incarnation. One that has dropped a job does not replace one that
+// runs it: an owner that was isolated announces its runs after another one has taken the job.
 func (e *jobsElsewhere) add(now time.Time, incarnation string, jobs []owner.AnnouncedJob) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -44,7 +46,11 @@
 		if len(e.jobs) >= maxJobsElsewhere {
 			return
 		}
-		e.jobs[j.ID] = jobOwner{incarnation: incarnation, until: now.Add(j.Left)}
+		known := e.jobs[j.ID]
+		if known.live && !j.Live && known.incarnation != incarnation && now.Before(known.until) {
+			continue
+		}
+		e.jobs[j.ID] = jobOwner{incarnation: incarnation, until: now.Add(j.Left), live: j.Live}
 	}
 }
 
--- a/owner/announce.go
+++ b/owner/announce.go
@@ -15,6 +15,8 @@
 	ID job.ID
 	// Left is for how long the owner may still have runs of the job.
 	Left time.Duration
+	// Live is set unless the owner has dropped the job and only its runs may be active.
+	Live bool
 }
 
 // JobsToAnnounce returns the best-effort jobs that other owners should know of: a caller whose
@@ -26,7 +28,7 @@
 	var jobs []AnnouncedJob
 	for id, j := range o.jobs {
 		if j.record.BestEffort && now-j.arrived >= announceAfter {
-			jobs = append(jobs, AnnouncedJob{ID: id, Left: max(0, j.deadline-now) + o.overAfter()})
+			jobs = append(jobs, AnnouncedJob{ID: id, Left: max(0, j.deadline-now) + o.overAfter(), Live: true})
 		}
 	}
 	for id, d := range o.dropped {
--- a/peer/resume.go
+++ b/peer/resume.go
@@ -28,7 +28,7 @@
 func ToAnnouncement(incarnation string, jobs []owner.AnnouncedJob) *peerpb.Announcement {
 	a := &peerpb.Announcement{Incarnation: incarnation}
 	for _, j := range jobs {
-		a.Jobs = append(a.Jobs, &peerpb.AnnouncedJob{Job: string(j.ID), LeftMs: uint32(j.Left.Milliseconds())})
+		a.Jobs = append(a.Jobs, &peerpb.AnnouncedJob{Job: string(j.ID), LeftMs: uint32(j.Left.Milliseconds()), Live: j.Live})
 	}
 	return a
 }
@@ -40,7 +40,7 @@
 	}
 	jobs := make([]owner.AnnouncedJob, 0, len(a.GetJobs()))
 	for _, j := range a.GetJobs() {
-		jobs = append(jobs, owner.AnnouncedJob{ID: job.ID(j.GetJob()), Left: time.Duration(j.GetLeftMs()) * time.Millisecond})
+		jobs = append(jobs, owner.AnnouncedJob{ID: job.ID(j.GetJob()), Left: time.Duration(j.GetLeftMs()) * time.Millisecond, Live: j.GetLive()})
 	}
 	s.Resumer.Announced(a.GetIncarnation(), jobs)
 	return &peerpb.Announced{Incarnation: s.Resumer.Incarnation()}, nil
