--- a/node/elsewhere.go
+++ b/node/elsewhere.go
@@ -9,7 +9,7 @@
 	"rackspur/owner"
 )
 
-// maxJobsElsewhere bounds the known jobs of other owners; further ones are not recorded.
+// maxJobsElsewhere bounds the known jobs of other owners; jobs beyond it are not recorded.
 const maxJobsElsewhere = 20_000
 
 // jobsElsewhere holds the best-effort jobs that other owners have announced.
@@ -43,10 +43,10 @@
 		maps.DeleteFunc(e.jobs, func(_ job.ID, o jobOwner) bool { return now.After(o.until) })
 	}
 	for _, j := range jobs {
-		if len(e.jobs) >= maxJobsElsewhere {
-			return
+		known, ok := e.jobs[j.ID]
+		if !ok && len(e.jobs) >= maxJobsElsewhere {
+			continue
 		}
-		known := e.jobs[j.ID]
 		if known.live && !j.Live && known.incarnation != incarnation && now.Before(known.until) {
 			continue
 		}
