node: look for a job at its owner only once another box has announced it

Each best-effort request took the owner's lock to ask whether it runs the job, though hardly any was announced. The announcements are looked at first now.

--- a/node/jobs.go
+++ b/node/jobs.go
@@ -58,10 +58,8 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		timeout = time.Until(deadline)
 	}
-	if !t.owner.KnowsBestEffort(s.ID) {
-		if r, ok := e.runElsewhere(ctx, s, timeout); ok {
-			return r
-		}
+	if r, ok := e.runElsewhere(ctx, t, s, timeout); ok {
+		return r
 	}
 	ticket := t.owner.RunBestEffort(s, timeout, func(r owner.BestEffortResult) { result <- r })
 	select {
--- a/node/resume.go
+++ b/node/resume.go
@@ -40,9 +40,9 @@
 // runElsewhere lets the owner that has announced a job run it. ok is false if there is none, if it
 // has no runs of the job any more, or if it can't be reached for so long that its runs are over
 // even if it was lost only when it was first asked: the job may then be run here.
-func (e *Entry) runElsewhere(ctx context.Context, s job.Submission, patience time.Duration) (r owner.BestEffortResult, ok bool) {
+func (e *Entry) runElsewhere(ctx context.Context, t *term, s job.Submission, patience time.Duration) (r owner.BestEffortResult, ok bool) {
 	incarnation, ok := e.elsewhere.find(time.Now(), s.ID)
-	if !ok || incarnation == e.Incarnation() {
+	if !ok || incarnation == t.box.Incarnation || t.owner.KnowsBestEffort(s.ID) {
 		return owner.BestEffortResult{}, false
 	}
 	began := time.Now()
--- a/node/twicerandom_test.go
+++ b/node/twicerandom_test.go
@@ -19,10 +19,6 @@
 	"rackspur/owner"
 )
 
-// TestTwiceRandom plays random faults against best-effort jobs whose callers come back, in
-// virtual time. Goroutines that are due at the same time run in any order, so that a seed may
-// have more than one outcome.
-
 // Environment variables and sizes of the test.
 const (
 	// twiceSeedVariable selects a single seed, twiceSeedsVariable the number of seeds,
@@ -65,8 +61,9 @@
 	3195, // a rejected start was taken for a later one of the same name
 }
 
-// TestTwiceRandom runs best-effort jobs beside random faults and checks that no two runs of a task
-// are active at one time.
+// TestTwiceRandom runs best-effort jobs, whose callers come back, beside random faults in virtual
+// time and checks that no two runs of a task are active at one time. Goroutines that are due at the
+// same time run in any order, so that a seed may have more than one outcome.
 func TestTwiceRandom(t *testing.T) {
 	var without []int
 	for _, number := range strings.Split(os.Getenv(twiceWithoutVariable), ",") {
