gate, node: say what an id that is kept and a caller's context mean

Read as a newcomer: Born != 0 had to be known to mean that the target may keep its id over a restart, and two contexts of one call were told apart by their names only. No change of behaviour; go test ./gate passes.

--- a/gate/deregister.go
+++ b/gate/deregister.go
@@ -3,16 +3,18 @@
 // OnDeregister handles the deregistration of an incarnation. If it does not identify one, the
 // next call shows whether the target is still there.
 //
-// The process may go on after its word, for instance while it waits for the answer. Runs of an
-// incarnation whose id may return wait for the next lists; those of any other are stopped, and
-// end once a list, a refused connection, another incarnation's answer or the end of the lease
-// shows that they are over.
+// The process may go on for some time, for instance until it gets the answer. Runs of a target that
+// keeps its id over a restart wait for the next lists; those of any other are stopped, and end once
+// a list, a refused connection, another incarnation's answer or the end of the lease shows that they
+// are over.
 func (g *Gate) OnDeregister(now Time, incarnation Incarnation) Actions {
 	if incarnation != g.current {
 		return Actions{HoldNow: g.current.ambiguous(incarnation)}
 	}
-	if incarnation.Born != 0 || !g.hasActiveRuns() {
-		g.endIncarnation(now, incarnation.Born != 0)
+	// Only targets that may keep their id over a restart report when they began.
+	keepsID := incarnation.Born != 0
+	if keepsID || !g.hasActiveRuns() {
+		g.endIncarnation(now, keepsID)
 		return g.adoptCandidate(now, "")
 	}
 	g.deregisteredAt = now
--- a/node/resume.go
+++ b/node/resume.go
@@ -130,7 +130,8 @@
 	return err == nil && a.GetIncarnation() == incarnation
 }
 
-// resumeAt asks an owner to resume a job and returns its first answer, which it waits askTimeout for.
+// resumeAt asks an owner to resume a job and returns its first answer. After askTimeout without one it
+// calls cancel, which ends ctx; caller is the context that only the job's caller ends.
 func (e *Entry) resumeAt(ctx, caller context.Context, cancel context.CancelFunc, incarnation string, s job.Submission, patience time.Duration) (peerpb.Peer_ResumeClient, *peerpb.ResumeAnswer, error) {
 	b, err := e.box(ctx, member.NodeOf(incarnation))
 	if err != nil {
