node: TestOwnJobIsNotRunElsewhere counts the questions to other owners

With the check that it is for taken out it still passed: the other owner answers with an error since the job waits for it, and its announcement is kept. The test now counts the questions as well; without the check there are 8, with it none.

--- a/node/resumelost_test.go
+++ b/node/resumelost_test.go
@@ -49,8 +49,9 @@
 		t.Errorf("result %+v of the second submission, want completed", r)
 	}
 	<-first
-	if _, ok := e.elsewhere.find(time.Now(), s.ID); !ok {
-		t.Error("the other owner was asked for a job that runs here")
+	asked := e.options.Metrics.Value(metricResumeFailed) + e.options.Metrics.Value(metricResumedElsewhere)
+	if _, ok := e.elsewhere.find(time.Now(), s.ID); !ok || asked != 0 {
+		t.Errorf("announcement kept: %v, other owner asked %d times for a job that runs here, want 0", ok, asked)
 	}
 }
 
