--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -54,13 +54,26 @@
 	return fmt.Errorf("job %s was not accepted", id)
 }
 
-// jobOf returns the body of a job with one step.
+// jobOf returns the body of a job with one step; requires may be empty.
 func jobOf(tasks int, estimate time.Duration, requires string) []byte {
+	return jobWith(stepOf(tasks, estimate, requires))
+}
+
+func stepOf(tasks int, estimate time.Duration, requires string) map[string]any {
 	step := map[string]any{"count": tasks, "cpu": need.CPU, "memMb": need.Memory, "estimateMs": estimate.Milliseconds()}
 	if requires != "" {
 		step["requires"] = requires
 	}
-	b, err := json.Marshal(map[string]any{"spec": "(text)", "steps": []any{step}})
+	return step
+}
+
+// spreadJob returns the body of a job with a task on each of a number of executors.
+func spreadJob(executors int, estimate time.Duration) []byte {
+	return jobWith(map[string]any{"count": executors, "cpu": need.CPU, "memMb": need.Memory, "estimateMs": estimate.Milliseconds(), "antiAffinity": 1})
+}
+
+func jobWith(steps ...map[string]any) []byte {
+	b, err := json.Marshal(map[string]any{"spec": "(text)", "steps": steps})
 	if err != nil {
 		panic(err)
 	}
--- a/review/harness/machine.go
+++ b/review/harness/machine.go
@@ -23,6 +23,9 @@
 	settings              string
 	command               []string
 
+	// busy is held by a disruption of the process.
+	busy sync.Mutex
+
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	ended chan struct{}
@@ -40,7 +43,7 @@
 // startAgent starts an executor and the agent beside it. Other machines reach the agent through
 // a proxy.
 func (w *world) startAgent(i int, p agentPlan) (*machine, error) {
-	m := &machine{world: w, node: fmt.Sprintf("side-lhr-a-%d", i+1), role: "agent", class: "side", ip: w.ip(10 + i)}
+	m := &machine{world: w, node: fmt.Sprintf("side-lhr-a-%d", i+1), role: "agent", class: "side", ip: w.ip(firstAgent + i)}
 	var err error
 	if m.proxy, err = newProxy(w, address(m.ip, proxyPort), address(m.ip, internalPort)); err != nil {
 		return m, err
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -33,7 +33,8 @@
 
 var scenarios = map[string]scenario{
 	"twice":   twice,
-	"lost":    lost,
+	"grey":    greyRack,
+	"gone":    goneRack,
 	"unasked": unasked,
 	"route":   routeBroken,
 }
--- a/review/harness/target.go
+++ b/review/harness/target.go
@@ -31,9 +31,8 @@
 	machine *machine
 	port    *standin.ExecutorPort
 
-	mu     sync.Mutex
-	labels []string
-	work   workFunc
+	mu   sync.Mutex
+	work workFunc
 	// lives are all incarnations, the newest last.
 	lives []*life
 	beat  chan struct{}
@@ -80,6 +79,11 @@
 	t.lives = append(t.lives, &life{Executor: e, labels: labels})
 	t.mu.Unlock()
 	t.port.SetExecutor(e)
+	t.beatNow()
+}
+
+// beatNow sends the next heartbeat at once.
+func (t *target) beatNow() {
 	select {
 	case t.beat <- struct{}{}:
 	default:
@@ -139,11 +143,15 @@
 	if !up {
 		return true
 	}
-	body, err := json.Marshal(map[string]any{
+	heartbeat := map[string]any{
 		"service": service, "address": address(t.machine.ip, appPort), "zone": "lhr-a", "version": "v1", "slots": 8, "state": "ready",
 		"coldRemainingMs": 0, "capacity": map[string]int{"cpu": capacity.CPU, "memMb": capacity.Memory, "gpu": 0},
 		"labels": l.labels, "clockMs": b.ClockMS, "born": b.Born, "seq": b.Sequence,
-	})
+	}
+	if b.Draining {
+		heartbeat["state"], heartbeat["remainingMs"] = "draining", b.RemainingMS
+	}
+	body, err := json.Marshal(heartbeat)
 	if err != nil {
 		return false
 	}
--- a/review/harness/twice.go
+++ b/review/harness/twice.go
@@ -26,7 +26,7 @@
 // note of then or later.
 func twice(log *record, trouble bool) (string, error) {
 	work := func(job.RunName) (time.Duration, gate.EndKind) { return twiceWork, gate.EndDone }
-	w, err := newWorld(log, 2, []agentPlan{{[]string{"a", "r1-1"}, work}, {[]string{"a", "r1-1"}, work}, {[]string{"b", "r1-1"}, work}})
+	w, err := siteWorld(log, work)
 	defer w.close()
 	if err != nil {
 		return "", err
--- a/review/harness/unasked.go
+++ b/review/harness/unasked.go
@@ -24,18 +24,21 @@
 // is at work.
 func unasked(log *record, trouble bool) (string, error) {
 	work := func(job.RunName) (time.Duration, gate.EndKind) { return unaskedWork, gate.EndDone }
-	w, err := newWorld(log, 2, []agentPlan{{[]string{"a", "r1-1"}, work}, {[]string{"a", "r1-1"}, work}, {[]string{"b", "r1-1"}, work}})
+	w, err := siteWorld(log, work)
 	defer w.close()
 	if err != nil {
 		return "", err
 	}
 	owner, other := w.entries[0], w.entries[1]
-	id := newID(3)
-	if err := owner.submit(id, jobOf(3, unaskedWork, "")); err != nil {
-		return "", err
-	}
-	if !within(3*time.Second, func() bool { return len(w.runsOf(id)) == 3 }) {
-		return "", fmt.Errorf("the tasks did not start")
+	id, rest := newID(3), newID(5)
+	// Another job of the same owner goes on, as in any deployment with traffic.
+	for _, each := range []string{rest, id} {
+		if err := owner.submit(each, spreadJob(len(w.agents), unaskedWork)); err != nil {
+			return "", err
+		}
+		if !within(3*time.Second, func() bool { return len(w.runsOf(each)) == len(w.agents) }) {
+			return "", fmt.Errorf("the tasks did not start")
+		}
 	}
 	time.Sleep(time.Second)
 	calm := time.Now()
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -85,6 +85,37 @@
 	work   workFunc
 }
 
+// Sizes of the site ghanta-sched.
+const (
+	siteEntries = 3
+	siteAgents  = 11
+	rackSize    = 3
+)
+
+// lastRack is the label of the last rack, which has two of the site's executors; thirdRack is that
+// of the one before, which has three.
+const (
+	lastRack  = "r1-4"
+	thirdRack = "r1-3"
+)
+
+// siteWorld starts a deployment with the machines of the site ghanta-sched: three entries and eleven
+// executors, of the kinds a, a, b in turn and three to a rack.
+func siteWorld(log *record, work workFunc) (*world, error) {
+	kinds := []string{"a", "a", "b"}
+	var agents []agentPlan
+	for i := range siteAgents {
+		agents = append(agents, agentPlan{labels: []string{kinds[i%len(kinds)], fmt.Sprintf("r1-%d", 1+i/rackSize)}, work: work})
+	}
+	return newWorld(log, siteEntries, agents)
+}
+
+// inLastRack returns the agents whose executors are in the last rack.
+func (w *world) inLastRack() []*machine { return w.agents[3*rackSize:] }
+
+// inThirdRack returns the agents whose executors are in the rack before.
+func (w *world) inThirdRack() []*machine { return w.agents[2*rackSize : 3*rackSize] }
+
 // newWorld starts a store, agents with executors, and entries, and waits until all entries are
 // ready and every executor's agent is open.
 func newWorld(log *record, entries int, agents []agentPlan) (*world, error) {
@@ -95,7 +126,7 @@
 		return w, err
 	}
 	w.dir = dir
-	if err := w.chooseNetwork(1 + entries + len(agents)); err != nil {
+	if err := w.chooseNetwork(firstAgent + len(agents)); err != nil {
 		return w, err
 	}
 	if err := w.serveStore(); err != nil {
@@ -153,6 +184,9 @@
 // ip returns the address of a machine; 0 is the store's.
 func (w *world) ip(i int) string { return fmt.Sprintf("%s.%d", w.network, i+2) }
 
+// firstAgent is the number of the first agent's machine; the entries begin with 1.
+const firstAgent = 10
+
 func address(ip string, port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 
 // serveStore serves the project's stand-in of the platform's store.
