--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -37,6 +37,8 @@
 	"gone":    goneRack,
 	"unasked": unasked,
 	"route":   routeBroken,
+	"crasher": crasher,
+	"chaos":   chaos,
 }
 
 func main() {
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -53,6 +53,7 @@
 // The bounds that the checks use.
 const (
 	contactTime   = 3 * time.Second
+	visibleTime   = 3 * time.Second
 	cancelTime    = 3 * time.Second
 	stopTime      = 50 * time.Millisecond
 	finishTime    = 14 * time.Second
