review: case 1, TWICE once a job was cancelled

Cause: for a job that was cancelled or has failed, onForeign acknowledges each end that a gate reports, also that of a run which the owner had replaced. Change: review/1 cuts off the agent of a run that ends done; the owner runs the task again, the client cancels the job, the cut heals.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -32,6 +32,7 @@
 type scenario func(log *record, trouble bool) (broken string, err error)
 
 var scenarios = map[string]scenario{
+	"ended":   ended,
 	"twice":   twice,
 	"grey":    greyRack,
 	"gone":    goneRack,
--- a/review/harness/twice.go
+++ b/review/harness/twice.go
@@ -8,6 +8,76 @@
 	"rackspur/job"
 )
 
+// Times of the case ended.
+const (
+	// endedWork is how long the task takes, laterWork how long that of the job's second step.
+	endedWork = 900 * time.Millisecond
+	laterWork = 20 * time.Second
+	// cancelAfter is when the client cancels the job after the second step has started, and
+	// endedHeal when the cut is healed after that.
+	cancelAfter = 300 * time.Millisecond
+	endedHeal   = 200 * time.Millisecond
+)
+
+// ended: an agent is cut off while a run of a task is at work at its executor, which ends done. The
+// owner starts the task again elsewhere, where it ends done too. The client cancels the job, and the
+// cut heals. Rule TWICE: no start after a run has ended done, if that end is taken note of then or
+// later.
+func ended(log *record, trouble bool) (string, error) {
+	work := func(n job.RunName) (time.Duration, gate.EndKind) {
+		if n.Step == 1 {
+			return laterWork, gate.EndDone
+		}
+		return endedWork, gate.EndDone
+	}
+	w, err := siteWorld(log, work)
+	defer w.close()
+	if err != nil {
+		return "", err
+	}
+	owner, other := w.entries[0], w.entries[1]
+	id := newID(9)
+	later := stepOf(1, laterWork, "")
+	later["afterRev"] = []int{0}
+	if err := owner.submit(id, jobWith(stepOf(1, endedWork, ""), later)); err != nil {
+		return "", err
+	}
+	if !within(3*time.Second, func() bool { return len(w.runsOf(id)) == 1 }) {
+		return "", fmt.Errorf("the task did not start")
+	}
+	first := w.machine(w.runsOf(id)[0].node)
+	if trouble {
+		time.Sleep(cutAfter)
+		log.add("fault", "%s is cut off from the entries", first.node)
+		first.proxy.setCut(true)
+	}
+	if !within(8*time.Second, func() bool { return w.startedStep(id, 1) }) {
+		return "", fmt.Errorf("the second step did not start")
+	}
+	time.Sleep(cancelAfter)
+	if status, _ := other.ask("DELETE", id, nil); status/100 != 2 {
+		return "", fmt.Errorf("the cancelling was answered %d", status)
+	}
+	time.Sleep(endedHeal)
+	if trouble {
+		log.add("fault", "%s is not cut off any more", first.node)
+		first.proxy.setCut(false)
+	}
+	// The ends are acknowledged.
+	time.Sleep(3 * time.Second)
+	return twiceBroken(log, w.runsOf(id)), nil
+}
+
+// startedStep reports whether a task of a step of a job has started.
+func (w *world) startedStep(id string, step int) bool {
+	for _, r := range w.runsOf(id) {
+		if r.Name.Step == step {
+			return true
+		}
+	}
+	return false
+}
+
 // Times of the case twice.
 const (
 	twiceWork = 900 * time.Millisecond
