--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -6,4 +6,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/rackspur ] || { echo "target/rackspur is missing: run the build of deploy/system.toml" >&2; exit 2; }
 [ -x target/review/harness ] || bash review/build.sh || exit 2
-exec target/review/harness twice review/1
+exec target/review/harness twice review/2
