--- a/review/harness/chaos.go
+++ b/review/harness/chaos.go
@@ -208,7 +208,7 @@
 	for time.Now().Before(end) {
 		time.Sleep(between(200, 1500))
 		entry, agent := w.entries[random.IntN(len(w.entries))], w.agents[random.IntN(len(w.agents))]
-		switch random.IntN(15) {
+		switch random.IntN(17) {
 		case 0, 1:
 			w.chaosKill(entry, between(100, 3000))
 		case 2:
@@ -275,6 +275,13 @@
 				all.Go(func() { w.chaosKill(m, down) })
 			}
 			all.Wait()
+		case 15, 16:
+			odds := 1 + random.IntN(3)
+			w.log.add("fault", "the store carries out one write in %d late and unanswered", odds)
+			w.lateOdds.Store(int64(odds))
+			time.Sleep(between(300, 4500))
+			w.lateOdds.Store(0)
+			w.log.add("fault", "the store is in time")
 		case 14:
 			if !agent.busy.TryLock() {
 				continue
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rackspur/internal/standin"
@@ -72,6 +73,8 @@
 	// out, before it is answered.
 	applied   func(body []byte)
 	appliedMu sync.Mutex
+	// lateOdds: one transaction in so many is not answered and carried out late; 0 means none.
+	lateOdds  atomic.Int64
 	storeAddr string
 	entries   []*machine
 	agents    []*machine
@@ -207,6 +210,11 @@
 		if err != nil {
 			return
 		}
+		if odds := w.lateOdds.Load(); odds > 0 && rand.Int64N(odds) == 0 {
+			w.carryOutLate(rows, body)
+			<-req.Context().Done()
+			return
+		}
 		req.Body = io.NopCloser(bytes.NewReader(body))
 		answer := &heldAnswer{header: http.Header{}}
 		rows.ServeHTTP(answer, req)
@@ -222,6 +230,18 @@
 	return nil
 }
 
+// carryOutLate carries out a transaction 1 to 6 s later, if its conditions still hold.
+func (w *world) carryOutLate(rows http.Handler, body []byte) {
+	time.AfterFunc(time.Second+time.Duration(rand.Int64N(int64(5*time.Second))), func() {
+		// The stand-in aborts the connection of a call whose answer is lost.
+		defer func() { _ = recover() }()
+		req, err := http.NewRequestWithContext(w.ctx, http.MethodPost, "/v1/rows-tx", bytes.NewReader(body))
+		if err == nil {
+			rows.ServeHTTP(&heldAnswer{header: http.Header{}}, req)
+		}
+	})
+}
+
 func (w *world) onApplied(body []byte) {
 	w.appliedMu.Lock()
 	do := w.applied
