--- a/review/harness/further.go
+++ b/review/harness/further.go
@@ -1,7 +1,12 @@
 package main
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
 	"rackspur/gate"
@@ -70,3 +75,139 @@
 		t.restart(t.current().labels)
 	}
 }
+
+// Times of the case returns.
+const (
+	returnsWork     = 6 * time.Second
+	returnsDeadline = 9 * time.Second
+	// leavesAfter is when the caller's connection breaks.
+	leavesAfter = 300 * time.Millisecond
+	// restartBefore is how long before the caller's return the entry is killed, and
+	// restartDown how long that is down.
+	restartBefore = 120 * time.Millisecond
+	restartDown   = 20 * time.Millisecond
+)
+
+// returns: the connection of a best-effort job's caller breaks on the caller's side only. It submits the
+// job again at the entry that had it, which has just been restarted. Rule TWICE: no two runs of a
+// task at the same time. This is what issue 60 has left open.
+func returns(log *record, trouble bool) (string, error) {
+	work := func(job.RunName) (time.Duration, gate.EndKind) { return returnsWork, gate.EndDone }
+	w, err := siteWorld(log, work)
+	defer w.close()
+	if err != nil {
+		return "", err
+	}
+	balancer, err := newProxy(w, address(w.entries[0].ip, proxyPort), address(w.entries[0].ip, frontPort))
+	if err != nil {
+		return "", err
+	}
+	id := newID(10)
+	body := append([]byte(`{"bestEffort":true,`), jobOf(1, returnsWork, "")[1:]...)
+	var callers sync.WaitGroup
+	callers.Go(func() { w.entries[0].askAt(balancer.listens, returnsDeadline, http.MethodPost, id, body) })
+	time.Sleep(leavesAfter)
+	if trouble {
+		log.add("fault", "the caller's connection is reset on its side; the entry's side stays open")
+		balancer.resetClients()
+		time.Sleep(retransmit - restartBefore)
+		w.entries[0].kill()
+		time.Sleep(restartDown)
+		if err := w.entries[0].restart(); err != nil {
+			return "", err
+		}
+		time.Sleep(restartBefore - restartDown)
+		for range 5 {
+			if status := w.entries[0].askAt(address(w.entries[0].ip, frontPort), returnsDeadline, http.MethodPost, id, body); status/100 == 2 {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	callers.Wait()
+	return twiceBroken(log, w.runsOf(id)), nil
+}
+
+// askAt sends a request with a deadline to an address of the entry and returns the status.
+func (m *machine) askAt(at string, patience time.Duration, method, path string, body []byte) int {
+	req, err := http.NewRequest(method, "http://"+at+prefix+path, bytes.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	req.Host = host
+	req.Header.Set("Rackspur-Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	m.world.log.add("sent", "%s %s to %s", method, path, m.node)
+	c := &http.Client{Timeout: patience, Transport: &http.Transport{DisableKeepAlives: true}}
+	res, err := c.Do(req)
+	if err != nil {
+		m.world.log.add("answer", "%s %s by %s: none", method, path, m.node)
+		return 0
+	}
+	_ = res.Body.Close()
+	m.world.log.add("answer", "%s %s by %s: %d", method, path, m.node, res.StatusCode)
+	return res.StatusCode
+}
+
+// Times and sizes of the case pending.
+const (
+	pendingJobs = 30
+	powerDown   = time.Second
+)
+
+// pending: kept jobs wait for a rack that is lost, and all processes are killed at once. Rule MIXED: a
+// machine in touch reports at least half of the jobs that wait as pending.
+func pending(log *record, trouble bool) (string, error) {
+	work := func(job.RunName) (time.Duration, gate.EndKind) { return greyWork, gate.EndDone }
+	w, err := siteWorld(log, work)
+	defer w.close()
+	if err != nil {
+		return "", err
+	}
+	crash(w.inLastRack())
+	time.Sleep(contactTime)
+	for i := range pendingJobs {
+		if err := w.entries[i%len(w.entries)].submit(newID(200+i), jobOf(1, greyWork, lastRack)); err != nil {
+			return "", err
+		}
+	}
+	if trouble {
+		var all sync.WaitGroup
+		for _, m := range append(append([]*machine(nil), w.entries...), w.agents...) {
+			all.Go(func() {
+				m.kill()
+				time.Sleep(powerDown)
+				_ = m.restart()
+			})
+		}
+		all.Wait()
+	}
+	// visible_ms + 2 s after the acceptance, and contactMs after the disruption.
+	time.Sleep(visibleTime + 2*time.Second + contactTime)
+	broken := ""
+	for _, m := range w.entries {
+		n, ok := m.pendingCount()
+		log.add("check", "%s reports %d of %d as pending, answered %v", m.node, n, pendingJobs, ok)
+		if !ok || 2*n < pendingJobs {
+			broken = fmt.Sprintf("MIXED: %s reports %d of %d as pending", m.node, n, pendingJobs)
+		}
+	}
+	return broken, nil
+}
+
+// pendingCount asks for the queue's count.
+func (m *machine) pendingCount() (n int, ok bool) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address(m.ip, frontPort)+prefix, nil)
+	if err != nil {
+		return 0, false
+	}
+	req.Host = host
+	res, err := client.Do(req)
+	if err != nil {
+		return 0, false
+	}
+	defer res.Body.Close()
+	var answer struct {
+		Pending int `json:"pending"`
+	}
+	return answer.Pending, json.NewDecoder(res.Body).Decode(&answer) == nil
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -39,6 +39,8 @@
 	"unasked": unasked,
 	"route":   routeBroken,
 	"crasher": crasher,
+	"returns": returns,
+	"pending": pending,
 	"chaos":   chaos,
 }
 
--- a/review/harness/proxy.go
+++ b/review/harness/proxy.go
@@ -10,13 +10,17 @@
 
 // proxy passes connections on to a process. It can cut them off, or delay what clients send.
 type proxy struct {
-	to string
+	listens, to string
 
 	mu sync.Mutex
 	// cut: what arrives is held back and new connections hang.
 	cut   bool
 	delay time.Duration
 	open  map[net.Conn]bool
+	// clients are those of the open connections that clients have opened.
+	clients map[net.Conn]bool
+	// reset are the clients' connections that resetClients has closed.
+	reset map[net.Conn]bool
 }
 
 func newProxy(w *world, listen, to string) (*proxy, error) {
@@ -24,7 +28,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{to: to, open: map[net.Conn]bool{}}
+	p := &proxy{listens: listen, to: to, clients: map[net.Conn]bool{}, reset: map[net.Conn]bool{}, open: map[net.Conn]bool{}}
 	context.AfterFunc(w.ctx, func() { _ = l.Close() })
 	go func() {
 		for {
@@ -74,8 +78,26 @@
 	}
 }
 
+// resetClients resets the open connections on the clients' side; the other side stays open, and
+// silent.
+func (p *proxy) resetClients() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.clients {
+		p.reset[c] = true
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
 func (p *proxy) serve(client net.Conn) {
 	defer client.Close()
+	p.mu.Lock()
+	p.clients[client] = true
+	p.mu.Unlock()
+	defer p.forget(client)
 	p.track(client, true)
 	defer p.track(client, false)
 	if cut, _ := p.state(); cut {
@@ -99,6 +121,25 @@
 		done <- struct{}{}
 	}()
 	<-done
+	if p.wasReset(client) {
+		// The server isn't told for longer than any case takes.
+		time.Sleep(longest)
+	}
+}
+
+// wasReset reports whether resetClients has closed a client's connection.
+func (p *proxy) wasReset(client net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reset[client]
+}
+
+// forget drops what is known of a client's connection.
+func (p *proxy) forget(client net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.clients, client)
+	delete(p.reset, client)
 }
 
 // segment is what was read at once, and when it is due at the other side.
