--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -220,6 +220,7 @@
 // adoptRun continues a reported run. Its number is below this owner's range, so
 // later runs have higher numbers.
 func (o *Owner) adoptRun(now Time, v *gateView, t *task, s gate.RunState) {
+	o.log.Info("Adopted a run.", "job", s.Name.Job, "task", t.index, "run", s.Name.Run, "gate", v.name, "end", s.End)
 	if t.phase == taskBlocked {
 		t.run = s.Name.Run
 		t.gate = v.name
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -51,8 +51,10 @@
 		}
 	case s.End != 0 && (e.state != job.StateCompleted || e.runs[s.Name.TaskName] == s.Name.Run):
 		v.addVerdict(s.Name, gate.VerdictAcknowledge)
+		o.logAnswered(v, s.Name, e.state, gate.VerdictAcknowledge)
 	default:
 		v.addVerdict(s.Name, gate.VerdictDiscard)
+		o.logAnswered(v, s.Name, e.state, gate.VerdictDiscard)
 	}
 }
 
@@ -200,6 +202,7 @@
 		o.unplace(t)
 	case gate.EndLost:
 		o.stats.Lost++
+		o.logGivenUp(v, t, "lost")
 	default:
 		v.addVerdict(s.Name, gate.VerdictAcknowledge)
 	}
--- a/owner/foreign.go
+++ b/owner/foreign.go
@@ -57,11 +57,14 @@
 		if v == nil {
 			continue
 		}
+		kind := gate.VerdictDiscard
 		if f == nil || f.State != job.StateCompleted || f.Done[taskNumber(f.Steps, e.name.TaskName)] == e.name.Run {
-			v.addVerdict(e.name, gate.VerdictAcknowledge)
-			continue
+			kind = gate.VerdictAcknowledge
+		}
+		v.addVerdict(e.name, kind)
+		if f != nil {
+			o.logAnswered(v, e.name, f.State, kind)
 		}
-		v.addVerdict(e.name, gate.VerdictDiscard)
 	}
 }
 
--- a/owner/view.go
+++ b/owner/view.go
@@ -241,6 +241,7 @@
 		for _, t := range j.tasks {
 			placed := t.phase == taskPlaced || t.phase == taskRunning
 			if placed && t.gate == v.name && !remains(t.runName()) {
+				o.logGivenUp(v, t, "not in the gate's inventory")
 				o.requeue(now, t)
 			}
 		}
@@ -266,6 +267,7 @@
 			for _, t := range j.tasks {
 				if t.gate == v.name && (t.phase == taskPlaced || t.phase == taskRunning) {
 					o.stats.PresumedOver++
+					o.logGivenUp(v, t, "gate silent")
 					o.requeue(now, t)
 				}
 			}
