owner: discard ends of replaced runs of jobs that were cancelled or have failed

Cause: once a job had ended, only that state was left of what its owner knew of replaced runs. For a completed job the run of each done task decided, for a cancelled or failed one every end was acknowledged. So did whoever read the final record (AnswerUnknown).

Change: a run that is given up before its end is known is recorded (job.Ends.GivenUp), which is a part of the record, the final record and what an owner remembers of an ended job. One method, Ends.Counts, decides for all of them. A job's new owner gives up the runs of former owners that no gate has reported when it starts their tasks. Failures that were counted are acknowledged in every state; before, those of completed jobs were discarded, which cost the target its lease.

Tests of owner and job pass.

--- a/job/job.go
+++ b/job/job.go
@@ -5,7 +5,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -184,10 +183,7 @@
 	// AcceptedMS is the wall-clock time of acceptance in milliseconds since 1970. It is
 	// informational only.
 	AcceptedMS int64 `json:"accepted_ms"`
-	// Done maps each done task, numbered over all steps, to the run that completed it.
-	Done map[int]int `json:"done,omitempty"`
-	// Failed maps tasks to their failed runs.
-	Failed map[int][]int `json:"failed,omitempty"`
+	Ends
 }
 
 // runsPerGeneration is the size of the range of run numbers for each owner of a job.
@@ -240,38 +236,12 @@
 			return eris.Wrapf(ErrRecord, "a run of task %d of %d has failed", task, tasks)
 		}
 	}
-	return nil
-}
-
-// HasEnds reports whether the record holds the end of any run.
-func (r *Record) HasEnds() bool {
-	return len(r.Done) > 0 || len(r.Failed) > 0
-}
-
-// IsDone reports whether a task is done.
-func (r *Record) IsDone(task int) bool {
-	_, ok := r.Done[task]
-	return ok
-}
-
-// SetDone records the run that completed a task.
-func (r *Record) SetDone(task, run int) {
-	if r.Done == nil {
-		r.Done = map[int]int{}
-	}
-	r.Done[task] = run
-}
-
-// AddFailure records a failed run of a task. It does nothing if the run is recorded
-// already.
-func (r *Record) AddFailure(task, run int) {
-	if slices.Contains(r.Failed[task], run) {
-		return
-	}
-	if r.Failed == nil {
-		r.Failed = map[int][]int{}
+	for task, run := range r.GivenUp {
+		if task < 0 || task >= tasks || run < 1 {
+			return eris.Wrapf(ErrRecord, "run %d of task %d of %d was given up", run, task, tasks)
+		}
 	}
-	r.Failed[task] = append(r.Failed[task], run)
+	return nil
 }
 
 // Final is what the store keeps of a job that has ended.
@@ -280,8 +250,8 @@
 	State State  `json:"state"`
 	// EndedMS is the wall-clock time of the end in milliseconds since 1970.
 	EndedMS int64 `json:"ended_ms"`
-	// Done is copied from the record.
-	Done map[int]int `json:"done,omitempty"`
+	// Ends are copied from the record.
+	Ends
 	// Steps are the numbers of tasks of the steps.
 	Steps []int `json:"steps,omitempty"`
 	// Owner and Sequence ensure that no two values are equal.
@@ -310,6 +280,15 @@
 	return f, nil
 }
 
+// TaskNumber returns the number of a task counted over all steps.
+func (f *Final) TaskNumber(name TaskName) int {
+	n := name.Index
+	for s := 0; s < name.Step && s < len(f.Steps); s++ {
+		n += f.Steps[s]
+	}
+	return n
+}
+
 // Expired reports whether a final record may be removed.
 func (f *Final) Expired(now time.Time, keep time.Duration) bool {
 	return now.UnixMilli()-f.EndedMS > keep.Milliseconds()
--- a/job/record_test.go
+++ b/job/record_test.go
@@ -34,19 +34,25 @@
 	r := Record{Submission: Submission{ID: "5c0e7a21d94b36f8", Queue: Queue{Name: "q", Service: "a", Attempts: 2, Stretch: 1.6}, Steps: []Step{{Count: 3}}}, Owner: "entry-1~a"}
 	r.SetDone(0, 1)
 	r.AddFailure(2, 1)
+	r.GiveUp(1, 2)
 	f.Add(r.Encode())
 	f.Fuzz(func(t *testing.T, b []byte) {
 		r, err := DecodeRecord(b)
 		if err != nil {
 			return
 		}
+		for task := range r.GivenUp {
+			if task < 0 || task >= r.TaskCount() {
+				t.Errorf("a run of task %d of %d was given up", task, r.TaskCount())
+			}
+		}
 		for task := range r.Done {
 			if task < 0 || task >= r.TaskCount() {
 				t.Errorf("task %d of %d is done", task, r.TaskCount())
 			}
 		}
 		back, err := DecodeRecord(r.Encode())
-		if err != nil || !maps.Equal(back.Done, r.Done) || back.TaskCount() != r.TaskCount() || back.Owner != r.Owner {
+		if err != nil || !maps.Equal(back.Done, r.Done) || !maps.Equal(back.GivenUp, r.GivenUp) || back.TaskCount() != r.TaskCount() || back.Owner != r.Owner {
 			t.Errorf("%+v, read again %+v, %v", r, back, err)
 		}
 	})
@@ -63,6 +69,7 @@
 		"done":       func(r *Record) { r.SetDone(3, 1) },
 		"no run":     func(r *Record) { r.SetDone(1, 0) },
 		"failed":     func(r *Record) { r.AddFailure(-1, 1) },
+		"given up":   func(r *Record) { r.GiveUp(3, 1) },
 		"generation": func(r *Record) { r.Generation = -1 },
 	} {
 		bad := r
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -44,20 +44,30 @@
 		v.stop(s.Name)
 	case dropped || (e != nil && e.bestEffort && s.End != 0):
 		v.addVerdict(s.Name, gate.VerdictAcknowledge)
-	case e == nil || e.runs == nil:
+	case e == nil || e.final == nil:
 		v.addVerdict(s.Name, gate.VerdictUnknown)
 		if s.End != 0 {
 			o.noteForeign(v, s.Name)
 		}
-	case s.End != 0 && (e.state != job.StateCompleted || e.runs[s.Name.TaskName] == s.Name.Run):
-		v.addVerdict(s.Name, gate.VerdictAcknowledge)
-		o.logAnswered(v, s.Name, e.state, gate.VerdictAcknowledge)
+	case s.End != 0:
+		o.answerEnded(v, s.Name, e.final)
 	default:
 		v.addVerdict(s.Name, gate.VerdictDiscard)
-		o.logAnswered(v, s.Name, e.state, gate.VerdictDiscard)
 	}
 }
 
+// answerEnded sends the verdict on an end of a run whose job has ended.
+func (o *Owner) answerEnded(v *gateView, name job.RunName, f *job.Final) {
+	kind := gate.VerdictDiscard
+	if f.Counts(f.TaskNumber(name.TaskName), name.Run) {
+		kind = gate.VerdictAcknowledge
+	} else {
+		o.stats.Discarded++
+	}
+	v.addVerdict(name, kind)
+	o.logAnswered(v, name, f.State, kind)
+}
+
 // onSuperseded answers a gate's report on a run that is not the newest of its task.
 func (o *Owner) onSuperseded(v *gateView, t *task, s gate.RunState) {
 	switch {
@@ -203,6 +213,7 @@
 	case gate.EndLost:
 		o.stats.Lost++
 		o.logGivenUp(v, t, "lost")
+		t.unresolved = !t.job.record.BestEffort
 	default:
 		v.addVerdict(s.Name, gate.VerdictAcknowledge)
 	}
@@ -220,9 +231,10 @@
 	o.reorder(j, func() { j.placed = false })
 }
 
-// requeue queues a task again whose run is over or was never received.
+// requeue queues a task again whose run counts as over or was never received.
 func (o *Owner) requeue(now Time, t *task) {
 	t.job.mayHaveRun = true
+	t.unresolved = !t.job.record.BestEffort
 	o.enqueue(now, t)
 }
 
--- a/owner/foreign.go
+++ b/owner/foreign.go
@@ -57,22 +57,10 @@
 		if v == nil {
 			continue
 		}
-		kind := gate.VerdictDiscard
-		if f == nil || f.State != job.StateCompleted || f.Done[taskNumber(f.Steps, e.name.TaskName)] == e.name.Run {
-			kind = gate.VerdictAcknowledge
-		}
-		v.addVerdict(e.name, kind)
-		if f != nil {
-			o.logAnswered(v, e.name, f.State, kind)
+		if f == nil {
+			v.addVerdict(e.name, gate.VerdictAcknowledge)
+			continue
 		}
+		o.answerEnded(v, e.name, f)
 	}
 }
-
-// taskNumber returns the number of a task counted over all steps.
-func taskNumber(counts []int, name job.TaskName) int {
-	n := name.Index
-	for s := 0; s < name.Step && s < len(counts); s++ {
-		n += counts[s]
-	}
-	return n
-}
--- a/owner/live.go
+++ b/owner/live.go
@@ -53,6 +53,9 @@
 	order    uint64
 	// newest is the highest run number that gates reported while the job was adopted.
 	newest int
+	// unresolved is set while the ends of earlier runs of a durable job's task may be unknown: one
+	// was given up, or a former owner may have started some.
+	unresolved bool
 }
 
 type jobPhase int
@@ -147,8 +150,8 @@
 	queue      string
 	bestEffort bool
 	at         Time
-	// runs has the run that counted for each task that was done.
-	runs map[job.TaskName]int
+	// final says which runs count; nil once that is forgotten.
+	final *job.Final
 }
 
 func newLiveJob(r job.Record, now Time) *liveJob {
@@ -163,6 +166,7 @@
 		for i := range step.Count {
 			t := &task{job: j, index: index, step: step, position: -1, name: job.TaskName{Job: r.ID, Step: s, Index: i}}
 			t.run = job.FirstRun(r.Generation) - 1
+			t.unresolved = !r.BestEffort && r.Generation > 0
 			if r.IsDone(index) {
 				t.phase = taskDone
 			} else {
@@ -225,6 +229,11 @@
 	return true
 }
 
+// nextRun returns the number of the next run.
+func (t *task) nextRun() int {
+	return max(t.run+1, job.FirstRun(t.job.record.Generation))
+}
+
 func (t *task) runName() job.RunName {
 	return job.RunName{TaskName: t.name, Run: t.run}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -302,7 +302,7 @@
 	o.logSlow(now)
 	for id, e := range o.ended {
 		if now-e.at > rememberEnded {
-			e.runs = nil
+			e.final = nil
 		}
 		if e.bestEffort && now-e.at > rememberEnded {
 			delete(o.ended, id)
--- a/owner/place.go
+++ b/owner/place.go
@@ -179,7 +179,8 @@
 
 // sendStart places a task on a gate: it queues the order to start a run of it.
 func (o *Owner) sendStart(now Time, v *gateView, t *task) {
-	t.run = max(t.run+1, job.FirstRun(t.job.record.Generation))
+	t.run = t.nextRun()
+	t.unresolved = false
 	t.phase = taskPlaced
 	t.job.share.longestWait = max(t.job.share.longestWait, now-t.since)
 	if !t.job.placed {
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -190,6 +190,9 @@
 		t.phase = taskBlocked
 		return
 	}
+	if t.unresolved {
+		t.job.record.GiveUp(t.index, t.nextRun()-1)
+	}
 	t.phase = taskWaiting
 	t.gate = ""
 	t.since = now
--- a/owner/write.go
+++ b/owner/write.go
@@ -94,12 +94,7 @@
 	j.unwritten = nil
 	id := j.record.ID
 	live, finished := o.key(TableJobs, id), o.key(TableFinished, id)
-	final := job.Final{
-		Queue: j.record.Queue.Name, State: j.final, EndedMS: o.options.WallClock().UnixMilli(),
-		Done:  j.record.Done,
-		Steps: j.stepCounts(),
-		Owner: o.options.Incarnation, Sequence: j.record.Sequence + 1,
-	}
+	final := o.finalRecord(j)
 	o.writer.Add(o.part(id), &rowstore.Write{
 		Transaction: rowstore.Transaction{
 			Conditions: []rowstore.Condition{{Key: live, Version: j.version}, {Key: finished}},
@@ -110,6 +105,15 @@
 	})
 }
 
+func (o *Owner) finalRecord(j *liveJob) *job.Final {
+	return &job.Final{
+		Queue: j.record.Queue.Name, State: j.final, EndedMS: o.options.WallClock().UnixMilli(),
+		Ends:  j.record.Ends,
+		Steps: j.stepCounts(),
+		Owner: o.options.Incarnation, Sequence: j.record.Sequence + 1,
+	}
+}
+
 func (o *Owner) wroteFinal(j *liveJob, err error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -125,13 +129,7 @@
 // conclude completes a job whose end is durable, or a best-effort job.
 func (o *Owner) conclude(now Time, j *liveJob) {
 	o.countEnd(now, j)
-	e := &endedJob{state: j.final, queue: j.record.Queue.Name, at: now, bestEffort: j.record.BestEffort, runs: map[job.TaskName]int{}}
-	for _, t := range j.tasks {
-		if run, ok := j.record.Done[t.index]; ok {
-			e.runs[t.name] = run
-		}
-	}
-	o.ended[j.record.ID] = e
+	o.ended[j.record.ID] = &endedJob{state: j.final, queue: j.record.Queue.Name, at: now, bestEffort: j.record.BestEffort, final: o.finalRecord(j)}
 	delete(o.jobs, j.record.ID)
 	o.noteDurable(j.inWrite)
 	o.noteDurable(j.unwritten)
