owner: record which runs are given up before their tasks start again

Cause: that a run was replaced stood only in the memory of the job's owner. The owner that took over regarded the highest run number that gates reported as the newest one. If the newer run had left no trace, because its target or its gate was lost too, the replaced run's end counted. A run number can't tell a task's only run from a replaced one.

Change (owner/giveup.go): a task whose earlier run was given up before its end was known starts again only once the stored record says that the run doesn't count. An owner that takes over skips these runs. The same holds for runs of former owners that no gate has reported, so that it doesn't matter how many owners are lost one after the other. First starts, and starts after an end that the target has listed, wait for nothing; neither do best-effort jobs.

Tests of adoptions complete the write that starts now wait for; their bounds are as before. In TestSlowTakeOverWaitsForRunsHandedOver the silent gate's link is closed, since a task is placed once now, not twice, and the linked silent gate could be chosen.

--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -170,14 +170,14 @@
 	}
 }
 
-// resume continues a job that was adopted: of each task the newest run counts, all
-// others are discarded.
+// resume continues a job that was adopted: of each task the newest run counts unless a
+// former owner has given it up. All others are discarded.
 func (o *Owner) resume(now Time, j *liveJob) {
 	reported := j.reported
 	j.reported = nil
 	for _, f := range reported {
 		t := j.find(f.state.Name.TaskName)
-		if t.phase != taskDone && f.state.Name.Run > t.newest {
+		if t.phase != taskDone && f.state.Name.Run > max(t.newest, j.record.GivenUp[t.index]) {
 			t.newest = f.state.Name.Run
 		}
 	}
--- a/owner/adopt_test.go
+++ b/owner/adopt_test.go
@@ -25,6 +25,14 @@
 	return link
 }
 
+// writeRecords has the owner write the records that have changed and completes the writes.
+func (b *harness) writeRecords() {
+	b.owner.Tick()
+	for _, w := range b.writer.take() {
+		w.Done(rowstore.Outcome{Version: 8}, nil)
+	}
+}
+
 func durableRecord(tasks int) job.Record {
 	s := testSubmission("00000000000000cc", tasks)
 	s.BestEffort = false
@@ -44,6 +52,7 @@
 		{Name: runOf(1, 1), Running: true},
 		{Name: runOf(2, 1), Running: true},
 	})
+	b.writeRecords()
 	f := b.flush("gate-1", link)
 	if len(f.Starts) != 1 || f.Starts[0].Name != runOf(3, job.FirstRun(1)) {
 		t.Fatalf("starts %+v, want only task 3", f.Starts)
@@ -75,12 +84,14 @@
 	b := newHarness(t)
 	b.owner.AddGate("gate-2", "zone-b")
 	link := b.adoptJob(durableRecord(1), nil)
+	b.writeRecords()
 	if f := b.flush("gate-1", link); len(f.Starts) != 0 {
 		t.Fatal("started while a gate is silent")
 	}
 	b.now += b.owner.overAfter() + time.Millisecond
 	b.owner.Tick()
 	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: 10, Report: testReport()})
+	b.writeRecords()
 	if f := b.flush("gate-1", link); len(f.Starts) != 1 {
 		t.Errorf("%d starts after the lease is over, want 1", len(f.Starts))
 	}
@@ -158,6 +169,7 @@
 	record.Owner, record.Generation = "entry~1", 2
 	b.owner.Adopt([]string{lostIncarnation}, b.now, []Adopted{{Record: record, Version: 7}})
 	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: 10, Report: testReport(), Inventory: true, Adopted: []string{lostIncarnation}})
+	b.writeRecords()
 	if f := b.flush("gate-1", link); len(f.Starts) != 0 {
 		t.Errorf("started %+v before the gate has reported the first incarnation's runs", f.Starts)
 	}
@@ -177,6 +189,7 @@
 		if len(results) != 1 || results[0] != SubmitAccepted {
 			t.Errorf("%v: results %v, want SubmitAccepted once", outcome, results)
 		}
+		b.writeRecords()
 		if f := b.flush("gate-1", link); len(f.Starts) != 1 {
 			t.Errorf("%v: %d starts of the adopted job, want 1", outcome, len(f.Starts))
 		}
@@ -192,6 +205,7 @@
 	b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: 10, Report: testReport(), Inventory: true, Adopted: []string{lostIncarnation}})
 	second := b.connect("gate-2")
 	b.owner.OnFrame("gate-2", second, gate.Frame{Clock: b.now, Report: testReport(), Inventory: true, Adopted: []string{lostIncarnation}})
+	b.writeRecords()
 	starts := len(b.flush("gate-1", link).Starts) + len(b.flush("gate-2", second).Starts)
 	if starts != 1 {
 		t.Errorf("%d starts of the lost run's task, want 1", starts)
@@ -206,6 +220,7 @@
 	link := b.adoptJob(durableRecord(1), []gate.RunState{{Name: runOf(0, 1), Running: true}})
 	second := b.connect("gate-2")
 	b.owner.OnFrame("gate-2", second, gate.Frame{Clock: b.now, Report: testReport(), Inventory: true, Adopted: []string{lostIncarnation}})
+	b.writeRecords()
 	starts := len(b.flush("gate-1", link).Starts) + len(b.flush("gate-2", second).Starts)
 	if starts != 0 {
 		t.Errorf("%d starts in addition to the run that continues, want none", starts)
@@ -230,13 +245,15 @@
 	record := durableRecord(1)
 	record.Owner, record.Generation = "entry~1", 1
 	b.owner.Adopt([]string{lostIncarnation}, from, []Adopted{{Record: record, Version: 7}})
+	b.writeRecords()
 	if n := len(b.flush("gate-1", link).Starts) + len(b.flush("gate-2", second).Starts); n != 0 {
 		t.Fatalf("%d starts in addition to the run that was handed over, want none", n)
 	}
 	// Once that gate has been silent for as long, its runs are over too.
+	b.owner.LinkDown("gate-1", link)
 	b.now += b.owner.overAfter() + time.Millisecond
 	b.owner.OnFrame("gate-2", second, gate.Frame{Clock: b.now, Received: 11, Report: testReport(), Inventory: true, Adopted: []string{lostIncarnation}})
-	b.owner.Tick()
+	b.writeRecords()
 	if n := len(b.flush("gate-2", second).Starts); n != 1 {
 		t.Errorf("%d starts once the gate's runs are over, want 1", n)
 	}
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -213,7 +213,7 @@
 	case gate.EndLost:
 		o.stats.Lost++
 		o.logGivenUp(v, t, "lost")
-		t.unresolved = !t.job.record.BestEffort
+		t.unresolve()
 	default:
 		v.addVerdict(s.Name, gate.VerdictAcknowledge)
 	}
@@ -234,7 +234,7 @@
 // requeue queues a task again whose run counts as over or was never received.
 func (o *Owner) requeue(now Time, t *task) {
 	t.job.mayHaveRun = true
-	t.unresolved = !t.job.record.BestEffort
+	t.unresolve()
 	o.enqueue(now, t)
 }
 
--- /dev/null
+++ b/owner/giveup_test.go
@@ -0,0 +1,174 @@
+package owner
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"rackspur/gate"
+	"rackspur/job"
+	"rackspur/rowstore"
+)
+
+// storedRecord returns the record of the job in the store.
+func (r *replacedCase) storedRecord() (job.Record, uint64) {
+	r.t.Helper()
+	row, ok, err := rowstore.ReadOne(r.t.Context(), r.store, RowKey(TableJobs, r.job.ID, 1))
+	if err != nil || !ok {
+		r.t.Fatalf("no record: %v", err)
+	}
+	record, err := job.DecodeRecord(row.Value)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return *record, row.Version
+}
+
+// takenOver returns the case under the job's next owner, which has heard of nothing but the given
+// runs at gate-1.
+func (r *replacedCase) takenOver(states ...gate.RunState) *replacedCase {
+	r.t.Helper()
+	record, version := r.storedRecord()
+	next := &replacedCase{harness: newHarness(r.t), store: r.store, job: r.job, first: r.first, second: r.second, links: map[string]uint64{}}
+	next.now = r.now
+	next.links["gate-1"] = next.connect("gate-1")
+	next.links["gate-2"] = next.connect("gate-2")
+	next.owner.StartAdoption([]string{lostIncarnation})
+	record.Generation++
+	record.Sequence++
+	key := RowKey(TableJobs, r.job.ID, 1)
+	out, err := r.store.Transact(r.t.Context(), rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Key: key, Version: version}}, Puts: []rowstore.Put{{Key: key, Value: record.Encode()}},
+	})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	next.owner.Adopt([]string{lostIncarnation}, next.now, []Adopted{{Record: record, Version: out.Version}})
+	next.owner.OnFrame("gate-2", next.links["gate-2"], gate.Frame{Clock: next.now, Report: testReport(), Inventory: true, Adopted: []string{lostIncarnation}})
+	next.owner.OnFrame("gate-1", next.links["gate-1"], gate.Frame{Clock: next.now, Report: testReport(), Inventory: true, Adopted: []string{lostIncarnation}, States: states})
+	return next
+}
+
+// starts returns the runs that the owner starts now, at any gate.
+func (r *replacedCase) starts() (names []job.RunName) {
+	r.t.Helper()
+	r.owner.Tick()
+	r.write()
+	r.owner.Tick()
+	for name, link := range r.links {
+		for _, o := range r.flush(name, link).Starts {
+			names = append(names, o.Name)
+		}
+	}
+	return names
+}
+
+// The new owner of a job must discard the end of a run that its former owner had replaced, even if
+// the newer run has left no trace: the task was started after that end.
+func TestTakeOverDiscardsReplacedRun(t *testing.T) {
+	next := newReplacedCase(t).takenOver(gate.RunState{Name: runOf(0, 1), End: gate.EndDone})
+	if f := next.flush("gate-1", next.links["gate-1"]); !slices.Contains(f.Verdicts, gate.Verdict{Name: runOf(0, 1), Kind: gate.VerdictDiscard}) {
+		t.Errorf("verdicts %+v, want run 1 discarded", f.Verdicts)
+	}
+	if got := next.starts(); !slices.Equal(got, []job.RunName{runOf(0, job.FirstRun(1))}) {
+		t.Errorf("starts %v, want the task's next run", got)
+	}
+}
+
+// The end of a run that was never replaced still counts after a take-over.
+func TestTakeOverCountsRunNotReplaced(t *testing.T) {
+	r := newReplacedCase(t)
+	next := r.takenOver(gate.RunState{Name: r.second, End: gate.EndDone})
+	next.write()
+	if state, ok := next.owner.State(r.job.ID); !ok || state != job.StateCompleted {
+		t.Errorf("state %v, %v, want %v", state, ok, job.StateCompleted)
+	}
+	if got := next.given("gate-1", r.second); got != gate.VerdictAcknowledge {
+		t.Errorf("verdict %v, want %v", got, gate.VerdictAcknowledge)
+	}
+}
+
+// Two owners may be lost one after the other. A run of the first one that the second one has
+// replaced must not count under the third one.
+func TestSecondTakeOverDiscardsReplacedRun(t *testing.T) {
+	b := newHarness(t)
+	r := &replacedCase{harness: b, store: rowstore.NewMemory(), links: map[string]uint64{}, first: runOf(0, 1)}
+	r.job = durableRecord(1).Submission
+	r.links["gate-1"] = r.connect("gate-1")
+	r.owner.Submit(r.job, func(SubmitResult) {})
+	r.write()
+	if got := r.start("gate-1"); got != r.first {
+		t.Fatalf("started %v", got)
+	}
+	second := r.takenOver()
+	if got := second.starts(); !slices.Equal(got, []job.RunName{runOf(0, job.FirstRun(1))}) {
+		t.Fatalf("starts %v, want the task's next run", got)
+	}
+	third := second.takenOver(gate.RunState{Name: r.first, End: gate.EndDone})
+	if f := third.flush("gate-1", third.links["gate-1"]); !slices.Contains(f.Verdicts, gate.Verdict{Name: r.first, Kind: gate.VerdictDiscard}) {
+		t.Errorf("verdicts %+v, want run 1 discarded", f.Verdicts)
+	}
+}
+
+// A task must not start again before it is durable that its earlier run doesn't count: the owner
+// may be lost at any moment.
+func TestReplacementWaitsForRecord(t *testing.T) {
+	tests := map[string]func(r *replacedCase){
+		"gate silent": func(r *replacedCase) {
+			r.now += r.owner.overAfter() + time.Millisecond
+			r.report("gate-1")
+		},
+		"run lost": func(r *replacedCase) {
+			r.report("gate-2", gate.RunState{Name: r.second, End: gate.EndLost})
+		},
+		"run not in the inventory": func(r *replacedCase) {
+			r.report("gate-1")
+			r.owner.OnFrame("gate-2", r.links["gate-2"], gate.Frame{Clock: r.now, Received: 100, Report: testReport(), Inventory: true})
+		},
+	}
+	for name, lose := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newReplacedCase(t)
+			r.links["gate-1"] = r.connect("gate-1")
+			lose(r)
+			r.owner.Tick()
+			r.owner.Tick()
+			for gateName, link := range r.links {
+				if f := r.flush(gateName, link); len(f.Starts) != 0 {
+					t.Errorf("started %v before the record is written", f.Starts[0].Name)
+				}
+			}
+			r.write()
+			if record, _ := r.storedRecord(); record.Counts(0, r.second.Run) {
+				t.Errorf("run %d counts according to the record", r.second.Run)
+			}
+			if got := r.starts(); len(got) != 1 || got[0].Run <= r.second.Run {
+				t.Errorf("starts %v, want the task's next run", got)
+			}
+		})
+	}
+}
+
+// A run that was given up and not replaced goes on if its gate reports it again, and its end counts.
+func TestGivenUpRunThatIsBack(t *testing.T) {
+	r := newReplacedCase(t)
+	r.owner.LinkDown("gate-2", r.links["gate-2"])
+	r.now += r.owner.overAfter() + time.Millisecond
+	r.owner.Tick()
+	r.write()
+	r.links["gate-2"]++
+	r.owner.LinkUp("gate-2", r.links["gate-2"], nil)
+	r.owner.OnFrame("gate-2", r.links["gate-2"], gate.Frame{Clock: r.now, Report: testReport(), Inventory: true, States: []gate.RunState{{Name: r.second, Running: true}}})
+	if got := r.starts(); len(got) != 0 {
+		t.Errorf("starts %v beside the run that goes on", got)
+	}
+	r.report("gate-2", gate.RunState{Name: r.second, End: gate.EndDone})
+	r.write()
+	r.write()
+	if state, ok := r.owner.State(r.job.ID); !ok || state != job.StateCompleted {
+		t.Errorf("state %v, %v, want %v", state, ok, job.StateCompleted)
+	}
+	if got := r.given("gate-2", r.second); got != gate.VerdictAcknowledge {
+		t.Errorf("verdict %v, want %v", got, gate.VerdictAcknowledge)
+	}
+}
--- a/owner/live.go
+++ b/owner/live.go
@@ -117,6 +117,10 @@
 	// current write.
 	unwritten []endRef
 	inWrite   []endRef
+	// givenUpWritten is job.Ends.GivenUp of the stored record as far as this owner has written it,
+	// givenUpInWrite that of the current write.
+	givenUpWritten map[int]int
+	givenUpInWrite map[int]int
 	// final is the state in which the job is to end.
 	final   job.State
 	waiters []chan struct{}
--- a/owner/log.go
+++ b/owner/log.go
@@ -40,13 +40,6 @@
 		"tasks", len(j.tasks), "left", j.left, "on", j.gateNames(), "callers", len(j.callers), "overdueMS", (now - j.objective).Milliseconds())
 }
 
-// logGivenUp logs that the newest run of a task counts as over although its target has not
-// listed an end of it.
-func (o *Owner) logGivenUp(v *gateView, t *task, why string) {
-	o.log.Info("Run given up.", "job", t.name.Job, "task", t.index, "run", t.run, "gate", v.name, "why", why,
-		"heardMS", (o.options.Now() - v.heard).Milliseconds())
-}
-
 // logAnswered logs the verdict on an end of a run of a job that has ended.
 func (o *Owner) logAnswered(v *gateView, name job.RunName, state job.State, kind gate.VerdictKind) {
 	o.log.Info("Answered an end of an ended job.", "job", name.Job, "step", name.Step, "index", name.Index, "run", name.Run, "gate", v.name,
--- a/owner/place.go
+++ b/owner/place.go
@@ -35,7 +35,7 @@
 	misses := 0
 	for o.waiting.len() > 0 && len(usable) > 0 && misses < maxMisses {
 		t := o.waiting.pop()
-		if !t.job.record.BestEffort && !o.active(now) {
+		if !t.job.record.BestEffort && !o.active(now) || !t.mayReplace() {
 			unplaced = append(unplaced, t)
 			continue
 		}
--- a/owner/submit.go
+++ b/owner/submit.go
@@ -190,9 +190,7 @@
 		t.phase = taskBlocked
 		return
 	}
-	if t.unresolved {
-		t.job.record.GiveUp(t.index, t.nextRun()-1)
-	}
+	o.giveUpRuns(now, t)
 	t.phase = taskWaiting
 	t.gate = ""
 	t.since = now
--- a/owner/write.go
+++ b/owner/write.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"slices"
 
 	"rackspur/gate"
@@ -30,6 +31,7 @@
 	j.dirty = false
 	j.inWrite = j.unwritten
 	j.unwritten = nil
+	j.givenUpInWrite = maps.Clone(j.record.GivenUp)
 	j.record.Sequence++
 	key := o.key(TableJobs, j.record.ID)
 	o.writer.Add(o.part(j.record.ID), &rowstore.Write{
@@ -52,9 +54,12 @@
 	j.version = out.Version
 	o.noteDurable(j.inWrite)
 	j.inWrite = nil
+	j.givenUpWritten = j.givenUpInWrite
 	if j.phase == jobEnding {
 		o.writeFinal(j)
+		return
 	}
+	o.place(o.options.Now())
 }
 
 // lostJob removes a job whose row another incarnation has changed.
