node: a soak of kept jobs in virtual time; a fenced owner leaves no goroutine behind

The cases of the review passed all tests: no test had kept jobs beside cuts that outlast the time after which runs are given up, together with cancels, failures and lost owners, and the simulated site took no durable jobs over. TestKeptRandom does, with the real terms, leases and take-overs on a store in memory whose answers may be lost and late. It judges each end by the acknowledgement that the target has received and its lapses.

--- a/node/takeover.go
+++ b/node/takeover.go
@@ -136,24 +136,29 @@
 // changeOwner writes this incarnation as the owner into job records. It returns the
 // records that were written.
 func (t *term) changeOwner(part int, records []owner.Adopted) ([]owner.Adopted, bool) {
+	if len(records) == 0 {
+		return nil, true
+	}
 	var mu sync.Mutex
-	var wait sync.WaitGroup
 	var taken []owner.Adopted
+	left := len(records)
+	done := make(chan struct{})
 	for _, a := range records {
 		a.Record.Owner = t.box.Incarnation
 		a.Record.Generation++
 		a.Record.Sequence++
 		key := rowstore.Key{Table: owner.TableJobs, Part: owner.PartName(part), Name: string(a.Record.ID)}
-		wait.Add(1)
 		t.Add(part, &rowstore.Write{
 			Transaction: rowstore.Transaction{
 				Conditions: []rowstore.Condition{{Key: key, Version: a.Version}},
 				Puts:       []rowstore.Put{{Key: key, Value: a.Record.Encode()}},
 			},
 			Done: func(out rowstore.Outcome, err error) {
-				defer wait.Done()
 				mu.Lock()
 				defer mu.Unlock()
+				if left--; left == 0 {
+					defer close(done)
+				}
 				if err != nil {
 					t.log.Info("Job not taken over.", "job", a.Record.ID, "error", err.Error())
 					return
@@ -163,11 +168,6 @@
 			},
 		})
 	}
-	done := make(chan struct{})
-	go func() {
-		wait.Wait()
-		close(done)
-	}()
 	select {
 	case <-done:
 		return taken, true
--- a/node/virtual_test.go
+++ b/node/virtual_test.go
@@ -23,7 +23,8 @@
 // This file simulates a site in virtual time, in a bubble of testing/synctest: real
 // owners, gates and drivers with stand-in targets and in-memory links.
 //
-// Not simulated are gRPC, links through a peer, and the takeover of durable jobs. A frozen
+// Not simulated are gRPC and links through a peer. Durable jobs are taken over only on a site
+// with a store (siteOptions.store). A frozen
 // agent makes no calls and receives no frames, but its gate keeps ticking unless
 // agentBox.ticks is shut too, so after a freeze its stops and lapses are further ahead than
 // those of a real one.
@@ -71,6 +72,8 @@
 	boundCalls bool
 	// watcher, if set, observes the frames of links.
 	watcher frameWatcher
+	// store is siteOptions.store.
+	store *virtualStore
 	// trouble is the time of the first fault, which event times are relative to.
 	trouble time.Time
 }
@@ -98,6 +101,9 @@
 	// connection ends with that one; see package platform.
 	boundCalls bool
 	watcher    frameWatcher
+	// store holds the durable jobs, which entry boxes take over from lost ones; without one all
+	// writes succeed and nothing is taken over.
+	store *virtualStore
 }
 
 // inBubbleSite is inBubble with options.
@@ -110,7 +116,7 @@
 			// Let goroutines exit before the bubble ends.
 			wait.For(context.Background(), time.Second)
 		}()
-		s := &virtualSite{t: t, ctx: ctx, bounds: o.bounds, started: time.Now(), log: o.log, boundCalls: o.boundCalls, watcher: o.watcher}
+		s := &virtualSite{t: t, ctx: ctx, bounds: o.bounds, started: time.Now(), log: o.log, boundCalls: o.boundCalls, watcher: o.watcher, store: o.store}
 		if o.log.GetSink() == nil && os.Getenv(logVariable) != "" {
 			s.log = funcr.New(func(prefix, args string) {
 				t.Logf("%.3f %s %s", time.Since(s.trouble).Seconds(), prefix, args)
--- a/node/virtualentry_test.go
+++ b/node/virtualentry_test.go
@@ -16,9 +16,11 @@
 
 // entryBox is a simulated entry box with a real owner.
 type entryBox struct {
-	site        *virtualSite
-	name        string
-	owner       *owner.Owner
+	site  *virtualSite
+	name  string
+	owner *owner.Owner
+	// term is the incarnation of the owner; nil on a site without a store.
+	term        *term
 	incarnation string
 	index       int
 	count       int
@@ -86,13 +88,17 @@
 	o := b.site.bounds.options(b.name)
 	o.Policy = fixedOrder{first: b.index}
 	e := &Entry{started: time.Now(), log: b.site.log.WithName(b.incarnation), options: o}
-	b.owner = owner.New(e.ownerOptions(b.incarnation), instantWriter{})
+	if b.site.store != nil {
+		b.owner = b.startTerm(e)
+	} else {
+		b.owner = owner.New(e.ownerOptions(b.incarnation), instantWriter{})
+		go b.renew(e)
+	}
 	for i, a := range b.site.agents {
 		b.owner.AddGate(a.name, "zone-a")
 		go b.keepLink(a, b.paths[i])
 	}
 	go b.tick()
-	go b.renew(e)
 }
 
 // fixedOrder is a policy that places tasks at the target with the most free capacity, and
