owner: a job whose last attempt was used up while its task waits has failed

Seen (TestKeptRandom/2747, 3 of 10 plays): a task of a kept job started after three acknowledged failures of it, with three attempts.

Cause: the failure of a replaced run is counted unless the newest run would then have started after the last attempt. The newest run's own failure is left out for that, since it came after that start. If it has failed already the next start follows both, and nothing looked at the sum again: only a failure of the newest run ended the job. At a take-over the order of the reports decided.

Change: countFailure ends the job if the task waits and its attempts are used up.

Failed before: TestLateFailureWhileTaskWaits, TestTakeOverCountsFailuresBeforeStart (for one order of reports).

--- a/node/keptrandom_test.go
+++ b/node/keptrandom_test.go
@@ -36,6 +36,12 @@
 	keptContact       = 3 * time.Second
 )
 
+// keptRegression are seeds that have failed, with the cause.
+var keptRegression = []uint64{
+	2747, // a failure of a replaced run was counted while its task waited, which then started again
+	2860, // a goroutine of an ended owner waited for its writes for good
+}
+
 // TestKeptRandom runs durable jobs beside random faults in virtual time: agents are cut off for
 // longer than it takes to give up their runs, while jobs are cancelled, runs fail, targets crash and
 // owners are lost. It checks the rules on runs with the acknowledgements that targets have received:
@@ -48,7 +54,14 @@
 	}
 	total := &keptTotal{}
 	t.Cleanup(func() { total.report(t) })
+	var seeds []uint64
 	for seed := first; seed < first+count; seed++ {
+		seeds = append(seeds, seed)
+	}
+	if first == 1 {
+		seeds = append(seeds, keptRegression...)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			p := &keptPlay{seed: seed, random: rand.New(rand.NewPCG(seed, seed)), troubles: map[string][]trouble{}}
--- a/owner/ended_test.go
+++ b/owner/ended_test.go
@@ -65,6 +65,14 @@
 	r.owner.OnFrame(name, r.links[name], gate.Frame{Clock: r.now, Received: 100, Report: testReport(), States: states})
 }
 
+// reconnect links a gate again, which has the given runs.
+func (r *replacedCase) reconnect(name string, states ...gate.RunState) {
+	r.link++
+	r.links[name] = r.link
+	r.owner.LinkUp(name, r.link, nil)
+	r.owner.OnFrame(name, r.link, gate.Frame{Clock: r.now, Report: testReport(), Inventory: true, States: states})
+}
+
 // verdict returns the verdict on an end that gate-1 reports over a new link; 0 if there is none.
 func (r *replacedCase) verdict(run job.RunName, end gate.EndKind) gate.VerdictKind {
 	r.t.Helper()
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -96,11 +96,27 @@
 }
 
 // countFailure counts the failure of a run that was replaced: it has used up an
-// attempt.
+// attempt. If the task waits, that may have been the last one.
 func (o *Owner) countFailure(v *gateView, t *task, name job.RunName) {
+	now := o.options.Now()
 	t.job.record.AddFailure(t.index, name.Run)
 	o.recordEnd(v, t.job, name)
-	o.markDirty(o.options.Now(), t.job)
+	if t.phase == taskWaiting && t.isExhausted() {
+		o.fail(now, t)
+		return
+	}
+	o.markDirty(now, t.job)
+}
+
+// isExhausted reports whether the attempts at a task are used up.
+func (t *task) isExhausted() bool {
+	return len(t.job.record.Failed[t.index]) >= t.job.record.Queue.Attempts
+}
+
+// fail ends the job of a task whose attempts are used up.
+func (o *Owner) fail(now Time, t *task) {
+	t.phase = taskBlocked
+	o.finish(now, t.job, job.StateFailed)
 }
 
 // onCurrent processes the state of the newest run of a task.
@@ -194,9 +210,8 @@
 	j.record.AddFailure(t.index, s.Name.Run)
 	o.recordEnd(v, j, s.Name)
 	t.avoidGate(v.name)
-	if len(j.record.Failed[t.index]) >= j.record.Queue.Attempts {
-		t.phase = taskBlocked
-		o.finish(now, j, job.StateFailed)
+	if t.isExhausted() {
+		o.fail(now, t)
 		return
 	}
 	o.markDirty(now, j)
--- a/owner/giveup_test.go
+++ b/owner/giveup_test.go
@@ -156,9 +156,7 @@
 	r.now += r.owner.overAfter() + time.Millisecond
 	r.owner.Tick()
 	r.write()
-	r.links["gate-2"]++
-	r.owner.LinkUp("gate-2", r.links["gate-2"], nil)
-	r.owner.OnFrame("gate-2", r.links["gate-2"], gate.Frame{Clock: r.now, Report: testReport(), Inventory: true, States: []gate.RunState{{Name: r.second, Running: true}}})
+	r.reconnect("gate-2", gate.RunState{Name: r.second, Running: true})
 	if got := r.starts(); len(got) != 0 {
 		t.Errorf("starts %v beside the run that goes on", got)
 	}
@@ -172,3 +170,39 @@
 		t.Errorf("verdict %v, want %v", got, gate.VerdictAcknowledge)
 	}
 }
+
+// A failure of a replaced run that is reported while the task waits uses up an attempt. Once all are
+// used up the job has failed, and the task must not start again.
+func TestLateFailureWhileTaskWaits(t *testing.T) {
+	r := newReplacedCase(t)
+	r.report("gate-2", gate.RunState{Name: r.second, End: gate.EndFailed})
+	r.reconnect("gate-1", gate.RunState{Name: r.first, End: gate.EndFailed})
+	if got := r.starts(); len(got) != 0 {
+		t.Errorf("starts %v after %d failures", got, r.job.Queue.Attempts)
+	}
+	if state, ok := r.owner.State(r.job.ID); !ok || state != job.StateFailed {
+		t.Errorf("state %v, %v, want %v", state, ok, job.StateFailed)
+	}
+}
+
+// The owner that takes over must count failures of earlier runs before it starts a task, in
+// whatever order gates report them.
+func TestTakeOverCountsFailuresBeforeStart(t *testing.T) {
+	for _, runs := range [][]int{{1, 2}, {2, 1}} {
+		b := newHarness(t)
+		r := durableRecord(1)
+		r.Queue.Attempts = 2
+		r.GiveUp(0, 1)
+		var states []gate.RunState
+		for _, run := range runs {
+			states = append(states, gate.RunState{Name: runOf(0, run), End: gate.EndFailed})
+		}
+		second := b.connect("gate-2")
+		b.adoptJob(r, states)
+		b.owner.OnFrame("gate-2", second, gate.Frame{Clock: b.now, Report: testReport(), Inventory: true, Adopted: []string{lostIncarnation}})
+		b.writeRecords()
+		if f := b.flush("gate-2", second); len(f.Starts) != 0 {
+			t.Errorf("runs reported in the order %v: started %v after two failures", runs, f.Starts[0].Name)
+		}
+	}
+}
