owner: acknowledge the end of a done task's run each time that it is reported after a take-over

Cause: the owner that takes a job over knows from its record which run has completed a task, but numbered the task's newest run from its own range. The first report of the run was compared with the record, every later one, as after a link was lost with the verdict on it, with that number: the end that counts was discarded, so that the target's lease lapsed and the end never counted at its target.

Change: the newest run of a done task is the one that has completed it; the take-over then needs no comparison of its own (answerDone).

Failed before: TestTakeOverAcknowledgesDoneRunAgain.

--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -184,15 +184,14 @@
 	for _, f := range reported {
 		t := j.find(f.state.Name.TaskName)
 		v := o.gates[f.gate]
-		if run, done := j.record.Done[t.index]; done && t.newest == 0 {
-			o.answerDone(v, t, f.state, run)
-			continue
-		}
-		if f.state.Name.Run != t.newest {
+		switch run := f.state.Name.Run; {
+		case t.phase == taskDone && run == t.run:
+			o.onCurrent(now, v, t, f.state)
+		case run == t.newest:
+			o.adoptRun(now, v, t, f.state)
+		default:
 			o.onSuperseded(v, t, f.state)
-			continue
 		}
-		o.adoptRun(now, v, t, f.state)
 	}
 	if j.phase == jobAdopting {
 		j.phase = jobLive
@@ -207,16 +206,6 @@
 	}
 }
 
-// answerDone sends the verdict on a run of a task that is done according to the stored
-// record.
-func (o *Owner) answerDone(v *gateView, t *task, s gate.RunState, doneBy int) {
-	if s.Name.Run == doneBy && s.End != 0 {
-		v.addVerdict(s.Name, gate.VerdictAcknowledge)
-		return
-	}
-	o.onSuperseded(v, t, s)
-}
-
 // adoptRun continues a reported run. Its number is below this owner's range, so
 // later runs have higher numbers.
 func (o *Owner) adoptRun(now Time, v *gateView, t *task, s gate.RunState) {
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -23,13 +23,20 @@
 		j.reported = append(j.reported, reportedRun{gate: v.name, state: s})
 		return
 	}
-	if s.Name.Run != t.run || (t.gate != v.name && t.phase != taskWaiting) {
+	if !t.isCurrent(v, s.Name.Run) {
 		o.onSuperseded(v, t, s)
 		return
 	}
 	o.onCurrent(now, v, t, s)
 }
 
+// isCurrent reports whether a run that a gate has reported is the newest one of its task. The gate
+// is not known of runs that were given up, nor of those that the job's former owner has recorded as
+// done.
+func (t *task) isCurrent(v *gateView, run int) bool {
+	return run == t.run && (t.gate == v.name || t.phase == taskWaiting || t.phase == taskDone)
+}
+
 // onForeign answers a gate's report on a run whose job is not live here.
 func (o *Owner) onForeign(v *gateView, s gate.RunState) {
 	e := o.ended[s.Name.Job]
--- a/owner/giveup_test.go
+++ b/owner/giveup_test.go
@@ -206,3 +206,19 @@
 		}
 	}
 }
+
+// The end of a run that has completed its task still counts under the job's next owner, each time
+// that it is reported: a verdict is lost with its link.
+func TestTakeOverAcknowledgesDoneRunAgain(t *testing.T) {
+	b := newHarness(t)
+	r := durableRecord(2)
+	r.SetDone(0, 1)
+	done := gate.RunState{Name: runOf(0, 1), End: gate.EndDone}
+	b.adoptJob(r, []gate.RunState{done, {Name: runOf(1, 1), Running: true}})
+	b.link++
+	b.owner.LinkUp("gate-1", b.link, nil)
+	b.owner.OnFrame("gate-1", b.link, gate.Frame{Clock: b.now, Report: testReport(), Inventory: true, States: []gate.RunState{done, {Name: runOf(1, 1), Running: true}}})
+	if f := b.flush("gate-1", b.link); !slices.Contains(f.Verdicts, gate.Verdict{Name: runOf(0, 1), Kind: gate.VerdictAcknowledge}) {
+		t.Errorf("verdicts %+v, want run 1 acknowledged", f.Verdicts)
+	}
+}
--- a/owner/live.go
+++ b/owner/live.go
@@ -173,6 +173,7 @@
 			t.unresolved = !r.BestEffort && r.Generation > 0
 			if r.IsDone(index) {
 				t.phase = taskDone
+				t.run = r.Done[index]
 			} else {
 				j.left++
 			}
