gate: count discarded ends and lapses

A discarded end costs its target the lease: it starts nothing for about a second, and what runs there ends. Nothing counted how often that happens, so the cost of discarding could not be weighed.

--- a/gate/event.go
+++ b/gate/event.go
@@ -88,6 +88,9 @@
 	RunsLeaving       int64
 	// SecondOwners counts the events of kind EventSecondOwner.
 	SecondOwners int64
+	// EndsDiscarded counts the ends that must not count, Lapses how often the lease was let expire
+	// for them.
+	EndsDiscarded, Lapses int64
 }
 
 // Counts returns the counters.
--- a/gate/hold.go
+++ b/gate/hold.go
@@ -223,6 +223,17 @@
 	}
 }
 
+// lapse lets the target's lease expire, so that the listed end of a run does not count. Nothing
+// starts until then, and the active runs end with the lease.
+func (g *Gate) lapse(r *run) {
+	r.discarded = true
+	g.counts.EndsDiscarded++
+	if !g.lapsing {
+		g.lapsing = true
+		g.counts.Lapses++
+	}
+}
+
 // finishLapse ends the lapse once the target's lease has certainly expired; discarded ends can
 // then be acknowledged.
 func (g *Gate) finishLapse(a Answer) {
--- a/gate/lists.go
+++ b/gate/lists.go
@@ -32,8 +32,7 @@
 			r.number = e.Number
 			g.listed[e.Number] = r
 			if r.acknowledged && (e.Kind == EndDone || e.Kind == EndFailed) {
-				r.discarded = true
-				g.lapsing = true
+				g.lapse(r)
 			}
 			continue
 		}
--- a/gate/orders.go
+++ b/gate/orders.go
@@ -263,8 +263,7 @@
 		g.requestStop(now, r, StopDiscarded)
 		r.discarded = true
 	case r.number != 0 && (r.end == EndDone || r.end == EndFailed):
-		r.discarded = true
-		g.lapsing = true
+		g.lapse(r)
 	default:
 		r.acknowledged = true
 		g.removeIfAcknowledged(r)
--- a/node/keptrandom_test.go
+++ b/node/keptrandom_test.go
@@ -501,6 +501,7 @@
 type keptTotal struct {
 	mu                                       sync.Mutex
 	runs, again, discarded, adopted, givenUp int64
+	endsDiscarded, lapses                    int64
 	states                                   map[job.State]int
 }
 
@@ -524,6 +525,11 @@
 		n.adopted += stats.Adopted
 		n.givenUp += stats.PresumedOver
 	}
+	for _, a := range p.agents {
+		counts := a.running().driver.Counts()
+		n.endsDiscarded += counts.EndsDiscarded
+		n.lapses += counts.Lapses
+	}
 	for _, j := range p.jobs {
 		n.states[p.finalState(j)]++
 	}
@@ -533,6 +539,7 @@
 // shows nothing then.
 func (n *keptTotal) report(t *testing.T) {
 	t.Logf("%d runs, %d of them again; %d given up, %d discarded, %d jobs taken over; jobs by state: %v", n.runs, n.again, n.givenUp, n.discarded, n.adopted, n.states)
+	t.Logf("by the agents' last processes: %d ends discarded, %d lapses", n.endsDiscarded, n.lapses)
 	if !t.Failed() && n.runs > 1000 && (n.givenUp == 0 || n.discarded == 0 || n.adopted == 0 || n.states[job.StateCancelled] == 0) {
 		t.Error("nothing was given up, discarded, taken over or cancelled: the test is inconclusive")
 	}
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -91,6 +91,8 @@
 	register("gate.target_restarts", func(c gate.Counts) int64 { return c.Restarts })
 	register("gate.runs_lost", func(c gate.Counts) int64 { return c.RunsLost })
 	register("gate.runs_leaving", func(c gate.Counts) int64 { return c.RunsLeaving })
+	register("gate.ends_discarded", func(c gate.Counts) int64 { return c.EndsDiscarded })
+	register("gate.lapses", func(c gate.Counts) int64 { return c.Lapses })
 	register("gate.second_owners", func(c gate.Counts) int64 { return c.SecondOwners })
 
 	// In thousandths; 0 while it is unknown.
