--- a/test/deployment_test.go
+++ b/test/deployment_test.go
@@ -118,6 +118,9 @@
 	if lasts, ok := longWork(n.Job); ok {
 		return lasts, gate.EndDone
 	}
+	if lasts, ok := keptWork(n); ok {
+		return lasts, keptEnd(n)
+	}
 	mix := uint64(n.Index)*2654435761 + uint64(n.Run)*40503 + uint64(n.Job[len(n.Job)-1])
 	if mix%30 == 7 {
 		return time.Duration(20+mix%100) * time.Millisecond, gate.EndFailed
--- a/test/soak_check_test.go
+++ b/test/soak_check_test.go
@@ -205,12 +205,30 @@
 			continue
 		}
 		r.checkNoOverlap(j, spans[:i], s)
-		before := spans[i-1]
-		if !j.bestEffort && before.End == gate.EndDone && before.Noted {
-			r.t.Errorf("%v started after a run whose end was noted: %+v and %+v", task, before, s)
+		if !j.bestEffort {
+			r.checkMayStart(j, spans[:i], s)
+		}
+	}
+}
+
+// checkMayStart checks that no end of an earlier run that was noted, then or later, rules out the
+// start of a run: an end that is done, or as many failures as there are attempts.
+func (r *soakRun) checkMayStart(j *soakJob, earlier []standin.Span, s standin.Span) {
+	failed := 0
+	for _, before := range earlier {
+		switch {
+		case !before.Noted:
+		case before.End == gate.EndDone:
+			r.t.Errorf("%v started after a run whose end was noted: %+v and %+v", s.Name.TaskName, before, s)
 			r.trace(j, before, s)
+		case before.End == gate.EndFailed:
+			failed++
 		}
 	}
+	if failed >= platformAttempts {
+		r.t.Errorf("%v started after %d failures that were noted: %+v", s.Name.TaskName, failed, s)
+		r.trace(j, earlier[len(earlier)-1], s)
+	}
 }
 
 // checkNoOverlap checks that no earlier run of the task overlaps a run.
--- a/test/soak_long_test.go
+++ b/test/soak_long_test.go
@@ -63,6 +63,8 @@
 	speedsPart
 	leavingPart
 	callersPart
+	keptPart
+	keptFaultsPart
 )
 
 // longPrefix starts the id of a job with long tasks; longDigits hexadecimal digits with
@@ -73,13 +75,19 @@
 )
 
 // longID returns the id of a job whose tasks take a time.
-func longID(number int, lasts time.Duration) string {
-	return fmt.Sprintf("%s%0*x%08x", longPrefix, longDigits, lasts.Milliseconds(), number)
+func longID(number int, lasts time.Duration) string { return timedID(longPrefix, number, lasts) }
+
+// timedID returns an id that holds the duration of the job's tasks.
+func timedID(prefix string, number int, lasts time.Duration) string {
+	return fmt.Sprintf("%s%0*x%08x", prefix, longDigits, lasts.Milliseconds(), number)
 }
 
 // longWork reads the duration of a job's tasks from its id.
-func longWork(id job.ID) (lasts time.Duration, ok bool) {
-	if len(id) <= longDigits || string(id[:1]) != longPrefix {
+func longWork(id job.ID) (lasts time.Duration, ok bool) { return timedWork(longPrefix, id) }
+
+// timedWork reads the duration of a job's tasks from an id with the prefix.
+func timedWork(prefix string, id job.ID) (lasts time.Duration, ok bool) {
+	if len(id) <= longDigits || string(id[:1]) != prefix {
 		return 0, false
 	}
 	ms, err := strconv.ParseInt(string(id[1:1+longDigits]), 16, 64)
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -119,6 +119,8 @@
 	bestEffort bool
 	// long marks a job whose tasks take seconds.
 	long bool
+	// kept is how long the tasks of a job of TestSoakKept take; 0 for other jobs.
+	kept time.Duration
 	// tries is the number of submissions, longest the duration of the longest.
 	tries   int
 	longest time.Duration
@@ -282,6 +284,9 @@
 	if j.long {
 		return r.submitLong(j, e)
 	}
+	if j.kept > 0 {
+		return r.submitKept(j, e)
+	}
 	return e.ask(http.MethodPost, j.id, platformJob(j.tasks, j.bestEffort))
 }
 
