owner: waiting tasks that no gate can take hide no others

Cause: a call of place gives up after eight tasks without a gate and begins with the same eight the next time. That bound is meant for load, where what a task at the head has not found those behind it won't find either. It doesn't hold for tasks that only some gates can take.

Change (owner/misses.go): tasks that require a label, or that no usable gate can hold, don't count. Of each kind of them one is tried in a call; 64 are passed over in a call, all of them in one call each 50 ms, so that thousands cost little. Other tasks are tried as before.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -130,6 +130,8 @@
 	// unanswered is the number of dropped jobs whose callers were still waiting at the
 	// last check, or have begun to wait since.
 	unanswered int
+	// lastFullSearch is when place last tried all waiting tasks; see misses.
+	lastFullSearch Time
 	// shortSince is when tasks began to wait for room; 0 while none waits.
 	shortSince Time
 	// evacuations is the newest state of the evacuated failure domains.
--- a/owner/place.go
+++ b/owner/place.go
@@ -32,19 +32,23 @@
 	median := medianSlowness(usable)
 	var c compared
 	var unplaced []*task
-	misses := 0
-	for o.waiting.len() > 0 && len(usable) > 0 && misses < maxMisses {
+	m := o.newMisses(now)
+	for o.waiting.len() > 0 && len(usable) > 0 && !m.enough() {
 		t := o.waiting.pop()
 		if !t.job.record.BestEffort && !o.active(now) || !t.mayReplace() {
 			unplaced = append(unplaced, t)
 			continue
 		}
+		if m.skip(t) {
+			unplaced = append(unplaced, t)
+			continue
+		}
 		s := c.of(o, usable, t.job.record.Queue.Service)
 		v, held := o.choose(now, usable, median, s, t)
 		if v == nil {
 			unplaced = append(unplaced, t)
 			if !held {
-				misses++
+				m.add(usable, t)
 			}
 			continue
 		}
@@ -56,9 +60,6 @@
 	}
 }
 
-// maxMisses bounds the tasks without a suitable gate that one call of place tries.
-const maxMisses = 8
-
 func (o *Owner) usableGates() []*gateView {
 	usable := make([]*gateView, 0, len(o.activeGates))
 	for _, v := range o.activeGates {
@@ -117,14 +118,16 @@
 
 // eligible reports whether a gate may take a task if it has room.
 func (o *Owner) eligible(v *gateView, t *task) bool {
+	return !t.avoid[v.name] && t.fits(v) && (t.step.Spread <= 0 || o.countOnGate(v, t) < t.step.Spread)
+}
+
+// fits reports whether a gate has what a task requires, whatever runs there now.
+func (t *task) fits(v *gateView) bool {
 	capacity := v.report.Capacity
-	if t.avoid[v.name] || v.report.Service != t.job.record.Queue.Service || capacity.CPU == 0 || !capacity.Fits(t.step.Need) {
-		return false
-	}
-	if t.step.Label != "" && !slices.Contains(v.report.Labels, t.step.Label) {
+	if v.report.Service != t.job.record.Queue.Service || capacity.CPU == 0 || !capacity.Fits(t.step.Need) {
 		return false
 	}
-	return t.step.Spread <= 0 || o.countOnGate(v, t) < t.step.Spread
+	return t.step.Label == "" || slices.Contains(v.report.Labels, t.step.Label)
 }
 
 // lacksRack reports whether a gate is outside the rack that a task prefers.
