owner: a task that avoids all gates that can hold it may use them again

Cause: what a task avoids was forgotten only once it avoided every usable gate. A gate that can't hold the task, for its label, service or size, kept that from happening for good.

Change: only gates that can hold the task count. What is avoided stays if none is usable.

Tests of owner pass.

--- a/owner/leaving.go
+++ b/owner/leaving.go
@@ -1,8 +1,6 @@
 package owner
 
 import (
-	"slices"
-
 	"rackspur/job"
 )
 
@@ -38,11 +36,7 @@
 // clearAvoided.
 func (o *Owner) hasOtherGate(v *gateView, t *task) bool {
 	for _, other := range o.usableGates() {
-		r := other.report
-		if other == v || r.Service != t.job.record.Queue.Service || !r.Capacity.Fits(t.step.Need) {
-			continue
-		}
-		if t.step.Label == "" || slices.Contains(r.Labels, t.step.Label) {
+		if other != v && t.fits(other) {
 			return true
 		}
 	}
--- a/owner/place.go
+++ b/owner/place.go
@@ -156,14 +156,21 @@
 	return n
 }
 
-// clearAvoided lets a task that avoids every usable gate go to any of them.
+// clearAvoided lets a task that avoids every usable gate that can hold it go to any of them.
 func (o *Owner) clearAvoided(usable []*gateView, t *task) {
+	found := false
 	for _, v := range usable {
+		if !t.fits(v) {
+			continue
+		}
 		if !t.avoid[v.name] {
 			return
 		}
+		found = true
+	}
+	if found {
+		t.avoid = nil
 	}
-	t.avoid = nil
 }
 
 func medianSlowness(usable []*gateView) float64 {
--- a/owner/place_test.go
+++ b/owner/place_test.go
@@ -72,3 +72,40 @@
 	})
 	b.writeRecords()
 }
+
+// A task whose run has failed on each gate that can hold it must start there again, whatever other
+// gates there are.
+func TestTaskThatAvoidsItsGatesStartsAgain(t *testing.T) {
+	tests := map[string]gate.Report{
+		"another rack":    {Service: testService, Labels: []string{"rack-2"}, Capacity: job.Resources{CPU: 16000, Memory: 32768}},
+		"another service": {Service: "render", Labels: []string{"rack-1"}, Capacity: job.Resources{CPU: 16000, Memory: 32768}},
+		"too small":       {Service: testService, Labels: []string{"rack-1"}, Capacity: job.Resources{CPU: 800, Memory: 32768}},
+	}
+	for name, other := range tests {
+		for _, bySpeed := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/by speed %v", name, bySpeed), func(t *testing.T) {
+				b := newHarness(t)
+				b.owner.options.Decisions.PlaceBySpeed = bySpeed
+				link, second := b.connect("gate-1"), b.connect("gate-2")
+				report := testReport()
+				report.Labels = []string{"rack-1"}
+				b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Report: report})
+				other.TargetID, other.Open, other.Free = "i-2", true, other.Capacity
+				b.owner.OnFrame("gate-2", second, gate.Frame{Clock: b.now, Report: other})
+				b.submitStep("00000000000000aa", job.Step{Label: "rack-1"})
+				first := b.flush("gate-1", link).Starts
+				if len(first) != 1 {
+					t.Fatalf("%d starts, want 1", len(first))
+				}
+				b.owner.OnFrame("gate-1", link, gate.Frame{Clock: b.now, Received: 100, Report: report, States: []gate.RunState{{Name: first[0].Name, End: gate.EndFailed}}})
+				for range 3 {
+					b.now += 10 * time.Millisecond
+					b.writeRecords()
+				}
+				if starts := b.flush("gate-1", link).Starts; len(starts) != 1 {
+					t.Errorf("%d starts after a failure on the only gate that can hold the task, want 1", len(starts))
+				}
+			})
+		}
+	}
+}
