owner: stop active runs of jobs that have ended under a lost owner

Runs of the job went on for good under the owner that took over.

The owner that takes over has no record of the job and answers 'unknown', which ends nothing, while its frames for other jobs prove to the gate that the runs' owner lives. Only ends of unknown jobs were looked up in the final records.

Change: active runs of unknown jobs are looked up as well, by owners that hold a lease; if the job has ended they are stopped. Gates are asked for their runs once more after a take-over that found no jobs, since a late final write may have come before it.

Tests of owner pass.

--- a/owner/adopt.go
+++ b/owner/adopt.go
@@ -62,10 +62,8 @@
 	now := o.options.Now()
 	o.pendingReads--
 	a := o.newAdoption(endedAt)
-	if len(jobs) > 0 {
-		o.addJobs(now, a, jobs)
-		o.requestAgain(incarnations)
-	}
+	o.addJobs(now, a, jobs)
+	o.requestAgain(incarnations)
 	o.checkAdoptions(now)
 	return a.settled
 }
@@ -99,7 +97,8 @@
 	}
 }
 
-// requestAgain asks the gates to report their runs again, now that the jobs are known.
+// requestAgain asks the gates to report their runs again, now that it is known which jobs have
+// not ended.
 func (o *Owner) requestAgain(incarnations []string) {
 	for _, v := range o.gates {
 		for _, incarnation := range incarnations {
--- a/owner/adopt_test.go
+++ b/owner/adopt_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -258,3 +259,38 @@
 		t.Errorf("%d starts once the gate's runs are over, want 1", n)
 	}
 }
+
+// A job may have ended under an owner that was lost before it stopped the job's runs. The owner that
+// takes over does not know the job, and must stop them: its frames keep them going.
+func TestTakeOverStopsRunsOfEndedJob(t *testing.T) {
+	tests := map[string]struct {
+		over  bool
+		final *job.Final
+		want  int
+	}{
+		"ended":           {true, &job.Final{State: job.StateCancelled, Steps: []int{1}}, 1},
+		"another owner's": {false, nil, 0},
+		"best effort":     {true, nil, 0},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			b := newHarness(t)
+			link := b.connect("gate-1")
+			b.owner.StartAdoption([]string{lostIncarnation})
+			inventory := gate.Frame{Clock: b.now, Received: 10, Report: testReport(), Inventory: true, Adopted: []string{lostIncarnation}, States: []gate.RunState{{Name: runOf(0, 1), Running: true}}}
+			b.owner.Adopt([]string{lostIncarnation}, b.now, nil)
+			if f := b.flush("gate-1", link); !slices.Contains(f.Adopt, lostIncarnation) {
+				t.Errorf("asked for the runs of %v, want those of %v again", f.Adopt, lostIncarnation)
+			}
+			b.owner.OnFrame("gate-1", link, inventory)
+			b.now += bestEffortContact
+			if got := b.owner.UnknownJobs(); !slices.Equal(got, []job.ID{"00000000000000cc"}) {
+				t.Fatalf("unknown jobs %v", got)
+			}
+			b.owner.AnswerUnknown("00000000000000cc", test.over, test.final)
+			if f := b.flush("gate-1", link); len(f.Stops) != test.want {
+				t.Errorf("stops %v, want %d", f.Stops, test.want)
+			}
+		})
+	}
+}
--- a/owner/ends.go
+++ b/owner/ends.go
@@ -53,9 +53,7 @@
 		v.addVerdict(s.Name, gate.VerdictAcknowledge)
 	case e == nil || e.final == nil:
 		v.addVerdict(s.Name, gate.VerdictUnknown)
-		if s.End != 0 {
-			o.noteForeign(v, s.Name)
-		}
+		o.noteForeign(v, s)
 	case s.End != 0:
 		o.answerEnded(v, s.Name, e.final)
 	default:
--- a/owner/foreign.go
+++ b/owner/foreign.go
@@ -5,25 +5,36 @@
 	"rackspur/job"
 )
 
-// foreignEnds are ends of runs of a job that this owner does not know.
-type foreignEnds struct {
+// foreignRuns are runs of a job that this owner does not know: those that have ended, and those
+// that are active.
+type foreignRuns struct {
 	// since is when the first of them was reported.
-	since Time
-	ends  []endRef
+	since        Time
+	ends, active []endRef
 }
 
-// noteForeign records an end of a run of a job that this owner does not know.
-func (o *Owner) noteForeign(v *gateView, name job.RunName) {
-	f := o.foreign[name.Job]
+// noteForeign records a run of a job that this owner does not know. Active runs matter only to
+// an owner of durable jobs: the job may have ended under an owner that was lost before it stopped
+// them.
+func (o *Owner) noteForeign(v *gateView, s gate.RunState) {
+	now := o.options.Now()
+	if s.End == 0 && !o.active(now) {
+		return
+	}
+	f := o.foreign[s.Name.Job]
 	if f == nil {
-		f = &foreignEnds{since: o.options.Now()}
-		o.foreign[name.Job] = f
+		f = &foreignRuns{since: now}
+		o.foreign[s.Name.Job] = f
+	}
+	if s.End == 0 {
+		f.active = append(f.active, endRef{gate: v.name, name: s.Name})
+		return
 	}
-	f.ends = append(f.ends, endRef{gate: v.name, name: name})
+	f.ends = append(f.ends, endRef{gate: v.name, name: s.Name})
 }
 
 // UnknownJobs returns the jobs that this owner does not know but gates have reported
-// ends of. Their final records decide on these ends; see AnswerUnknown. A best-effort job
+// runs of. Their final records decide on these; see AnswerUnknown. A best-effort job
 // has no record, so its owner first gets the time to link to a restarted gate again.
 func (o *Owner) UnknownJobs() []job.ID {
 	o.mu.Lock()
@@ -41,9 +52,10 @@
 	return ids
 }
 
-// AnswerUnknown sends the verdicts on the ends of a job that this owner does not know.
-// If the job has not ended, its ends are left to its owner. A job without a final
-// record was a best-effort job: its ends do not matter.
+// AnswerUnknown sends the verdicts on the ends of a job that this owner does not know, and
+// stops its active runs. If the job has not ended, its runs are left to its owner. A job
+// without a final record was a best-effort job: its ends do not matter, and its gates stop
+// its runs without their owner.
 func (o *Owner) AnswerUnknown(id job.ID, over bool, f *job.Final) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -63,4 +75,17 @@
 		}
 		o.answerEnded(v, e.name, f)
 	}
+	if f != nil {
+		o.stopForeign(foreign.active)
+	}
+}
+
+// stopForeign stops active runs of a job that has ended.
+func (o *Owner) stopForeign(active []endRef) {
+	for _, r := range active {
+		if v := o.gates[r.gate]; v != nil {
+			o.log.Info("Stopping a run of an ended job.", "job", r.name.Job, "step", r.name.Step, "index", r.name.Index, "run", r.name.Run, "gate", r.gate)
+			v.stop(r.name)
+		}
+	}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -117,8 +117,8 @@
 	// adoptions in progress.
 	adopted   []string
 	adoptions []*adoption
-	// foreign holds ends of runs of jobs that this owner does not know.
-	foreign map[job.ID]*foreignEnds
+	// foreign holds runs of jobs that this owner does not know.
+	foreign map[job.ID]*foreignRuns
 	// leaseResumed is when the lease was last renewed after it had expired.
 	leaseResumed Time
 	stats        Stats
@@ -193,7 +193,7 @@
 		ended:       map[job.ID]*endedJob{},
 		dropped:     map[job.ID]*droppedJob{},
 		gates:       map[string]*gateView{},
-		foreign:     map[job.ID]*foreignEnds{},
+		foreign:     map[job.ID]*foreignRuns{},
 		random:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		log:         o.Log,
 		shares:      newShares(o.Decisions),
