gate: reject orders that were sent before the target restarted

Cause: an owner chooses a gate by its report, but the order says nothing of it. A gate checked that its owner was in contact, not which incarnation of the target it had seen. The queue is given back at a restart; an order that arrives after it was taken as a new one.

Change: the frame with the order carries the newest time on the gate's clock that the owner knew, and the gate knows when it learned of the incarnation. An order of before that is rejected, so that its owner places the task again by the new report. No message changes.

--- a/gate/orders.go
+++ b/gate/orders.go
@@ -133,7 +133,7 @@
 		g.stopOrder(now, owner, name)
 	}
 	for _, order := range f.Starts {
-		g.accept(now, owner, order)
+		g.accept(now, owner, order, f.asOf(order))
 	}
 	before := g.seen
 	g.advanceSeen()
@@ -189,7 +189,17 @@
 	}
 }
 
-func (g *Gate) accept(now Time, owner string, o Order) {
+// asOf returns the time of the newest report that the owner can have known when it sent an order.
+func (f *OwnerFrame) asOf(o Order) Time {
+	if o.BestEffort {
+		return f.Echo
+	}
+	return f.DurableEcho
+}
+
+// accept queues or rejects an order; asOf is the time of the report that its owner chose this gate
+// by. If the target has restarted since, it may have another service or other labels.
+func (g *Gate) accept(now Time, owner string, o Order, asOf Time) {
 	if known := g.runs[o.Name]; known != nil && known.owner == owner && known.phase != phaseEnded {
 		return
 	}
@@ -209,6 +219,8 @@
 	switch {
 	case g.ownerSilent(now, r):
 		g.reject(r, "stale order")
+	case asOf < g.begun:
+		g.reject(r, "sent before the target's restart")
 	case !g.Open(now):
 		g.reject(r, "closed")
 	case g.health.suspect && (g.queue.first() != nil || !g.health.mayStart(now)):
