owner: number runs above those that were given up; say in misses what is counted

Runs are numbered above what the record gives up, and an adopted record counts as written.

TestTakeOverNumbersAboveGivenUpRuns failed before (no start). Progress writes place waiting tasks only where runs were given up.

--- a/owner/giveup_test.go
+++ b/owner/giveup_test.go
@@ -222,3 +222,18 @@
 		t.Errorf("verdicts %+v, want run 1 acknowledged", f.Verdicts)
 	}
 }
+
+// A former owner may have given up runs beyond its range of numbers. The next run needs a higher
+// number, or it would not count either.
+func TestTakeOverNumbersAboveGivenUpRuns(t *testing.T) {
+	b := newHarness(t)
+	r := durableRecord(1)
+	givenUp := job.FirstRun(1) + 499
+	r.GiveUp(0, givenUp)
+	link := b.adoptJob(r, nil)
+	b.writeRecords()
+	f := b.flush("gate-1", link)
+	if len(f.Starts) != 1 || f.Starts[0].Name.Run != givenUp+1 {
+		t.Errorf("starts %+v, want run %d", f.Starts, givenUp+1)
+	}
+}
--- a/owner/live.go
+++ b/owner/live.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"strconv"
 	"time"
 
@@ -117,8 +118,8 @@
 	// current write.
 	unwritten []endRef
 	inWrite   []endRef
-	// givenUpWritten is job.Ends.GivenUp of the stored record as far as this owner has written it,
-	// givenUpInWrite that of the current write.
+	// givenUpWritten is job.Ends.GivenUp of the stored record, givenUpInWrite that of the current
+	// write.
 	givenUpWritten map[int]int
 	givenUpInWrite map[int]int
 	// final is the state in which the job is to end.
@@ -159,7 +160,7 @@
 }
 
 func newLiveJob(r job.Record, now Time) *liveJob {
-	j := &liveJob{record: r, arrived: now}
+	j := &liveJob{record: r, arrived: now, givenUpWritten: maps.Clone(r.GivenUp)}
 	estimate := j.criticalPath()
 	objective := time.Duration(float64(estimate)*max(1, r.Queue.Stretch)) + time.Duration(r.Queue.TargetLatencyMS)*time.Millisecond
 	j.objective = now + objective
@@ -236,7 +237,8 @@
 
 // nextRun returns the number of the next run.
 func (t *task) nextRun() int {
-	return max(t.run+1, job.FirstRun(t.job.record.Generation))
+	r := &t.job.record
+	return max(t.run, r.GivenUp[t.index], job.FirstRun(r.Generation)-1) + 1
 }
 
 func (t *task) runName() job.RunName {
--- a/owner/misses.go
+++ b/owner/misses.go
@@ -24,8 +24,10 @@
 
 // misses are the tasks for which one call of place has found no gate.
 type misses struct {
-	now             Time
-	full            bool
+	now Time
+	// full says that all waiting tasks are tried in this call.
+	full bool
+	// counted are the tasks that count, see maxMisses, and passed the others.
 	counted, passed int
 	// kinds are the kinds of tasks that no gate has room for.
 	kinds map[taskKind]bool
--- a/owner/write.go
+++ b/owner/write.go
@@ -59,7 +59,9 @@
 		o.writeFinal(j)
 		return
 	}
-	o.place(o.options.Now())
+	if len(j.givenUpWritten) > 0 {
+		o.place(o.options.Now())
+	}
 }
 
 // lostJob removes a job whose row another incarnation has changed.
@@ -110,6 +112,7 @@
 	})
 }
 
+// finalRecord returns what is kept of a job that ends.
 func (o *Owner) finalRecord(j *liveJob) *job.Final {
 	return &job.Final{
 		Queue: j.record.Queue.Name, State: j.final, EndedMS: o.options.WallClock().UnixMilli(),
