owner: the end of a replaced run beside each report on the newer one

Cause: docs/PLATFORM.md says that it does not matter what became of the newer run; only the take-over without any report on it was tested. Change: TestTakeOverDiscardsReplacedRunBesideNewer, 8 states of the newer run in both orders of the reports.

--- a/owner/giveup_test.go
+++ b/owner/giveup_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -75,6 +76,49 @@
 	}
 }
 
+// Whatever gates report of the newer run, the end of the replaced one does not count under the new
+// owner. That the newer run was lost with its gate or its target is TestTakeOverDiscardsReplacedRun.
+func TestTakeOverDiscardsReplacedRunBesideNewer(t *testing.T) {
+	tests := map[string]struct {
+		newer gate.RunState
+		// again is whether the task starts again, completed whether the job ends by the newer run.
+		again, completed bool
+	}{
+		"at work":   {newer: gate.RunState{Running: true}},
+		"in doubt":  {newer: gate.RunState{}},
+		"done":      {newer: gate.RunState{End: gate.EndDone}, completed: true},
+		"failed":    {newer: gate.RunState{End: gate.EndFailed}, again: true},
+		"stopped":   {newer: gate.RunState{End: gate.EndStopped}, again: true},
+		"lapsed":    {newer: gate.RunState{End: gate.EndLapsed}, again: true},
+		"lost":      {newer: gate.RunState{End: gate.EndLost}, again: true},
+		"not begun": {newer: gate.RunState{End: gate.EndRejected}, again: true},
+	}
+	for name, test := range tests {
+		for _, replacedFirst := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/replaced first %v", name, replacedFirst), func(t *testing.T) {
+				r := newReplacedCase(t)
+				newer, replaced := test.newer, gate.RunState{Name: r.first, End: gate.EndDone}
+				newer.Name = r.second
+				states := []gate.RunState{newer, replaced}
+				if replacedFirst {
+					slices.Reverse(states)
+				}
+				next := r.takenOver(states...)
+				if got := next.given("gate-1", r.first); got != gate.VerdictDiscard {
+					t.Errorf("verdict %v on the replaced run, want %v", got, gate.VerdictDiscard)
+				}
+				if got := next.starts(); len(got) > 0 != test.again {
+					t.Errorf("starts %v, want some: %v", got, test.again)
+				}
+				next.write()
+				if state, _ := next.owner.State(r.job.ID); (state == job.StateCompleted) != test.completed {
+					t.Errorf("state %v, want it completed: %v", state, test.completed)
+				}
+			})
+		}
+	}
+}
+
 // The end of a run that was never replaced still counts after a take-over.
 func TestTakeOverCountsRunNotReplaced(t *testing.T) {
 	r := newReplacedCase(t)
