--- a/review/rig/cancel.go
+++ b/review/rig/cancel.go
@@ -14,7 +14,7 @@
 func caseCancel(r *record, trouble bool) (bool, error) {
 	const cancelWithin, late, share = 3 * time.Second, 2500 * time.Millisecond, 0.35
 	const task = 3500 * time.Millisecond
-	d, err := newDeployment(r, options{entries: 2, agents: 4, capacity: 16000, workOf: func(_, _ string) work {
+	d, err := newDeployment(r, options{entries: 2, agents: 4, capacity: 16000, priority: 1, workOf: func(_, _ string) work {
 		return work{lasts: task, end: "done", cpu: 500}
 	}})
 	if d != nil {
--- a/review/rig/crash.go
+++ b/review/rig/crash.go
@@ -19,7 +19,7 @@
 // Other jobs run beside it.
 func caseCrash(r *record, trouble bool) (bool, error) {
 	const others, otherTask, lasts = 4, 9 * time.Second, 40 * time.Second
-	d, err := newDeployment(r, options{entries: 2, agents: 4, capacity: 16000, backAfter: 4 * time.Second, workOf: func(_, spec string) work {
+	d, err := newDeployment(r, options{entries: 2, agents: 4, capacity: 16000, priority: 1, backAfter: 4 * time.Second, workOf: func(_, spec string) work {
 		if spec == "other" {
 			return work{lasts: otherTask, end: "done", cpu: 500}
 		}
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -79,6 +79,7 @@
 type options struct {
 	entries, agents int
 	capacity        int
+	priority        int
 	backAfter       time.Duration
 	workOf          func(task, spec string) work
 }
@@ -107,7 +108,7 @@
 		<-d.ctx.Done()
 		_ = srv.Close()
 	}()
-	d.configure(map[string]any{})
+	d.configure(o.priority)
 	runs, err := runCommands()
 	if err != nil {
 		return d, err
@@ -313,17 +314,13 @@
 	return false
 }
 
-// configure writes the next version of the operator's configuration. The fields given replace
-// those of the queue.
-func (d *deployment) configure(fields map[string]any) {
+// configure writes the next version of the operator's configuration.
+func (d *deployment) configure(priority int) {
 	d.version += 3
 	queue := map[string]any{
-		"name": queueName, "host": host, "pathPrefix": prefix, "timeoutMs": 3000, "targetLatencyMs": 60, "priority": 1,
+		"name": queueName, "host": host, "pathPrefix": prefix, "timeoutMs": 3000, "targetLatencyMs": 60, "priority": priority,
 		"service": service, "attempts": 4, "stretch": 1.6,
 	}
-	for k, v := range fields {
-		queue[k] = v
-	}
 	text, err := json.Marshal(map[string]any{
 		"version": d.version, "routes": []any{queue},
 		"services": []any{map[string]any{"name": service, "enforcesCapacity": true}},
--- a/review/rig/executor.go
+++ b/review/rig/executor.go
@@ -360,6 +360,13 @@
 	return http.StatusOK, a
 }
 
+// resize changes the executor's capacity; what runs goes on.
+func (e *executor) resize(capacity int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.capacity = capacity
+}
+
 // seen returns copies of the starts that the executor has carried out.
 func (e *executor) seen() []startSeen {
 	e.mu.Lock()
--- a/review/rig/rates.go
+++ b/review/rig/rates.go
@@ -13,12 +13,8 @@
 // again with the settings of that moment.
 func caseRates(r *record, trouble bool) (bool, error) {
 	const jobs = 6
-	d, err := newDeployment(r, options{entries: 3, agents: 4, capacity: 16000, workOf: func(_, spec string) work {
-		w := work{lasts: 200 * time.Millisecond, end: "done", cpu: 500}
-		if spec == "long" {
-			w.lasts = 25 * time.Second
-		}
-		return w
+	d, err := newDeployment(r, options{entries: 3, agents: 4, capacity: 16000, priority: 1, workOf: func(_, spec string) work {
+		return work{lasts: taskTimes[spec], end: "done", cpu: 500}
 	}})
 	if d != nil {
 		defer d.end()
@@ -31,7 +27,7 @@
 	for i := range 2 * jobs {
 		id := newID()
 		ids[id] = []string{"short", "long"}[i/jobs]
-		if !d.submitUntilTaken(d.entries[0], id, ids[id], 5*time.Second, taskOf(ids[id])) {
+		if !d.submitUntilTaken(d.entries[0], id, ids[id], 5*time.Second, stepsOf(ids[id])...) {
 			return false, fmt.Errorf("%w: a job was not accepted", errCannotRun)
 		}
 	}
@@ -71,7 +67,7 @@
 	}
 	// A client sends a job again, occasionally also seconds after its 2xx.
 	for id, spec := range ids {
-		d.submit(killed, id, spec, taskOf(spec))
+		d.submit(killed, id, spec, stepsOf(spec)...)
 	}
 	time.Sleep(5 * time.Second)
 	twice := 0
@@ -85,12 +81,21 @@
 	return unknown == 0 && twice == 0, nil
 }
 
-func taskOf(spec string) step {
-	estimate := 200
-	if spec == "long" {
-		estimate = 25000
+// taskTimes has how long the tasks of a kind of job run.
+var taskTimes = map[string]time.Duration{"short": 200 * time.Millisecond, "long": 3600 * time.Millisecond}
+
+// stepsOf returns the steps of a kind of job: short ones have one task, long ones a chain of them.
+func stepsOf(spec string) []step {
+	one := func() step {
+		return step{"count": 1, "cpu": 500, "memMb": 64, "estimateMs": taskTimes[spec].Milliseconds()}
+	}
+	steps := []step{one()}
+	for i := 1; spec == "long" && i < 8; i++ {
+		s := one()
+		s["afterRev"] = []int{i - 1}
+		steps = append(steps, s)
 	}
-	return step{"count": 1, "cpu": 500, "memMb": 64, "estimateMs": estimate}
+	return steps
 }
 
 // startedTwice reports whether a task was started while another run of it was active, or after one
--- a/review/rig/spread.go
+++ b/review/rig/spread.go
@@ -16,8 +16,8 @@
 // caseSpread: a large job whose tasks may not share an executor keeps all later jobs of its entry
 // from starting, while nearly all capacity is free.
 func caseSpread(r *record, trouble bool) (bool, error) {
-	const executors, cpu, capacity, longTask = 4, 500, 16000, 40 * time.Second
-	d, err := newDeployment(r, options{entries: 2, agents: executors, capacity: capacity, workOf: func(_, spec string) work {
+	const executors, count, cpu, capacity, longTask = 3, 32, 500, 16000, 3600 * time.Millisecond
+	d, err := newDeployment(r, options{entries: 2, agents: executors, capacity: capacity, priority: 1, workOf: func(_, spec string) work {
 		w := work{lasts: 200 * time.Millisecond, end: "done", cpu: cpu}
 		if spec == "long" {
 			w.lasts = longTask
@@ -32,7 +32,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	e := d.entries[0]
-	large := step{"count": 24, "cpu": cpu, "memMb": 64, "estimateMs": longTask.Milliseconds()}
+	large := step{"count": count, "cpu": cpu, "memMb": 64, "estimateMs": longTask.Milliseconds()}
 	if trouble {
 		large["antiAffinity"] = 1
 	}
