--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,4 @@
 # the disruption doesn't come. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/rig ] || exit 2
-exec target/review-2/rig -case dag -record review/8/record.txt
+exec target/review-2/rig -case cancel -record review/8/record.txt
