--- a/review/rig/crash.go
+++ b/review/rig/crash.go
@@ -8,11 +8,10 @@
 
 func init() { cases["crash"] = caseCrash }
 
-// Figures of the letters' term on tasks that crash executors, and contactMs.
+// Figures of the letters' term on tasks that crash executors.
 const (
 	crashesBefore = 3
 	startsAfter   = 3
-	contact       = 3 * time.Second
 )
 
 // caseCrash: a task crashes each executor that starts it; the executor is back after some seconds.
--- a/review/rig/spread.go
+++ b/review/rig/spread.go
@@ -7,10 +7,12 @@
 
 func init() { cases["spread"] = caseSpread }
 
-// finish is finish_s, held how long a job may have nothing running although its turn has come.
+// Bounds of the settings: finish_s, how long a job may have nothing running although its turn has come,
+// and contactMs.
 const (
-	finish = 14 * time.Second
-	held   = 3 * time.Second
+	finish  = 14 * time.Second
+	held    = 3 * time.Second
+	contact = 3 * time.Second
 )
 
 // caseSpread: a large job whose tasks may not share an executor keeps all later jobs of its entry
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -13,7 +13,9 @@
 const (
 	storeRowBytes   = 65536
 	storeAnswerTime = 4 * time.Millisecond
-	storePage       = 500
+	// storePartTime is how long a part takes for a transaction; it makes one after the other.
+	storePartTime = time.Second / 300
+	storePage     = 500
 )
 
 // wireRow is a row, a condition, a put or a delete on the wire.
@@ -60,6 +62,8 @@
 	rows    map[rowKey]wireRow
 	log     []wireRow
 	changed chan struct{}
+	// turns has a lock for each part.
+	turns map[string]*sync.Mutex
 	// fate decides on each writing call; nil means that all are answered.
 	fate func(t *wireTx) writeFate
 	// writes counts the writing calls, lost those that got no answer, oversized those refused
@@ -68,7 +72,7 @@
 }
 
 func newStore() *store {
-	return &store{started: time.Now(), rows: map[rowKey]wireRow{}, changed: make(chan struct{})}
+	return &store{started: time.Now(), rows: map[rowKey]wireRow{}, turns: map[string]*sync.Mutex{}, changed: make(chan struct{})}
 }
 
 func (s *store) handler() http.Handler {
@@ -104,7 +108,11 @@
 		<-req.Context().Done()
 		panic(http.ErrAbortHandler)
 	}
+	turn := s.turnOf(&t)
+	turn.Lock()
+	time.Sleep(storePartTime)
 	page, ok := s.apply(&t)
+	turn.Unlock()
 	status := http.StatusOK
 	if !ok {
 		status = http.StatusPreconditionFailed
@@ -112,6 +120,23 @@
 	s.write(w, status, page)
 }
 
+// turnOf returns the lock of the part that a transaction is for.
+func (s *store) turnOf(t *wireTx) *sync.Mutex {
+	part := ""
+	for _, rows := range [][]wireRow{t.Conditions, t.Puts, t.Deletes} {
+		if len(rows) > 0 {
+			part = rows[0].Part
+			break
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.turns[part] == nil {
+		s.turns[part] = &sync.Mutex{}
+	}
+	return s.turns[part]
+}
+
 func (s *store) fateOf(t *wireTx) writeFate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
