--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -24,6 +24,7 @@
 	"calls":   playCalls,
 	"memory":  playMemory,
 	"suspect": playSuspect,
+	"open":    playOpen,
 }
 
 func main() {
