--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -4,8 +4,11 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"runtime/debug"
+	"sync/atomic"
+	"syscall"
 )
 
 // Exit codes of a script.
@@ -27,6 +30,9 @@
 	"open":    playOpen,
 }
 
+// current is the deployment, whose processes end with the script.
+var current atomic.Pointer[world]
+
 func main() {
 	if len(os.Args) != 3 || scripts[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER")
@@ -42,6 +48,15 @@
 		return exitCannotRun
 	}
 	defer record.Close()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		if w := current.Load(); w != nil {
+			w.close()
+		}
+		os.Exit(exitCannotRun)
+	}()
 	// The store keeps every value in memory.
 	debug.SetGCPercent(25)
 	err = script(record, os.Getenv("TROUBLE") != "0")
--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -65,7 +65,7 @@
 // watchMemory watches a machine until the script ends.
 func (w *world) watchMemory(m *machine, role string, limitMB int, k *platformKills) {
 	stop, stopped := make(chan struct{}), make(chan struct{})
-	w.atEnd(func() {
+	w.watches = append(w.watches, func() {
 		close(stop)
 		<-stopped
 	})
--- a/review/stand/suspect.go
+++ b/review/stand/suspect.go
@@ -57,6 +57,7 @@
 	c.crashes++
 	next := fmt.Sprintf("i-%s-%d", strings.Split(e.Life, "-")[1], c.crashes)
 	m.port.Crash()
+	m.hangUp()
 	w.mu.Lock()
 	m.former = append(m.former, e)
 	m.down = append(m.down, outage{from: time.Now()})
@@ -66,6 +67,10 @@
 		x := standin.NewExecutor(next, e.Capacity, w.work)
 		x.StopTime = e.StopTime
 		m.port.SetExecutor(x)
+		if err := m.listen(); err != nil {
+			w.logf("executor of %s does not listen: %v", m.name, err)
+			return
+		}
 		w.arm(m, c)
 		w.mu.Lock()
 		m.down[len(m.down)-1].until = time.Now()
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -78,6 +78,8 @@
 	mu     sync.Mutex
 	record *os.File
 	ends   []func()
+	// watches are ended before everything else, so that nothing is started any more.
+	watches []func()
 	// tooLarge counts the transactions that the store has refused since a value was too large.
 	tooLarge int
 	largest  int
@@ -93,6 +95,9 @@
 	cmd      *exec.Cmd
 	exited   chan struct{}
 	port     *standin.ExecutorPort
+	// app is the address of the executor, server what serves there.
+	app    string
+	server *http.Server
 	// former are the executors that have crashed.
 	former []*standin.Executor
 	// down are the times at which an executor crashed, and at which the next one was there.
@@ -111,6 +116,9 @@
 
 // close ends all processes and stand-ins.
 func (w *world) close() {
+	for _, end := range w.watches {
+		end()
+	}
 	for i := len(w.ends) - 1; i >= 0; i-- {
 		w.ends[i]()
 	}
@@ -122,6 +130,7 @@
 // newWorld starts a deployment and waits until its entries are ready.
 func newWorld(record *os.File, trouble bool, o options) (*world, error) {
 	w := &world{options: o, trouble: trouble, started: time.Now(), record: record, store: rowstore.NewMemory(), needs: map[job.ID]int{}}
+	current.Store(w)
 	dir, err := os.MkdirTemp("", "stand-")
 	if err != nil {
 		return w, err
@@ -132,7 +141,7 @@
 	if err := w.choosePorts(); err != nil {
 		return w, err
 	}
-	if w.storeURL, err = w.serve(&http.Server{Handler: w.storeHandler(), ReadHeaderTimeout: time.Second}, 0); err != nil {
+	if err := w.serveStore(); err != nil {
 		return w, err
 	}
 	if err := w.configure(); err != nil {
@@ -166,28 +175,43 @@
 	return nil
 }
 
-// serve serves on a free port; conns bounds its open connections, 0 means no bound.
-func (w *world) serve(s *http.Server, conns int) (address string, err error) {
+// serveStore serves the platform's store on a free port.
+func (w *world) serveStore() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return "", err
-	}
-	address = l.Addr().String()
-	if conns > 0 {
-		l = &boundedListener{Listener: l, free: make(chan struct{}, conns)}
+		return err
 	}
+	w.storeURL = l.Addr().String()
+	s := &http.Server{Handler: w.storeHandler(), ReadHeaderTimeout: time.Second}
 	go func() { _ = s.Serve(l) }()
 	w.atEnd(func() { _ = s.Close() })
-	return address, nil
+	return nil
+}
+
+// listen serves the executor of a machine at its address. It accepts 64 connections at a time.
+func (m *machine) listen() error {
+	l, err := net.Listen("tcp", m.app)
+	if err != nil {
+		return err
+	}
+	m.app = l.Addr().String()
+	m.server = m.port.Server()
+	m.server.Handler = boundedLists(m.server.Handler)
+	bounded := &boundedListener{Listener: l, free: make(chan struct{}, executorConns)}
+	go func(s *http.Server) { _ = s.Serve(bounded) }(m.server)
+	return nil
 }
 
+// hangUp ends what listen has begun: connections to the address are refused.
+func (m *machine) hangUp() { _ = m.server.Close() }
+
 // boundedListener accepts a connection only while fewer than cap(free) are open.
 type boundedListener struct {
 	net.Listener
 	free chan struct{}
 }
 
-// Accept implements net.Listener.Accept.
+// Accept implements net.Listener.Accept. Once the listener is closed it may wait for ever.
 func (l *boundedListener) Accept() (net.Conn, error) {
 	l.free <- struct{}{}
 	c, err := l.Listener.Accept()
@@ -356,13 +380,12 @@
 	e := standin.NewExecutor(fmt.Sprintf("i-%d", i), job.Resources{CPU: executorCPU, Memory: 32768}, w.work)
 	e.StopTime = 20 * time.Millisecond
 	m.port.SetExecutor(e)
-	srv := m.port.Server()
-	srv.Handler = boundedLists(srv.Handler)
-	app, err := w.serve(srv, executorConns)
-	if err != nil {
+	m.app = "127.0.0.1:0"
+	if err := m.listen(); err != nil {
 		return err
 	}
-	if err := w.settings(m, "side", app, agentMemoryMB); err != nil {
+	w.atEnd(m.hangUp)
+	if err := w.settings(m, "side", m.app, agentMemoryMB); err != nil {
 		return err
 	}
 	w.agents = append(w.agents, m)
