--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -145,13 +145,19 @@
 	ordinary.tell("ordinary jobs")
 	w.logf("traffic has ended")
 	time.Sleep(finish)
-	lost := w.judgeLost(ordinary, clashCheck)
-	total := kills.total()
+	idle := w.judgeLost(ordinary, clashCheck)
+	accepted := ordinary.accepted(w.started, time.Now())
+	unanswered := 0
+	for _, j := range accepted {
+		if j.state == noAnswer {
+			unanswered++
+		}
+	}
 	kills.mu.Lock()
 	defer kills.mu.Unlock()
-	w.logf("ends of processes: %v; most memory: %v", kills.ends, kills.most)
-	if total >= 3 && len(kills.ends) >= 2 {
-		return fmt.Errorf("%w: Fault: processes took more than their memory %d times, on %d machines", errBroken, total, len(kills.ends))
+	w.logf("ends of processes above their memory: %v; most memory in MB: %v", kills.ends, kills.most)
+	if unanswered > 0 {
+		return fmt.Errorf("%w: LOST: %d of %d accepted jobs got no answer in time", errBroken, unanswered, len(accepted))
 	}
-	return lost
+	return idle
 }
--- a/review/stand/open.go
+++ b/review/stand/open.go
@@ -76,7 +76,7 @@
 	accepted := ordinary.accepted(w.started, time.Now())
 	states := w.ask(accepted)
 	w.logf("%d accepted jobs asked for %v after the traffic: %v", len(accepted), finish, states)
-	if n := states["status 0"]; n > 0 {
+	if n := states[noAnswer]; n > 0 {
 		return fmt.Errorf("%w: LOST: %d of %d accepted jobs got no answer in time", errBroken, n, len(accepted))
 	}
 	return nil
--- a/review/stand/traffic.go
+++ b/review/stand/traffic.go
@@ -166,6 +166,9 @@
 	}
 }
 
+// noAnswer is the state of a job that was asked for and got no answer in time.
+const noAnswer = "status 0"
+
 // ask asks for the state of each job once, at the entries in turn, and counts the states.
 func (w *world) ask(jobs []*sentJob) map[string]int {
 	states := map[string]int{}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -164,7 +164,7 @@
 func (w *world) choosePorts() error {
 	var free [4]int
 	for i := range free {
-		l, err := net.Listen("tcp", "0.0.0.0:0")
+		l, err := net.Listen("tcp", w.network+".250:0")
 		if err != nil {
 			return err
 		}
@@ -177,7 +177,7 @@
 
 // serveStore serves the platform's store on a free port.
 func (w *world) serveStore() error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", w.network+".250:0")
 	if err != nil {
 		return err
 	}
@@ -380,7 +380,7 @@
 	e := standin.NewExecutor(fmt.Sprintf("i-%d", i), job.Resources{CPU: executorCPU, Memory: 32768}, w.work)
 	e.StopTime = 20 * time.Millisecond
 	m.port.SetExecutor(e)
-	m.app = "127.0.0.1:0"
+	m.app = m.ip + ":0"
 	if err := m.listen(); err != nil {
 		return err
 	}
